First version: the mechanism, the wire adapter, and the five rules with scenarios

A scenario showed that a release sent while a launch still waits for the state lets nothing go; it now follows that launch's outcome. The cold budget counts what warm hosts bear, not what we send, which shrank with itself when all hosts were cold.

--- /dev/null
+++ b/crates/simhost/src/main.rs
@@ -0,0 +1,86 @@
+//! Hosts the instances of [`cindercleat::control::Control`] that the simulator plays, one a dispatcher, and
+//! carries its wire to the module's interface and back. Nothing is decided here, and instances share nothing.
+
+mod conf;
+mod wire;
+
+use cindercleat::control::Control;
+use cindercleat::interface::{Action, Event, Ms};
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, Write};
+use std::process::ExitCode;
+use wire::{Line, Malformed, Parser};
+
+/// One dispatcher: its decisions and the events of the batch being read.
+struct Instance {
+    control: Control,
+    events: Vec<Event>,
+}
+
+fn main() -> ExitCode {
+    match serve(io::stdin().lock(), io::stdout().lock()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("{problem}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn serve(mut input: impl BufRead, mut output: impl Write) -> Result<(), String> {
+    let mut instances: BTreeMap<u32, Instance> = BTreeMap::new();
+    let mut parser = Parser::default();
+    let mut batch: Option<(Ms, u64)> = None;
+    let mut raw = Vec::new();
+    let mut actions: Vec<Action> = Vec::new();
+    loop {
+        raw.clear();
+        let read = input.read_until(b'\n', &mut raw).map_err(|e| format!("standard input: {e}"))?;
+        if read == 0 {
+            return match batch {
+                None => Ok(()),
+                Some(_) => Err(parser.at_line(Malformed::new("flush", "the end of the input"))),
+            };
+        }
+        let line = parser.line(&raw, batch.is_some()).map_err(|m| parser.at_line(m))?;
+        match line {
+            Line::Empty => {}
+            Line::Begin { now, number } => batch = Some((now, number)),
+            Line::Start { instance, seed, settings } => {
+                let control = Control::new(*settings, seed);
+                instances.insert(instance, Instance { control, events: Vec::new() });
+            }
+            Line::PowerOff { instance } => {
+                instances.remove(&instance);
+            }
+            Line::Event { instance, event } => {
+                if let Some(instance) = instances.get_mut(&instance) {
+                    instance.events.push(event);
+                }
+            }
+            Line::Row(entry) => {
+                let held = parser.list_owner().and_then(|i| instances.get_mut(&i));
+                if let Some(Event::Listed { entries, .. }) = held.and_then(|i| i.events.last_mut()) {
+                    entries.push(entry);
+                }
+            }
+            Line::Flush => {
+                let Some((now, number)) = batch.take() else { continue };
+                let mut reply = String::new();
+                for (id, instance) in &mut instances {
+                    if instance.events.is_empty() {
+                        continue;
+                    }
+                    instance.control.step(now, &instance.events, &mut actions);
+                    instance.events.clear();
+                    for action in actions.drain(..) {
+                        wire::write_action(&mut reply, *id, &action);
+                    }
+                }
+                reply.push_str(&format!("ready\t{number}\n"));
+                let sent = output.write_all(reply.as_bytes()).and_then(|()| output.flush());
+                sent.map_err(|e| format!("standard output: {e}"))?;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,662 @@
+//! Every decision of a dispatcher: which reader reads a task, which writer answers it, what follows a
+//! failure, and when a task is bounced or written off.
+//!
+//! Callers make one [`Control`] a dispatcher with [`Control::new`], then hand each batch of events to
+//! [`Control::step`] with the batch's instant and carry out the actions in order. Timers asked for with
+//! `Action::Arm` come back as `Event::Timer`. The plain types of both sides are in [`crate::interface`].
+//! The same settings, seed and events give the same actions. Nothing here reads a clock or does I/O.
+//!
+//! A step runs in three parts: `learn` takes the events in, `plan` sets what is wanted of each task, and
+//! `emit` alone turns the difference between wanted and present into actions.
+
+use crate::interface::*;
+use nanorand::{Rng, WyRand};
+use std::collections::{BTreeMap, VecDeque};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The band under the best nearness within which load decides (the design's tau).
+const TAU: f64 = 0.1;
+/// A writer holding more of our streams than the average and this many is skipped (the design).
+const ABOVE_AVERAGE: f64 = 1.0;
+/// A home reader whose waiting tokens exceed this many times the mean passes the read on (the design).
+const HOME_ESCAPE: f64 = 2.0;
+/// Share of the release time after which a state that found no writer is let go.
+const HOLD_SHARE: f64 = 0.7;
+/// Own final answers come this many ticks before patience ends.
+const END_TICKS: f64 = 2.0;
+/// Held tasks are looked at again after this share of the release time.
+const RETRY_SHARE: f64 = 0.1;
+/// Part of the cold budget that is used; the rest is for what one dispatcher cannot see. Where no host of
+/// the role is warm there is nothing else to serve with, and a little more is used.
+const COLD_MARGIN: f64 = 0.5;
+const COLD_MARGIN_ALL: f64 = 0.75;
+/// Last outcomes by which a host is judged, and how few are too few.
+const JUDGED: u32 = 8;
+const JUDGED_LEAST: u32 = 3;
+/// A host with less than this share of its peers' mean success is avoided.
+const SICK_BELOW: f64 = 0.5;
+/// A host that said 'full' is passed over for this share of the release time.
+const FULL_SHARE: f64 = 0.25;
+
+/// A model host's place in the parallel arrays.
+type Slot = usize;
+
+/// What the module knows of model hosts, in parallel arrays under a dense index.
+#[derive(Default)]
+struct Hosts {
+    index: BTreeMap<HostId, Slot>,
+    id: Vec<HostId>,
+    role: Vec<Role>,
+    zone: Vec<ZoneId>,
+    cell: Vec<CellId>,
+    condition: Vec<Condition>,
+    started: Vec<Ms>,
+    /// Own streams: launches out at a writer.
+    streams: Vec<f64>,
+    /// Prompt tokens of own reads out at a reader.
+    reading: Vec<f64>,
+    load: Vec<Load>,
+    /// Last outcomes, newest in the lowest bit, and how many there are.
+    outcomes: Vec<u32>,
+    outcome_count: Vec<u32>,
+    /// Until when a 'full' or a judgement keeps it out of the choice.
+    full_until: Vec<Ms>,
+    trial_at: Vec<Ms>,
+    /// Instants of own launches, and of own reads done and streams begun, over the last fall window.
+    sends: Vec<VecDeque<Ms>>,
+    dones: Vec<VecDeque<Ms>>,
+}
+
+/// What differs by profile.
+struct ProfileRow {
+    effect: Effect,
+    quoted: Ms,
+    quoted_per_token: Ms,
+}
+
+struct Out {
+    launch: LaunchNo,
+    slot: Slot,
+    reading: bool,
+    streaming: bool,
+    cancelled: bool,
+    tokens: f64,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Want {
+    Rest,
+    Launch(Slot),
+    Bounce,
+    WriteOff,
+}
+
+struct Task {
+    arrival: Arrival,
+    quoted_at: Ms,
+    ends: Ms,
+    launches: u32,
+    out: Option<Out>,
+    /// Where its read state waits.
+    state: Option<Slot>,
+    /// The last outcome; the release time counts from here.
+    idle_since: Ms,
+    /// Writers and readers that turned this task away or failed it since its last read.
+    tried: Vec<Slot>,
+    /// The first launch that may have run: where and when.
+    may_have_run: Option<(Slot, Ms)>,
+    sent_at: Ms,
+    over: bool,
+    want: Want,
+    want_cancel: bool,
+    want_release: bool,
+}
+
+pub struct Control {
+    settings: Settings,
+    profiles: Vec<ProfileRow>,
+    rng: WyRand,
+    born: Option<Ms>,
+    now: Ms,
+    hosts: Hosts,
+    tasks: BTreeMap<TaskId, Task>,
+    /// Instants of arrivals over the last fall window.
+    arrivals: VecDeque<Ms>,
+    wanted_wake: Option<Ms>,
+    armed: Option<Ms>,
+    timers: u64,
+}
+
+impl Control {
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let row = |p: &ProfileSettings| ProfileRow {
+            effect: p.effect,
+            quoted: p.quoted,
+            quoted_per_token: p.quoted_per_1000_tokens / 1000.0,
+        };
+        Control {
+            profiles: settings.profiles.iter().map(row).collect(),
+            rng: WyRand::new_seed(seed),
+            born: None,
+            now: 0.0,
+            hosts: Hosts::default(),
+            tasks: BTreeMap::new(),
+            arrivals: VecDeque::new(),
+            wanted_wake: None,
+            armed: None,
+            timers: 0,
+            settings,
+        }
+    }
+
+    /// Takes one batch of events at the instant `now` and appends what is to be done.
+    pub fn step(&mut self, now: Ms, events: &[Event], actions: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        self.born.get_or_insert(now);
+        for event in events {
+            self.learn(event);
+        }
+        self.wanted_wake = None;
+        let ids: Vec<TaskId> = self.tasks.keys().copied().collect();
+        for id in ids {
+            let Some(mut task) = self.tasks.remove(&id) else { continue };
+            self.plan(&mut task);
+            self.emit(id, &mut task, actions);
+            if !(task.over && task.out.is_none()) {
+                self.tasks.insert(id, task);
+            }
+        }
+        self.emit_timer(actions);
+    }
+
+    // ---- what is known ----
+
+    fn learn(&mut self, event: &Event) {
+        match event {
+            Event::Listed { kind, entries } => self.learn_list(*kind, entries),
+            Event::Arrived(arrival) => self.learn_arrival(arrival),
+            Event::Left { task } => {
+                if let Some(task) = self.tasks.get_mut(task) {
+                    task.over = true;
+                }
+            }
+            Event::FirstToken { task, launch, .. } => {
+                let Some(task) = self.tasks.get_mut(task) else { return };
+                let Some(out) = task.out.as_mut().filter(|o| o.launch == *launch) else { return };
+                out.streaming = true;
+                task.state = None;
+                let slot = out.slot;
+                self.hosts.judge(slot, true);
+                note(&mut self.hosts.dones[slot], self.now, self.settings.fall_window);
+            }
+            Event::Ended(ended) => self.learn_end(ended),
+            Event::Probed { host, load, .. } => {
+                if let Some(&slot) = self.hosts.index.get(host) {
+                    self.hosts.load[slot].update(load);
+                }
+            }
+            Event::Timer { timer } => {
+                if timer.0 == self.timers {
+                    self.armed = None;
+                }
+            }
+            Event::Place { .. } | Event::Heard { .. } => {}
+        }
+    }
+
+    fn learn_list(&mut self, kind: ListKind, entries: &[Entry]) {
+        if matches!(kind, ListKind::Full | ListKind::Remembered) {
+            for slot in 0..self.hosts.id.len() {
+                if !entries.iter().any(|e| e.host == self.hosts.id[slot]) {
+                    self.hosts.condition[slot] = Condition::Gone;
+                }
+            }
+        }
+        for entry in entries {
+            let Some(kind) = self.settings.kinds.get(entry.kind.0 as usize) else { continue };
+            let role = kind.role;
+            let started = entry.started.unwrap_or(f64::NEG_INFINITY);
+            let slot = self.hosts.slot(&entry.host, role);
+            if started > self.hosts.started[slot] {
+                // A new process under the same id: what was learned of the old one is void.
+                self.hosts.outcome_count[slot] = 0;
+                self.hosts.outcomes[slot] = 0;
+                self.hosts.load[slot] = Load::default();
+            }
+            self.hosts.role[slot] = role;
+            self.hosts.zone[slot] = entry.zone;
+            self.hosts.cell[slot] = entry.cell;
+            self.hosts.condition[slot] = entry.condition;
+            self.hosts.started[slot] = started;
+        }
+    }
+
+    fn learn_arrival(&mut self, arrival: &Arrival) {
+        let Some(row) = self.profiles.get(arrival.profile.0 as usize) else { return };
+        let task = Task {
+            quoted_at: self.now + row.quoted + row.quoted_per_token * arrival.prompt_tokens,
+            ends: self.now + arrival.patience_left - END_TICKS * self.settings.tick,
+            arrival: arrival.clone(),
+            launches: 0,
+            out: None,
+            state: None,
+            idle_since: self.now,
+            tried: Vec::new(),
+            may_have_run: None,
+            sent_at: self.now,
+            over: false,
+            want: Want::Rest,
+            want_cancel: false,
+            want_release: false,
+        };
+        self.tasks.insert(arrival.task, task);
+        note(&mut self.arrivals, self.now, self.settings.fall_window);
+    }
+
+    fn learn_end(&mut self, ended: &Ended) {
+        let Some(&slot) = self.hosts.index.get(&ended.host) else { return };
+        self.hosts.load[slot].update(&ended.load);
+        let Some(task) = self.tasks.get_mut(&ended.task) else { return };
+        let Some(out) = task.out.take_if(|o| o.launch == ended.launch && o.slot == slot) else { return };
+        self.hosts.forget_launch(&out);
+        task.over |= ended.last;
+        task.idle_since = self.now;
+        let never_ran =
+            out.reading || matches!(ended.outcome, Outcome::Full | Outcome::Unreachable | Outcome::Void);
+        if !never_ran && ended.outcome != Outcome::Fulfilled {
+            task.may_have_run.get_or_insert((out.slot, task.sent_at));
+        }
+        match ended.outcome {
+            Outcome::Fulfilled => self.hosts.judge(out.slot, true),
+            Outcome::ReadDone => {
+                task.state = Some(out.slot);
+                task.tried.clear();
+                self.hosts.judge(out.slot, true);
+                note(&mut self.hosts.dones[out.slot], self.now, self.settings.fall_window);
+            }
+            Outcome::Full => {
+                if ended.detail == 1.0 {
+                    // The state is gone (its reader died or let it go): read again.
+                    task.state = None;
+                } else {
+                    task.tried.push(out.slot);
+                    self.hosts.full_until[out.slot] = self.now + FULL_SHARE * self.settings.release;
+                }
+            }
+            Outcome::Failed | Outcome::TimedOut | Outcome::Broken | Outcome::Unreachable => {
+                task.tried.push(out.slot);
+                self.hosts.judge(out.slot, false);
+            }
+            Outcome::CalledOff | Outcome::Void => {}
+        }
+    }
+
+    // ---- what is wanted ----
+
+    fn plan(&mut self, task: &mut Task) {
+        task.want = Want::Rest;
+        if task.over {
+            task.want_cancel = task.out.as_ref().is_some_and(|o| !o.streaming);
+            task.want_release = task.out.is_none() && task.state.is_some();
+            return;
+        }
+        if task.out.as_ref().is_some_and(|o| o.streaming) {
+            return;
+        }
+        if self.now >= task.ends {
+            return self.give_up(task);
+        }
+        self.wake_at(task.ends);
+        if task.out.is_some() {
+            return;
+        }
+        if task.may_have_run.is_some() && !self.may_run_again(task) {
+            return self.give_up(task);
+        }
+        let left = self.settings.max_launches.saturating_sub(task.launches);
+        if task.state.is_some_and(|s| self.hosts.condition[s] == Condition::Gone) {
+            task.state = None;
+        }
+        let target = match task.state {
+            _ if left == 0 => return self.give_up(task),
+            Some(reader) => self.choose_writer(task, reader),
+            None if left < 2 => return self.give_up(task),
+            None => self.choose_reader(task),
+        };
+        if let Some(slot) = target {
+            task.want = Want::Launch(slot);
+            return;
+        }
+        let look_again = RETRY_SHARE * self.settings.release;
+        if task.state.is_some()
+            && self.now - task.idle_since + look_again > HOLD_SHARE * self.settings.release
+        {
+            // No writer will have it: the state may not wait longer, and a read for nothing helps nobody.
+            return self.give_up(task);
+        }
+        self.wake_at(self.now + look_again);
+    }
+
+    /// The task ends here, its state let go at once or, as a launch still waits for it, with that launch's
+    /// outcome: a bounce where a retry is sure to do no harm, else a write-off.
+    fn give_up(&mut self, task: &mut Task) {
+        let out_at_writer = task.out.as_ref().is_some_and(|o| !o.reading);
+        let may_have_run = task.may_have_run.is_some() || out_at_writer;
+        let harmless = match self.profiles[task.arrival.profile.0 as usize].effect {
+            Effect::Reissuable => true,
+            Effect::Numbered { group, .. } => !may_have_run || group == Group::All,
+            Effect::AtMostOnce => !may_have_run,
+        };
+        task.want = if harmless { Want::Bounce } else { Want::WriteOff };
+        task.want_cancel = task.out.is_some();
+        task.want_release = task.out.is_none() && task.state.is_some();
+    }
+
+    /// Whether a task that may have run may be sent again at all; `may_go_to` says where.
+    fn may_run_again(&self, task: &Task) -> bool {
+        match self.profiles[task.arrival.profile.0 as usize].effect {
+            Effect::Reissuable => true,
+            Effect::Numbered { window, .. } => task.may_have_run.is_none_or(|(_, at)| self.now < at + window),
+            Effect::AtMostOnce => task.may_have_run.is_none(),
+        }
+    }
+
+    fn may_go_to(&self, task: &Task, slot: Slot) -> bool {
+        let Some((first, _)) = task.may_have_run else { return true };
+        match self.profiles[task.arrival.profile.0 as usize].effect {
+            Effect::Numbered { group: Group::Zone, .. } => self.hosts.zone[first] == self.hosts.zone[slot],
+            Effect::Numbered { group: Group::Cell, .. } => self.hosts.cell[first] == self.hosts.cell[slot],
+            _ => true,
+        }
+    }
+
+    /// The reads' rule: the home that the hash names, unless too much waits there.
+    fn choose_reader(&mut self, task: &Task) -> Option<Slot> {
+        let pool = self.pool(task, true);
+        let beginning = match task.arrival.shared {
+            Some(shared) => shared.0,
+            None => task.arrival.session.0,
+        };
+        let rank = |s: Slot| xxh3_64_with_seed(self.hosts.id[s].0.as_bytes(), beginning);
+        let home = pool.iter().copied().max_by_key(|&s| rank(s))?;
+        let mean = pool.iter().map(|&s| self.hosts.waiting(s)).sum::<f64>() / pool.len() as f64;
+        if self.hosts.waiting(home) <= HOME_ESCAPE * mean {
+            return Some(home);
+        }
+        let weighed = |s: Slot| (self.hosts.waiting(s) + task.arrival.prompt_tokens) / self.age_weight(s);
+        pool.into_iter().min_by(|&a, &b| weighed(a).total_cmp(&weighed(b)).then(rank(b).cmp(&rank(a))))
+    }
+
+    /// The mechanism: nearness first, within the band the fewest in flight, skipping those above average.
+    fn choose_writer(&mut self, task: &Task, reader: Slot) -> Option<Slot> {
+        let pool = self.pool(task, false);
+        let best = pool.iter().map(|&s| self.nearness(reader, s)).fold(0.0, f64::max);
+        let mean = pool.iter().map(|&s| self.hosts.streams[s]).sum::<f64>() / pool.len().max(1) as f64;
+        let kept = pool.iter().copied().filter(|&s| {
+            self.nearness(reader, s) >= best - TAU && self.hosts.streams[s] <= mean + ABOVE_AVERAGE
+        });
+        let kept: Vec<Slot> = kept.collect();
+        self.fewest(if kept.is_empty() { pool } else { kept })
+    }
+
+    /// Fewest in flight wins, a fresh host counting for less by its age; ties fall by chance.
+    fn fewest(&mut self, among: Vec<Slot>) -> Option<Slot> {
+        let load = |s: Slot| (self.hosts.in_flight(s) + 1.0) / self.age_weight(s);
+        let least = among.iter().map(|&s| load(s)).fold(f64::INFINITY, f64::min);
+        let ties: Vec<Slot> = among.into_iter().filter(|&s| load(s) <= least).collect();
+        match ties.len() {
+            0 => None,
+            n => Some(ties[self.rng.generate_range(0..n)]),
+        }
+    }
+
+    fn nearness(&self, reader: Slot, writer: Slot) -> f64 {
+        if self.hosts.cell[reader] == self.hosts.cell[writer] {
+            1.0
+        } else if self.hosts.zone[reader] == self.hosts.zone[writer] {
+            0.5
+        } else {
+            0.0
+        }
+    }
+
+    /// Hosts of a role that may take this task now. Judged hosts, and hosts that just turned work or this
+    /// task away, come in only when nobody else is left; drains and cold budgets are never set aside.
+    fn pool(&mut self, task: &Task, reading: bool) -> Vec<Slot> {
+        let all: Vec<Slot> = (0..self.hosts.id.len())
+            .filter(|&s| self.hosts.serves(s, reading) && self.hosts.condition[s] == Condition::Ready)
+            .collect();
+        let peers = self.hosts.mean_success(&all);
+        let budget = self.cold_budget(&all);
+        let allowed: Vec<Slot> =
+            all.into_iter().filter(|&s| self.may_go_to(task, s) && self.cold_room(s, budget)).collect();
+        let fit = |s: Slot| {
+            let trial = self.now >= self.hosts.trial_at[s] && self.reissuable(task, reading);
+            let well = trial || !self.hosts.is_sick(s, peers);
+            well && self.now >= self.hosts.full_until[s] && !task.tried.contains(&s)
+        };
+        let best: Vec<Slot> = allowed.iter().copied().filter(|&s| fit(s)).collect();
+        if !best.is_empty() {
+            return best;
+        }
+        allowed.into_iter().filter(|&s| self.now >= self.hosts.full_until[s]).collect()
+    }
+
+    /// Whether a failure on a trial would cost no more than the time.
+    fn reissuable(&self, task: &Task, reading: bool) -> bool {
+        reading || self.profiles[task.arrival.profile.0 as usize].effect == Effect::Reissuable
+    }
+
+    fn is_cold(&self, slot: Slot) -> bool {
+        self.now < self.hosts.started[slot] + self.settings.ramp
+    }
+
+    /// A fresh host counts for less, by its age.
+    fn age_weight(&self, slot: Slot) -> f64 {
+        let age = ((self.now - self.hosts.started[slot]) / self.settings.ramp).clamp(0.0, 1.0);
+        self.settings.start_capacity + (1.0 - self.settings.start_capacity) * age
+    }
+
+    /// Guards against pushing a cold host over: the launches it may get within any fall window. Warm hosts
+    /// show what a host bears (our reads done and streams begun there); a cold one gets that, scaled by the
+    /// start capacity and the fall multiple, less a margin. Each dispatcher scales by its own traffic, so
+    /// together they stay under. Where no host is warm, the arrivals, spread evenly, stand in. One that has
+    /// just started cannot know what it sent before: its budget grows from nothing over the first window.
+    fn cold_budget(&self, role_hosts: &[Slot]) -> f64 {
+        let window = self.settings.fall_window;
+        let since = self.now - window;
+        let warm: Vec<Slot> = role_hosts.iter().copied().filter(|&s| !self.is_cold(s)).collect();
+        let (borne, margin) = if warm.is_empty() {
+            (count_since(&self.arrivals, since) / role_hosts.len().max(1) as f64, COLD_MARGIN_ALL)
+        } else {
+            let done = warm.iter().map(|&s| count_since(&self.hosts.dones[s], since)).sum::<f64>();
+            (done / warm.len() as f64, COLD_MARGIN)
+        };
+        let known = ((self.now - self.born.unwrap_or(self.now)) / window).min(1.0);
+        (margin * self.settings.fall_multiple * self.settings.start_capacity * borne).max(1.0) * known
+    }
+
+    /// Every launch counts, also one that is turned away.
+    fn cold_room(&self, slot: Slot, budget: f64) -> bool {
+        let sent = count_since(&self.hosts.sends[slot], self.now - self.settings.fall_window);
+        !self.is_cold(slot) || sent + 1.0 <= budget
+    }
+
+    fn wake_at(&mut self, at: Ms) {
+        self.wanted_wake = Some(self.wanted_wake.map_or(at, |w| w.min(at)));
+    }
+
+    // ---- what is done ----
+
+    /// The only place that acts on a task: brings the present state to the wanted one.
+    fn emit(&mut self, id: TaskId, task: &mut Task, actions: &mut Vec<Action>) {
+        if task.want_cancel && self.settings.may_cancel {
+            if let Some(out) = task.out.as_mut().filter(|o| !o.cancelled) {
+                actions.push(Action::Cancel { task: id, launch: out.launch });
+                out.cancelled = true;
+            }
+        }
+        if task.want_release {
+            actions.push(Action::Release { task: id });
+            task.state = None;
+            task.want_release = false;
+        }
+        match task.want {
+            Want::Rest => {}
+            Want::Launch(slot) => {
+                actions.push(Action::Launch {
+                    task: id,
+                    host: self.hosts.id[slot].clone(),
+                    until: Some(task.ends),
+                });
+                let reading = task.state.is_none();
+                let out = Out {
+                    launch: LaunchNo(task.launches),
+                    slot,
+                    reading,
+                    streaming: false,
+                    cancelled: false,
+                    tokens: task.arrival.prompt_tokens,
+                };
+                self.hosts.note_launch(&out, self.now, self.settings.fall_window);
+                self.hosts.trial_at[slot] =
+                    self.hosts.trial_at[slot].max(self.now + self.settings.fall_window);
+                task.out = Some(out);
+                task.sent_at = self.now;
+                task.launches += 1;
+            }
+            Want::Bounce => {
+                let wait = self.settings.clients_hear_retry.then_some(self.settings.release);
+                actions.push(Action::Bounce { task: id, retry_after: wait });
+                task.over = true;
+            }
+            Want::WriteOff => {
+                actions.push(Action::WriteOff { task: id });
+                task.over = true;
+            }
+        }
+        task.want = Want::Rest;
+    }
+
+    fn emit_timer(&mut self, actions: &mut Vec<Action>) {
+        let Some(wake) = self.wanted_wake else { return };
+        if self.armed.is_some_and(|at| at <= wake && at > self.now) {
+            return;
+        }
+        self.timers += 1;
+        actions.push(Action::Arm { delay: (wake - self.now).max(0.0), timer: TimerId(self.timers) });
+        self.armed = Some(wake);
+    }
+}
+
+impl Hosts {
+    fn slot(&mut self, id: &HostId, role: Role) -> Slot {
+        if let Some(&slot) = self.index.get(id) {
+            return slot;
+        }
+        let slot = self.id.len();
+        self.index.insert(id.clone(), slot);
+        self.id.push(id.clone());
+        self.role.push(role);
+        self.zone.push(ZoneId(0));
+        self.cell.push(CellId(0));
+        self.condition.push(Condition::Gone);
+        self.started.push(f64::NEG_INFINITY);
+        self.streams.push(0.0);
+        self.reading.push(0.0);
+        self.load.push(Load::default());
+        self.outcomes.push(0);
+        self.outcome_count.push(0);
+        self.full_until.push(f64::NEG_INFINITY);
+        self.trial_at.push(f64::NEG_INFINITY);
+        self.sends.push(VecDeque::new());
+        self.dones.push(VecDeque::new());
+        slot
+    }
+
+    fn serves(&self, slot: Slot, reading: bool) -> bool {
+        match self.role[slot] {
+            Role::Reader => reading,
+            Role::Writer => !reading,
+            Role::Both => true,
+        }
+    }
+
+    fn note_launch(&mut self, out: &Out, now: Ms, window: Ms) {
+        if out.reading {
+            self.reading[out.slot] += out.tokens;
+        } else {
+            self.streams[out.slot] += 1.0;
+        }
+        note(&mut self.sends[out.slot], now, window);
+    }
+
+    fn forget_launch(&mut self, out: &Out) {
+        if out.reading {
+            self.reading[out.slot] -= out.tokens;
+        } else {
+            self.streams[out.slot] -= 1.0;
+        }
+    }
+
+    /// Tokens waiting at a reader: our own, or what it reports, whichever is more.
+    fn waiting(&self, slot: Slot) -> f64 {
+        self.reading[slot].max(self.load[slot].waiting_kilotokens.unwrap_or(0.0) * 1000.0)
+    }
+
+    /// A writer's load: our own streams and what it last reported, when it has reported it.
+    fn in_flight(&self, slot: Slot) -> f64 {
+        self.streams[slot] + self.load[slot].in_flight.unwrap_or(0.0)
+    }
+
+    fn judge(&mut self, slot: Slot, success: bool) {
+        self.outcomes[slot] = (self.outcomes[slot] << 1 | u32::from(success)) & ((1 << JUDGED) - 1);
+        self.outcome_count[slot] = (self.outcome_count[slot] + 1).min(JUDGED);
+    }
+
+    fn success(&self, slot: Slot) -> f64 {
+        match self.outcome_count[slot] {
+            0 => 1.0,
+            n => f64::from(self.outcomes[slot].count_ones()) / f64::from(n),
+        }
+    }
+
+    fn mean_success(&self, among: &[Slot]) -> f64 {
+        among.iter().map(|&s| self.success(s)).sum::<f64>() / among.len().max(1) as f64
+    }
+
+    /// Judged by the successes among its last few outcomes, against its peers: a trouble of the whole
+    /// fleet empties no pool.
+    fn is_sick(&self, slot: Slot, peers: f64) -> bool {
+        self.outcome_count[slot] >= JUDGED_LEAST && self.success(slot) < SICK_BELOW * peers
+    }
+}
+
+/// Adds an instant to a log and drops what is older than the window.
+fn note(log: &mut VecDeque<Ms>, now: Ms, window: Ms) {
+    log.push_back(now);
+    while log.front().is_some_and(|&at| at <= now - window) {
+        log.pop_front();
+    }
+}
+
+fn count_since(log: &VecDeque<Ms>, since: Ms) -> f64 {
+    log.iter().rev().take_while(|&&at| at > since).count() as f64
+}
+
+impl Load {
+    fn update(&mut self, newer: &Load) {
+        let fields = [
+            (&mut self.in_flight, newer.in_flight),
+            (&mut self.queue, newer.queue),
+            (&mut self.slots_used, newer.slots_used),
+            (&mut self.memory_held, newer.memory_held),
+            (&mut self.waiting_kilotokens, newer.waiting_kilotokens),
+        ];
+        for (old, new) in fields {
+            if new.is_some() {
+                *old = new;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,308 @@
+//! The plain types that pass between a dispatcher's program and its [`Control`](crate::control::Control):
+//! ids, start settings, events in, actions out. Nothing here decides anything.
+
+use std::sync::Arc;
+
+/// Milliseconds with fractions; instants are on the caller's clock, whose zero means nothing.
+pub type Ms = f64;
+
+/// A task, as its dispatcher numbers it; never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId(pub u32);
+/// A model host's lasting name.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct HostId(pub Arc<str>);
+/// A session: one client's row of tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SessionId(pub u64);
+/// A beginning that prompts of several sessions share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SharedTextId(pub u64);
+/// The launches of one task count from 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LaunchNo(pub u32);
+/// A zone, by its place in the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneId(pub u32);
+/// A cell: a few model hosts with a short way between them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CellId(pub u32);
+/// A kind of model host, by its place in the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KindId(pub u32);
+/// A profile, by its place in the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ProfileId(pub u32);
+/// A tenant, by its place in the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TenantId(pub u32);
+/// A dispatcher's number among its peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct DispatcherId(pub u32);
+/// A timer that the module set.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TimerId(pub u64);
+
+/// What a kind of model host does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    Reader,
+    Writer,
+    Both,
+}
+
+/// The model hosts that recognise a numbered task's repeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+/// Whether a task that may have run may run again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Effect {
+    Reissuable,
+    Numbered { group: Group, window: Ms },
+    AtMostOnce,
+}
+
+/// One profile's settings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ProfileSettings {
+    pub effect: Effect,
+    pub quoted: Ms,
+    pub quoted_per_1000_tokens: Ms,
+    pub patience: Ms,
+    pub payoff: f64,
+    pub late_share: f64,
+    pub token_pace: Ms,
+    pub streams: bool,
+}
+
+/// One tenant's settings: tasks a second within its share, over all dispatchers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TenantSettings {
+    pub allowance_per_s: f64,
+    pub share: f64,
+}
+
+/// One kind of model host.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KindSettings {
+    pub role: Role,
+    pub memory_tokens: f64,
+}
+
+/// How the list of model hosts reaches a dispatcher.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Discovery {
+    Pushed,
+    Asked { told_within: Ms },
+}
+
+/// All that a dispatcher is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    pub me: DispatcherId,
+    pub dispatchers: u32,
+    pub zone: ZoneId,
+    pub tick: Ms,
+    pub profiles: Vec<ProfileSettings>,
+    pub tenants: Vec<TenantSettings>,
+    pub over_share_worth: f64,
+    pub kinds: Vec<KindSettings>,
+    pub discovery: Discovery,
+    pub release: Ms,
+    pub writers_read: bool,
+    pub may_hold_ahead: bool,
+    pub may_cancel: bool,
+    pub may_copy: bool,
+    pub may_probe: bool,
+    pub may_tell: bool,
+    pub clients_hear_retry: bool,
+    pub max_retry_after: Ms,
+    pub max_launches: u32,
+    pub connect_timeout: Ms,
+    pub drain_grace: Ms,
+    pub answer_grace: Ms,
+    pub fall_multiple: f64,
+    pub fall_window: Ms,
+    pub start_capacity: f64,
+    pub ramp: Ms,
+}
+
+/// What a model host last said of its load; absent where it does not say.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    pub in_flight: Option<f64>,
+    pub queue: Option<f64>,
+    pub slots_used: Option<f64>,
+    pub memory_held: Option<f64>,
+    pub waiting_kilotokens: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of the list of model hosts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub host: HostId,
+    pub zone: ZoneId,
+    pub kind: KindId,
+    pub cell: CellId,
+    pub condition: Condition,
+    pub weight: f64,
+    /// When it last started; none means long ago.
+    pub started: Option<Ms>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    Changes,
+    Full,
+    Remembered,
+    Refused,
+}
+
+/// How a launch, or a probe, ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Fulfilled,
+    Failed,
+    Full,
+    TimedOut,
+    Unreachable,
+    Broken,
+    CalledOff,
+    Void,
+    ReadDone,
+}
+
+/// A task as it arrives.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    pub task: TaskId,
+    pub profile: ProfileId,
+    pub tenant: Option<TenantId>,
+    pub session: SessionId,
+    pub patience_left: Ms,
+    pub answer_hint: Option<Ms>,
+    pub shared: Option<SharedTextId>,
+    pub prompt_tokens: f64,
+    pub shared_tokens: f64,
+    pub max_tokens: f64,
+    pub retried: bool,
+    pub resumed: bool,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    Listed {
+        kind: ListKind,
+        entries: Vec<Entry>,
+    },
+    Arrived(Arrival),
+    /// The client left; nothing more is owed.
+    Left {
+        task: TaskId,
+    },
+    FirstToken {
+        task: TaskId,
+        launch: LaunchNo,
+        host: HostId,
+        latency: Ms,
+    },
+    Ended(Ended),
+    Place {
+        task: TaskId,
+        launch: LaunchNo,
+        host: HostId,
+        held: bool,
+    },
+    Timer {
+        timer: TimerId,
+    },
+    Probed {
+        host: HostId,
+        outcome: Outcome,
+        latency: Ms,
+        load: Load,
+    },
+    Heard {
+        from: DispatcherId,
+        bytes: Vec<u8>,
+    },
+}
+
+/// The end of a launch.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ended {
+    pub task: TaskId,
+    pub launch: LaunchNo,
+    pub host: HostId,
+    pub outcome: Outcome,
+    pub latency: Ms,
+    /// The task is finished, by this outcome or before it.
+    pub last: bool,
+    /// After a read: prompt tokens found kept. After 'full': 1 if there was no state to fetch.
+    pub detail: f64,
+    pub load: Load,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Launch {
+        task: TaskId,
+        host: HostId,
+        until: Option<Ms>,
+    },
+    Cancel {
+        task: TaskId,
+        launch: LaunchNo,
+    },
+    Bounce {
+        task: TaskId,
+        retry_after: Option<Ms>,
+    },
+    WriteOff {
+        task: TaskId,
+    },
+    Release {
+        task: TaskId,
+    },
+    HoldAhead {
+        task: TaskId,
+        host: HostId,
+    },
+    Move {
+        task: TaskId,
+    },
+    Arm {
+        delay: Ms,
+        timer: TimerId,
+    },
+    Probe {
+        host: HostId,
+    },
+    CloseIdle {
+        host: HostId,
+    },
+    /// To one dispatcher, or to all others.
+    Tell {
+        to: Option<DispatcherId>,
+        bytes: Vec<u8>,
+    },
+    FetchList,
+    FollowList {
+        on: bool,
+    },
+    Log {
+        text: String,
+    },
+}
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,288 @@
+//! Plays the scenario files of `tests/scenarios/`. Their notation, a line each, `#` starts a comment:
+//!
+//! `set KEY VALUE` changes a default setting; `effect P WORDS` a profile's effect.
+//! `list KIND NAME:ROLE:ZONE:CELL[:CONDITION[:STARTED]] ...` tells of model hosts, ROLE being `r` or `w`.
+//! `at T` goes to the instant T, firing due timers on the way, and opens a batch of events:
+//! `task ID PROFILE PATIENCE PROMPT [s=SESSION] [p=SHARED/TOKENS] [t=TENANT]`, `first ID HOST`,
+//! `end ID HOST OUTCOME [last] [none] [x1=K]`, `left ID`, `burst ID COUNT PROFILE PATIENCE PROMPT`.
+//! The launch's number is the runner's: it counts launches as they come.
+//! `> WORDS` must be among the actions since the last `at` that stands before an expectation, in any order,
+//! and is used up; `! WORDS` must not be there; `*` in WORDS stands for any one word. `most N WORDS` and
+//! `least N WORDS` count. `> launch 1 r2 by 3990` also checks the time-out.
+
+use cindercleat::control::Control;
+use cindercleat::interface::*;
+use std::collections::BTreeMap;
+use test_case::test_case;
+
+fn settings() -> Settings {
+    let profile = |effect| ProfileSettings {
+        effect,
+        quoted: 1000.0,
+        quoted_per_1000_tokens: 40.0,
+        patience: 4000.0,
+        payoff: 1.0,
+        late_share: 0.2,
+        token_pace: 50.0,
+        streams: true,
+    };
+    let kind = |role| KindSettings { role, memory_tokens: 150_000.0 };
+    Settings {
+        me: DispatcherId(0),
+        dispatchers: 2,
+        zone: ZoneId(0),
+        tick: 4.0,
+        profiles: vec![profile(Effect::Reissuable), profile(Effect::AtMostOnce)],
+        tenants: Vec::new(),
+        over_share_worth: 0.1,
+        kinds: vec![kind(Role::Reader), kind(Role::Writer)],
+        discovery: Discovery::Pushed,
+        release: 500.0,
+        writers_read: false,
+        may_hold_ahead: false,
+        may_cancel: true,
+        may_copy: false,
+        may_probe: true,
+        may_tell: true,
+        clients_hear_retry: true,
+        max_retry_after: 1000.0,
+        max_launches: 4,
+        connect_timeout: 250.0,
+        drain_grace: 250.0,
+        answer_grace: 16.0,
+        fall_multiple: 4.0,
+        fall_window: 2000.0,
+        start_capacity: 0.3,
+        ramp: 10_000.0,
+    }
+}
+
+struct Play {
+    settings: Settings,
+    control: Option<Control>,
+    now: Ms,
+    events: Vec<Event>,
+    seen: Vec<String>,
+    timers: Vec<(Ms, TimerId)>,
+    launches: BTreeMap<u32, u32>,
+    checked: bool,
+}
+
+impl Play {
+    fn step(&mut self, now: Ms, events: &[Event]) {
+        let settings = self.settings.clone();
+        let mut actions = Vec::new();
+        let control = self.control.get_or_insert_with(|| Control::new(settings, 7));
+        control.step(now, events, &mut actions);
+        for action in actions {
+            match action {
+                Action::Launch { task, host, until } => {
+                    *self.launches.entry(task.0).or_default() += 1;
+                    self.seen.push(format!("launch {} {} by {}", task.0, host.0, until.unwrap_or(0.0)));
+                }
+                Action::Arm { delay, timer } => self.timers.push((now + delay, timer)),
+                Action::Cancel { task, .. } => self.seen.push(format!("cancel {}", task.0)),
+                Action::Bounce { task, .. } => self.seen.push(format!("bounce {}", task.0)),
+                Action::WriteOff { task } => self.seen.push(format!("write-off {}", task.0)),
+                Action::Release { task } => self.seen.push(format!("release {}", task.0)),
+                other => self.seen.push(format!("{other:?}").to_lowercase()),
+            }
+        }
+    }
+
+    /// Hands over the events gathered, then goes on to `until`, firing due timers.
+    fn run(&mut self, until: Ms) {
+        let events = std::mem::take(&mut self.events);
+        if !events.is_empty() {
+            self.step(self.now, &events);
+        }
+        loop {
+            self.timers.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let Some(&(due, timer)) = self.timers.first().filter(|(due, _)| *due < until) else { break };
+            self.timers.remove(0);
+            self.now = self.now.max(due) + if due <= self.now { 1.0 } else { 0.0 };
+            self.step(self.now, &[Event::Timer { timer }]);
+        }
+        self.now = until;
+    }
+
+    fn count(&self, words: &[&str]) -> usize {
+        self.seen.iter().filter(|s| matches(s, words)).count()
+    }
+}
+
+fn matches(seen: &str, words: &[&str]) -> bool {
+    let seen: Vec<&str> = seen.split(' ').collect();
+    words.len() <= seen.len() && words.iter().zip(seen).all(|(w, s)| *w == "*" || *w == s)
+}
+
+fn number(word: &str) -> f64 {
+    word.parse().unwrap_or_else(|_| panic!("a number, not {word}"))
+}
+
+fn entry(text: &str) -> Entry {
+    let parts: Vec<&str> = text.split(':').collect();
+    let condition = match parts.get(4).copied() {
+        None | Some("ready") => Condition::Ready,
+        Some("draining") => Condition::Draining,
+        _ => Condition::Gone,
+    };
+    Entry {
+        host: HostId(parts[0].into()),
+        zone: ZoneId(number(parts[2]) as u32),
+        kind: KindId(u32::from(parts[1] == "w")),
+        cell: CellId(number(parts[3]) as u32),
+        condition,
+        weight: 1.0,
+        started: parts.get(5).map(|t| number(t)),
+    }
+}
+
+fn arrival(id: u32, words: &[&str]) -> Event {
+    let option = |key: &str| words.iter().find_map(|w| w.strip_prefix(key));
+    let shared = option("p=").and_then(|p| p.split_once('/'));
+    Event::Arrived(Arrival {
+        task: TaskId(id),
+        profile: ProfileId(number(words[0]) as u32),
+        tenant: option("t=").map(|t| TenantId(number(t) as u32)),
+        session: SessionId(option("s=").map_or(u64::from(id), |s| number(s) as u64)),
+        patience_left: number(words[1]),
+        answer_hint: None,
+        shared: shared.map(|(key, _)| SharedTextId(number(key) as u64)),
+        prompt_tokens: number(words[2]),
+        shared_tokens: shared.map_or(0.0, |(_, tokens)| number(tokens)),
+        max_tokens: 400.0,
+        retried: false,
+        resumed: false,
+    })
+}
+
+fn effect(words: &[&str]) -> Effect {
+    let group = |word: &str| match word {
+        "all" => Group::All,
+        "zone" => Group::Zone,
+        _ => Group::Cell,
+    };
+    match words {
+        ["numbered", scope, window] => Effect::Numbered { group: group(scope), window: number(window) },
+        ["at-most-once"] => Effect::AtMostOnce,
+        _ => Effect::Reissuable,
+    }
+}
+
+fn set(settings: &mut Settings, key: &str, value: &str) {
+    match key {
+        "release" => settings.release = number(value),
+        "launches" => settings.max_launches = number(value) as u32,
+        "fall_window" => settings.fall_window = number(value),
+        "copies" => settings.may_copy = value == "1",
+        "tenant" => settings.tenants.push(TenantSettings { allowance_per_s: number(value), share: 0.5 }),
+        _ => panic!("no setting {key} here"),
+    }
+}
+
+fn outcome(word: &str) -> Outcome {
+    match word {
+        "fulfilled" => Outcome::Fulfilled,
+        "failed" => Outcome::Failed,
+        "full" => Outcome::Full,
+        "timed-out" => Outcome::TimedOut,
+        "unreachable" => Outcome::Unreachable,
+        "broken" => Outcome::Broken,
+        "called-off" => Outcome::CalledOff,
+        "void" => Outcome::Void,
+        "read" => Outcome::ReadDone,
+        _ => panic!("no outcome {word}"),
+    }
+}
+
+fn play(text: &str) {
+    let mut play = Play {
+        settings: settings(),
+        control: None,
+        now: 0.0,
+        events: Vec::new(),
+        seen: Vec::new(),
+        timers: Vec::new(),
+        launches: BTreeMap::new(),
+        checked: false,
+    };
+    for (at, line) in text.lines().enumerate() {
+        let words: Vec<&str> = line.split('#').next().unwrap_or("").split_whitespace().collect();
+        let Some((&verb, rest)) = words.split_first() else { continue };
+        let host = || HostId(rest[1].into());
+        let id = || TaskId(number(rest[0]) as u32);
+        let newest = |play: &Play| LaunchNo(play.launches.get(&id().0).map_or(0, |n| n.saturating_sub(1)));
+        match verb {
+            "set" => set(&mut play.settings, rest[0], rest[1]),
+            "effect" => play.settings.profiles[number(rest[0]) as usize].effect = effect(&rest[1..]),
+            "list" => {
+                let kind = match rest[0] {
+                    "changes" => ListKind::Changes,
+                    "remembered" => ListKind::Remembered,
+                    _ => ListKind::Full,
+                };
+                let entries = rest[1..].iter().map(|e| entry(e)).collect();
+                play.events.push(Event::Listed { kind, entries });
+            }
+            "at" => {
+                if play.checked {
+                    play.seen.clear();
+                }
+                play.checked = false;
+                play.run(number(rest[0]));
+            }
+            "task" => play.events.push(arrival(id().0, &rest[1..])),
+            "burst" => {
+                let first = id().0;
+                play.events.extend((0..number(rest[1]) as u32).map(|n| arrival(first + n, &rest[2..])));
+            }
+            "left" => play.events.push(Event::Left { task: id() }),
+            "first" => {
+                let launch = newest(&play);
+                play.events.push(Event::FirstToken { task: id(), launch, host: host(), latency: 50.0 });
+            }
+            "end" => {
+                let x1 = rest.iter().find_map(|w| w.strip_prefix("x1=")).map(number);
+                play.events.push(Event::Ended(Ended {
+                    task: id(),
+                    launch: newest(&play),
+                    host: host(),
+                    outcome: outcome(rest[2]),
+                    latency: 50.0,
+                    last: rest.contains(&"last"),
+                    detail: f64::from(u8::from(rest.contains(&"none"))),
+                    load: Load { waiting_kilotokens: x1, ..Load::default() },
+                }));
+            }
+            ">" | "!" | "most" | "least" => {
+                let now = play.now;
+                play.run(now);
+                play.checked = true;
+                let case = format!("line {}: {line}\nseen: {:#?}", at + 1, play.seen);
+                match verb {
+                    ">" => {
+                        let found = play.seen.iter().position(|s| matches(s, rest));
+                        play.seen.remove(found.unwrap_or_else(|| panic!("{case}")));
+                    }
+                    "!" => assert_eq!(play.count(rest), 0, "{case}"),
+                    "most" => assert!(play.count(&rest[1..]) <= number(rest[0]) as usize, "{case}"),
+                    _ => assert!(play.count(&rest[1..]) >= number(rest[0]) as usize, "{case}"),
+                }
+            }
+            _ => panic!("line {}: no verb {verb}", at + 1),
+        }
+    }
+}
+
+#[test_case(include_str!("scenarios/ordinary.txt"); "ordinary")]
+#[test_case(include_str!("scenarios/answers.txt"); "answers")]
+#[test_case(include_str!("scenarios/effects.txt"); "effects")]
+#[test_case(include_str!("scenarios/numbered.txt"); "numbered")]
+#[test_case(include_str!("scenarios/drains.txt"); "drains")]
+#[test_case(include_str!("scenarios/cold.txt"); "cold")]
+#[test_case(include_str!("scenarios/pinned.txt"); "pinned")]
+#[test_case(include_str!("scenarios/judged.txt"); "judged")]
+fn scenario(text: &str) {
+    play(text);
+}
