Readers: each dispatcher limits its own reads out, held tasks are bounced early

Kept: a limit of own reads out at each reader, grown by reads in time and cut when they queue; a task no reader has taken by 0.6 of its quoted time is bounced. Covers any cause of slow reads (slow hosts, forgotten texts, hot texts, long prompts). It may harm where long prompts alone make reads take long: fewer go out than could.

--- a/src/control.rs
+++ b/src/control.rs
@@ -24,6 +24,13 @@
 const HOLD_SHARE: f64 = 0.7;
 /// Own final answers come this many ticks before patience ends.
 const END_TICKS: f64 = 2.0;
+/// A task that no reader has taken by this share of its quoted time is bounced: the answer would come late.
+const HELD_SHARE: f64 = 0.6;
+/// A read that takes more than this share of the shortest quoted time waited in a queue.
+const QUEUED: f64 = 0.3;
+/// Reads out at a reader: how many a dispatcher starts with, and the cut when they queue.
+const LIMIT_START: f64 = 4.0;
+const LIMIT_CUT: f64 = 0.7;
 /// Held tasks are looked at again after this share of the release time.
 const RETRY_SHARE: f64 = 0.1;
 /// Part of the cold budget that is used; the rest is for what one dispatcher cannot see. Where no host of
@@ -55,6 +62,10 @@
     streams: Vec<f64>,
     /// Prompt tokens of own reads out at a reader.
     reading: Vec<f64>,
+    /// Own reads out at a reader, how many there may be, and when that was last cut.
+    reads: Vec<f64>,
+    limit: Vec<f64>,
+    cut_at: Vec<Ms>,
     load: Vec<Load>,
     /// Last outcomes, newest in the lowest bit, and how many there are.
     outcomes: Vec<u32>,
@@ -81,6 +92,7 @@
     streaming: bool,
     cancelled: bool,
     tokens: f64,
+    sent: Ms,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -93,7 +105,8 @@
 
 struct Task {
     arrival: Arrival,
-    quoted_at: Ms,
+    /// When a read must be out for the answer to come within the quoted time.
+    read_by: Ms,
     ends: Ms,
     launches: u32,
     out: Option<Out>,
@@ -115,6 +128,9 @@
 pub struct Control {
     settings: Settings,
     profiles: Vec<ProfileRow>,
+    /// The shortest quoted time, and what a prompt token adds to it.
+    quoted_least: Ms,
+    quoted_per_token: Ms,
     rng: WyRand,
     born: Option<Ms>,
     now: Ms,
@@ -136,6 +152,9 @@
         };
         Control {
             profiles: settings.profiles.iter().map(row).collect(),
+            quoted_least: settings.profiles.iter().map(|p| p.quoted).fold(f64::INFINITY, f64::min),
+            quoted_per_token: settings.profiles.iter().map(|p| p.quoted_per_1000_tokens).fold(0.0, f64::max)
+                / 1000.0,
             rng: WyRand::new_seed(seed),
             born: None,
             now: 0.0,
@@ -157,8 +176,7 @@
             self.learn(event);
         }
         self.wanted_wake = None;
-        let ids: Vec<TaskId> = self.tasks.keys().copied().collect();
-        for id in ids {
+        for id in self.turns() {
             let Some(mut task) = self.tasks.remove(&id) else { continue };
             self.plan(&mut task);
             self.emit(id, &mut task, actions);
@@ -234,7 +252,7 @@
     fn learn_arrival(&mut self, arrival: &Arrival) {
         let Some(row) = self.profiles.get(arrival.profile.0 as usize) else { return };
         let task = Task {
-            quoted_at: self.now + row.quoted + row.quoted_per_token * arrival.prompt_tokens,
+            read_by: self.now + HELD_SHARE * (row.quoted + row.quoted_per_token * arrival.prompt_tokens),
             ends: self.now + arrival.patience_left - END_TICKS * self.settings.tick,
             arrival: arrival.clone(),
             launches: 0,
@@ -259,6 +277,11 @@
         let Some(task) = self.tasks.get_mut(&ended.task) else { return };
         let Some(out) = task.out.take_if(|o| o.launch == ended.launch && o.slot == slot) else { return };
         self.hosts.forget_launch(&out);
+        if out.reading && matches!(ended.outcome, Outcome::ReadDone | Outcome::TimedOut | Outcome::Full) {
+            let allowed = QUEUED * (self.quoted_least + self.quoted_per_token * out.tokens);
+            let queued = ended.outcome != Outcome::ReadDone || self.now - out.sent > allowed;
+            self.hosts.learn_limit(&out, queued, self.now);
+        }
         task.over |= ended.last;
         task.idle_since = self.now;
         let never_ran =
@@ -293,6 +316,13 @@
 
     // ---- what is wanted ----
 
+    /// The order in which tasks are planned: whoever plans first takes the room there is.
+    fn turns(&self) -> Vec<TaskId> {
+        let mut turns: Vec<(Ms, TaskId)> = self.tasks.iter().map(|(id, t)| (t.read_by, *id)).collect();
+        turns.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        turns.into_iter().map(|(_, id)| id).collect()
+    }
+
     fn plan(&mut self, task: &mut Task) {
         task.want = Want::Rest;
         if task.over {
@@ -303,10 +333,14 @@
         if task.out.as_ref().is_some_and(|o| o.streaming) {
             return;
         }
-        if self.now >= task.ends {
+        // Guards against a jam that feeds on itself: readers busy with tasks whose time has passed make the
+        // next ones late too. What no reader has taken by then is bounced, while a bounce is harmless.
+        let held = task.out.is_none() && task.state.is_none();
+        let ends = if held { task.ends.min(task.read_by) } else { task.ends };
+        if self.now >= ends {
             return self.give_up(task);
         }
-        self.wake_at(task.ends);
+        self.wake_at(ends);
         if task.out.is_some() {
             return;
         }
@@ -428,8 +462,11 @@
             .collect();
         let peers = self.hosts.mean_success(&all);
         let budget = self.cold_budget(&all);
-        let allowed: Vec<Slot> =
-            all.into_iter().filter(|&s| self.may_go_to(task, s) && self.cold_room(s, budget)).collect();
+        let open = |s: Slot| !reading || self.hosts.reads[s] + 1.0 <= self.hosts.limit[s];
+        let allowed: Vec<Slot> = all
+            .into_iter()
+            .filter(|&s| self.may_go_to(task, s) && self.cold_room(s, budget) && open(s))
+            .collect();
         let fit = |s: Slot| {
             let trial = self.now >= self.hosts.trial_at[s] && self.reissuable(task, reading);
             let well = trial || !self.hosts.is_sick(s, peers);
@@ -504,12 +541,9 @@
         match task.want {
             Want::Rest => {}
             Want::Launch(slot) => {
-                actions.push(Action::Launch {
-                    task: id,
-                    host: self.hosts.id[slot].clone(),
-                    until: Some(task.ends),
-                });
                 let reading = task.state.is_none();
+                let host = self.hosts.id[slot].clone();
+                actions.push(Action::Launch { task: id, host, until: Some(task.ends) });
                 let out = Out {
                     launch: LaunchNo(task.launches),
                     slot,
@@ -517,6 +551,7 @@
                     streaming: false,
                     cancelled: false,
                     tokens: task.arrival.prompt_tokens,
+                    sent: self.now,
                 };
                 self.hosts.note_launch(&out, self.now, self.settings.fall_window);
                 self.hosts.trial_at[slot] =
@@ -564,6 +599,9 @@
         self.started.push(f64::NEG_INFINITY);
         self.streams.push(0.0);
         self.reading.push(0.0);
+        self.reads.push(0.0);
+        self.limit.push(LIMIT_START);
+        self.cut_at.push(f64::NEG_INFINITY);
         self.load.push(Load::default());
         self.outcomes.push(0);
         self.outcome_count.push(0);
@@ -585,6 +623,7 @@
     fn note_launch(&mut self, out: &Out, now: Ms, window: Ms) {
         if out.reading {
             self.reading[out.slot] += out.tokens;
+            self.reads[out.slot] += 1.0;
         } else {
             self.streams[out.slot] += 1.0;
         }
@@ -594,6 +633,7 @@
     fn forget_launch(&mut self, out: &Out) {
         if out.reading {
             self.reading[out.slot] -= out.tokens;
+            self.reads[out.slot] -= 1.0;
         } else {
             self.streams[out.slot] -= 1.0;
         }
@@ -609,6 +649,19 @@
         self.streams[slot] + self.load[slot].in_flight.unwrap_or(0.0)
     }
 
+    /// Guards against queues at readers, where tasks grow late and keep out what the reader has kept: each
+    /// dispatcher limits its own reads out, one more for each limit's worth done in time, a cut for one that
+    /// queued. The cut acts once for all that were out.
+    fn learn_limit(&mut self, out: &Out, queued: bool, now: Ms) {
+        let limit = &mut self.limit[out.slot];
+        if !queued {
+            *limit += if self.reads[out.slot] + 1.0 >= *limit - 1.0 { 1.0 / *limit } else { 0.0 };
+        } else if out.sent >= self.cut_at[out.slot] {
+            *limit = (*limit * LIMIT_CUT).max(1.0);
+            self.cut_at[out.slot] = now;
+        }
+    }
+
     fn judge(&mut self, slot: Slot, success: bool) {
         self.outcomes[slot] = (self.outcomes[slot] << 1 | u32::from(success)) & ((1 << JUDGED) - 1);
         self.outcome_count[slot] = (self.outcome_count[slot] + 1).min(JUDGED);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -283,6 +283,7 @@
 #[test_case(include_str!("scenarios/cold.txt"); "cold")]
 #[test_case(include_str!("scenarios/pinned.txt"); "pinned")]
 #[test_case(include_str!("scenarios/judged.txt"); "judged")]
+#[test_case(include_str!("scenarios/limits.txt"); "limits")]
 fn scenario(text: &str) {
     play(text);
 }
