Writers: streams limited like reads, and nothing is read that writers have no room for

Covers slow writers, long answers and memory run out alike. It may harm while the limit is still finding its height after a trouble.

--- a/src/control.rs
+++ b/src/control.rs
@@ -26,10 +26,12 @@
 const END_TICKS: f64 = 2.0;
 /// A task that no reader has taken by this share of its quoted time is bounced: the answer would come late.
 const HELD_SHARE: f64 = 0.6;
-/// A read that takes more than this share of the shortest quoted time waited in a queue.
+/// A read, or a first token, that takes more than this share of the shortest quoted time waited in a queue.
 const QUEUED: f64 = 0.3;
-/// Reads out at a reader: how many a dispatcher starts with, and the cut when they queue.
-const LIMIT_START: f64 = 4.0;
+/// Own launches out at a host: how many a dispatcher starts with at a reader and at a writer, and the cut
+/// when they queue.
+const READS_START: f64 = 4.0;
+const STREAMS_START: f64 = 16.0;
 const LIMIT_CUT: f64 = 0.7;
 /// Held tasks are looked at again after this share of the release time.
 const RETRY_SHARE: f64 = 0.1;
@@ -62,8 +64,9 @@
     streams: Vec<f64>,
     /// Prompt tokens of own reads out at a reader.
     reading: Vec<f64>,
-    /// Own reads out at a reader, how many there may be, and when that was last cut.
+    /// Own reads out at a reader.
     reads: Vec<f64>,
+    /// How many of our reads or streams there may be, and when that was last cut.
     limit: Vec<f64>,
     cut_at: Vec<Ms>,
     load: Vec<Load>,
@@ -204,6 +207,8 @@
                 out.streaming = true;
                 task.state = None;
                 let slot = out.slot;
+                let allowed = QUEUED * (self.quoted_least + self.quoted_per_token * out.tokens);
+                self.hosts.learn_limit(slot, out.sent, self.now - out.sent > allowed, self.now);
                 self.hosts.judge(slot, true);
                 note(&mut self.hosts.dones[slot], self.now, self.settings.fall_window);
             }
@@ -280,7 +285,7 @@
         if out.reading && matches!(ended.outcome, Outcome::ReadDone | Outcome::TimedOut | Outcome::Full) {
             let allowed = QUEUED * (self.quoted_least + self.quoted_per_token * out.tokens);
             let queued = ended.outcome != Outcome::ReadDone || self.now - out.sent > allowed;
-            self.hosts.learn_limit(&out, queued, self.now);
+            self.hosts.learn_limit(slot, out.sent, queued, self.now);
         }
         task.over |= ended.last;
         task.idle_since = self.now;
@@ -355,6 +360,7 @@
             _ if left == 0 => return self.give_up(task),
             Some(reader) => self.choose_writer(task, reader),
             None if left < 2 => return self.give_up(task),
+            None if !self.writers_have_room() => None,
             None => self.choose_reader(task),
         };
         if let Some(slot) = target {
@@ -462,7 +468,7 @@
             .collect();
         let peers = self.hosts.mean_success(&all);
         let budget = self.cold_budget(&all);
-        let open = |s: Slot| !reading || self.hosts.reads[s] + 1.0 <= self.hosts.limit[s];
+        let open = |s: Slot| !reading || self.hosts.has_room(s);
         let allowed: Vec<Slot> = all
             .into_iter()
             .filter(|&s| self.may_go_to(task, s) && self.cold_room(s, budget) && open(s))
@@ -470,7 +476,8 @@
         let fit = |s: Slot| {
             let trial = self.now >= self.hosts.trial_at[s] && self.reissuable(task, reading);
             let well = trial || !self.hosts.is_sick(s, peers);
-            well && self.now >= self.hosts.full_until[s] && !task.tried.contains(&s)
+            let room = reading || self.hosts.has_room(s);
+            well && room && self.now >= self.hosts.full_until[s] && !task.tried.contains(&s)
         };
         let best: Vec<Slot> = allowed.iter().copied().filter(|&s| fit(s)).collect();
         if !best.is_empty() {
@@ -523,6 +530,15 @@
         self.wanted_wake = Some(self.wanted_wake.map_or(at, |w| w.min(at)));
     }
 
+    /// Whether the writers can take what is being read and one more: a read state cannot wait for long.
+    fn writers_have_room(&self) -> bool {
+        let ready = |s: &Slot| self.hosts.serves(*s, false) && self.hosts.condition[*s] == Condition::Ready;
+        let writers = (0..self.hosts.id.len()).filter(ready);
+        let room: f64 = writers.map(|s| (self.hosts.limit[s] - self.hosts.streams[s]).max(0.0)).sum();
+        let coming: f64 = self.hosts.reads.iter().sum();
+        room >= coming + 1.0
+    }
+
     // ---- what is done ----
 
     /// The only place that acts on a task: brings the present state to the wanted one.
@@ -600,7 +616,7 @@
         self.streams.push(0.0);
         self.reading.push(0.0);
         self.reads.push(0.0);
-        self.limit.push(LIMIT_START);
+        self.limit.push(if role == Role::Reader { READS_START } else { STREAMS_START });
         self.cut_at.push(f64::NEG_INFINITY);
         self.load.push(Load::default());
         self.outcomes.push(0);
@@ -649,19 +665,24 @@
         self.streams[slot] + self.load[slot].in_flight.unwrap_or(0.0)
     }
 
-    /// Guards against queues at readers, where tasks grow late and keep out what the reader has kept: each
-    /// dispatcher limits its own reads out, one more for each limit's worth done in time, a cut for one that
+    /// Guards against queues at hosts, where tasks grow late and keep out what readers have kept: each
+    /// dispatcher limits what it has out, one more for each limit's worth done in time, a cut for one that
     /// queued. The cut acts once for all that were out.
-    fn learn_limit(&mut self, out: &Out, queued: bool, now: Ms) {
-        let limit = &mut self.limit[out.slot];
+    fn learn_limit(&mut self, slot: Slot, sent: Ms, queued: bool, now: Ms) {
+        let out = self.reads[slot] + self.streams[slot];
+        let limit = &mut self.limit[slot];
         if !queued {
-            *limit += if self.reads[out.slot] + 1.0 >= *limit - 1.0 { 1.0 / *limit } else { 0.0 };
-        } else if out.sent >= self.cut_at[out.slot] {
-            *limit = (*limit * LIMIT_CUT).max(1.0);
-            self.cut_at[out.slot] = now;
+            *limit += if out + 2.0 >= *limit { 1.0 / *limit } else { 0.0 };
+        } else if sent >= self.cut_at[slot] {
+            *limit = (limit.min(out + 1.0) * LIMIT_CUT).max(1.0);
+            self.cut_at[slot] = now;
         }
     }
 
+    fn has_room(&self, slot: Slot) -> bool {
+        self.reads[slot] + self.streams[slot] + 1.0 <= self.limit[slot]
+    }
+
     fn judge(&mut self, slot: Slot, success: bool) {
         self.outcomes[slot] = (self.outcomes[slot] << 1 | u32::from(success)) & ((1 << JUDGED) - 1);
         self.outcome_count[slot] = (self.outcome_count[slot] + 1).min(JUDGED);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -284,6 +284,7 @@
 #[test_case(include_str!("scenarios/pinned.txt"); "pinned")]
 #[test_case(include_str!("scenarios/judged.txt"); "judged")]
 #[test_case(include_str!("scenarios/limits.txt"); "limits")]
+#[test_case(include_str!("scenarios/writers.txt"); "writers")]
 fn scenario(text: &str) {
     play(text);
 }
