Judged hosts stay out while the others are merely busy; held share 0.4

A dead or fast-failing host always has room; while healthy readers were at their limits the fallback sent the reads there.

--- a/src/control.rs
+++ b/src/control.rs
@@ -25,7 +25,7 @@
 /// Own final answers come this many ticks before patience ends.
 const END_TICKS: f64 = 2.0;
 /// A task that no reader has taken by this share of its quoted time is bounced: the answer would come late.
-const HELD_SHARE: f64 = 0.6;
+const HELD_SHARE: f64 = 0.4;
 /// A read, or a first token, that takes more than this share of the shortest quoted time waited in a queue.
 const QUEUED: f64 = 0.3;
 /// Own launches out at a host: how many a dispatcher starts with at a reader and at a writer, and the cut
@@ -460,30 +460,34 @@
         }
     }
 
-    /// Hosts of a role that may take this task now. Judged hosts, and hosts that just turned work or this
-    /// task away, come in only when nobody else is left; drains and cold budgets are never set aside.
+    /// Hosts of a role that may take this task now; none means that it is held. Drains and cold budgets are
+    /// never set aside. Judged hosts come in only when every host of the role is judged, not when the others
+    /// are merely busy: a host that fails fast always looks as if it had room.
     fn pool(&mut self, task: &Task, reading: bool) -> Vec<Slot> {
-        let all: Vec<Slot> = (0..self.hosts.id.len())
+        let ready: Vec<Slot> = (0..self.hosts.id.len())
             .filter(|&s| self.hosts.serves(s, reading) && self.hosts.condition[s] == Condition::Ready)
             .collect();
-        let peers = self.hosts.mean_success(&all);
-        let budget = self.cold_budget(&all);
-        let open = |s: Slot| !reading || self.hosts.has_room(s);
-        let allowed: Vec<Slot> = all
-            .into_iter()
-            .filter(|&s| self.may_go_to(task, s) && self.cold_room(s, budget) && open(s))
-            .collect();
-        let fit = |s: Slot| {
-            let trial = self.now >= self.hosts.trial_at[s] && self.reissuable(task, reading);
-            let well = trial || !self.hosts.is_sick(s, peers);
-            let room = reading || self.hosts.has_room(s);
-            well && room && self.now >= self.hosts.full_until[s] && !task.tried.contains(&s)
+        let peers = self.hosts.mean_success(&ready);
+        let budget = self.cold_budget(&ready);
+        let (well, sick): (Vec<Slot>, Vec<Slot>) =
+            ready.iter().partition(|&&s| !self.hosts.is_sick(s, peers));
+        let trials =
+            sick.iter().filter(|&&s| self.now >= self.hosts.trial_at[s] && self.reissuable(task, reading));
+        let judged = if well.is_empty() { sick.clone() } else { [well, trials.copied().collect()].concat() };
+        let open = |s: &Slot| {
+            let room = !reading || self.hosts.has_room(*s);
+            room && self.now >= self.hosts.full_until[*s]
+                && self.may_go_to(task, *s)
+                && self.cold_room(*s, budget)
         };
-        let best: Vec<Slot> = allowed.iter().copied().filter(|&s| fit(s)).collect();
-        if !best.is_empty() {
-            return best;
+        let open: Vec<Slot> = judged.into_iter().filter(open).collect();
+        let fit = |s: &Slot| self.hosts.has_room(*s) && !task.tried.contains(s);
+        let fit: Vec<Slot> = open.iter().copied().filter(fit).collect();
+        if fit.is_empty() {
+            open
+        } else {
+            fit
         }
-        allowed.into_iter().filter(|&s| self.now >= self.hosts.full_until[s]).collect()
     }
 
     /// Whether a failure on a trial would cost no more than the time.
