--- a/src/control.rs
+++ b/src/control.rs
@@ -28,11 +28,16 @@
 const HELD_SHARE: f64 = 0.4;
 /// A read, or a first token, that takes more than this share of the shortest quoted time waited in a queue.
 const QUEUED: f64 = 0.3;
+/// A read that takes this many times the shortest quoted time is not counted on for a writer any more.
+const OVERDUE: f64 = 0.5;
 /// Own launches out at a host: how many a dispatcher starts with at a reader and at a writer, and the cut
 /// when they queue.
 const READS_START: f64 = 4.0;
 const STREAMS_START: f64 = 16.0;
 const LIMIT_CUT: f64 = 0.7;
+/// What a limit grows by for each limit's worth in time; streams last long, so a writer's grows faster.
+const READS_GROW: f64 = 1.0;
+const STREAMS_GROW: f64 = 3.0;
 /// Held tasks are looked at again after this share of the release time.
 const RETRY_SHARE: f64 = 0.1;
 /// Part of the cold budget that is used; the rest is for what one dispatcher cannot see. Where no host of
@@ -111,6 +116,8 @@
     /// When a read must be out for the answer to come within the quoted time.
     read_by: Ms,
     ends: Ms,
+    /// The shortest quoted time of all profiles, for a prompt of this length: the measure of queues.
+    allowed: Ms,
     launches: u32,
     out: Option<Out>,
     /// Where its read state waits.
@@ -207,7 +214,7 @@
                 out.streaming = true;
                 task.state = None;
                 let slot = out.slot;
-                let allowed = QUEUED * (self.quoted_least + self.quoted_per_token * out.tokens);
+                let allowed = QUEUED * task.allowed;
                 self.hosts.learn_limit(slot, out.sent, self.now - out.sent > allowed, self.now);
                 self.hosts.judge(slot, true);
                 note(&mut self.hosts.dones[slot], self.now, self.settings.fall_window);
@@ -259,6 +266,7 @@
         let task = Task {
             read_by: self.now + HELD_SHARE * (row.quoted + row.quoted_per_token * arrival.prompt_tokens),
             ends: self.now + arrival.patience_left - END_TICKS * self.settings.tick,
+            allowed: self.quoted_least + self.quoted_per_token * arrival.prompt_tokens,
             arrival: arrival.clone(),
             launches: 0,
             out: None,
@@ -283,7 +291,7 @@
         let Some(out) = task.out.take_if(|o| o.launch == ended.launch && o.slot == slot) else { return };
         self.hosts.forget_launch(&out);
         if out.reading && matches!(ended.outcome, Outcome::ReadDone | Outcome::TimedOut | Outcome::Full) {
-            let allowed = QUEUED * (self.quoted_least + self.quoted_per_token * out.tokens);
+            let allowed = QUEUED * task.allowed;
             let queued = ended.outcome != Outcome::ReadDone || self.now - out.sent > allowed;
             self.hosts.learn_limit(slot, out.sent, queued, self.now);
         }
@@ -539,8 +547,11 @@
         let ready = |s: &Slot| self.hosts.serves(*s, false) && self.hosts.condition[*s] == Condition::Ready;
         let writers = (0..self.hosts.id.len()).filter(ready);
         let room: f64 = writers.map(|s| (self.hosts.limit[s] - self.hosts.streams[s]).max(0.0)).sum();
-        let coming: f64 = self.hosts.reads.iter().sum();
-        room >= coming + 1.0
+        let coming = self
+            .tasks
+            .values()
+            .filter(|t| t.out.as_ref().is_some_and(|o| o.reading && self.now - o.sent < OVERDUE * t.allowed));
+        room >= coming.count() as f64 + 1.0
     }
 
     // ---- what is done ----
@@ -676,7 +687,8 @@
         let out = self.reads[slot] + self.streams[slot];
         let limit = &mut self.limit[slot];
         if !queued {
-            *limit += if out + 2.0 >= *limit { 1.0 / *limit } else { 0.0 };
+            let grow = if self.role[slot] == Role::Reader { READS_GROW } else { STREAMS_GROW };
+            *limit += if out + 2.0 >= *limit { grow / *limit } else { 0.0 };
         } else if sent >= self.cut_at[slot] {
             *limit = (limit.min(out + 1.0) * LIMIT_CUT).max(1.0);
             self.cut_at[slot] = now;
