--- a/src/control.rs
+++ b/src/control.rs
@@ -47,6 +47,10 @@
 /// Last outcomes by which a host is judged, and how few are too few.
 const JUDGED: u32 = 8;
 const JUDGED_LEAST: u32 = 3;
+/// A reader that finds less than this share of what we expected has forgotten the rest as well.
+const FORGOT: f64 = 0.5;
+/// Beginnings and sessions remembered as kept at a reader.
+const KEPT_MOST: usize = 64;
 /// A host with less than this share of its peers' mean success is avoided.
 const SICK_BELOW: f64 = 0.5;
 /// A host that said 'full' is passed over for this share of the release time.
@@ -74,6 +78,8 @@
     /// How many of our reads or streams there may be, and when that was last cut.
     limit: Vec<f64>,
     cut_at: Vec<Ms>,
+    /// The beginnings and sessions read there lately, each with the tokens that it keeps of them.
+    kept: Vec<VecDeque<(Beginning, f64)>>,
     load: Vec<Load>,
     /// Last outcomes, newest in the lowest bit, and how many there are.
     outcomes: Vec<u32>,
@@ -86,6 +92,13 @@
     dones: Vec<VecDeque<Ms>>,
 }
 
+/// What a reader may have kept: a shared beginning, or a session's earlier prompt.
+#[derive(Clone, Copy, PartialEq)]
+enum Beginning {
+    Shared(SharedTextId),
+    Session(SessionId),
+}
+
 /// What differs by profile.
 struct ProfileRow {
     effect: Effect,
@@ -252,6 +265,7 @@
                 self.hosts.outcome_count[slot] = 0;
                 self.hosts.outcomes[slot] = 0;
                 self.hosts.load[slot] = Load::default();
+                self.hosts.kept[slot].clear();
             }
             self.hosts.role[slot] = role;
             self.hosts.zone[slot] = entry.zone;
@@ -307,6 +321,7 @@
             Outcome::ReadDone => {
                 task.state = Some(out.slot);
                 task.tried.clear();
+                self.hosts.note_kept(slot, &task.arrival, ended.detail);
                 self.hosts.judge(out.slot, true);
                 note(&mut self.hosts.dones[out.slot], self.now, self.settings.fall_window);
             }
@@ -427,12 +442,20 @@
         };
         let rank = |s: Slot| xxh3_64_with_seed(self.hosts.id[s].0.as_bytes(), beginning);
         let home = pool.iter().copied().max_by_key(|&s| rank(s))?;
-        let mean = pool.iter().map(|&s| self.hosts.waiting(s)).sum::<f64>() / pool.len() as f64;
-        if self.hosts.waiting(home) <= HOME_ESCAPE * mean {
-            return Some(home);
-        }
-        let weighed = |s: Slot| (self.hosts.waiting(s) + task.arrival.prompt_tokens) / self.age_weight(s);
-        pool.into_iter().min_by(|&a, &b| weighed(a).total_cmp(&weighed(b)).then(rank(b).cmp(&rank(a))))
+        // The read to be placed waits too, and counts in the mean.
+        let waiting = pool.iter().map(|&s| self.hosts.waiting(s)).sum::<f64>() + task.arrival.prompt_tokens;
+        let mean = waiting / pool.len() as f64;
+        let weighed =
+            |s: Slot| (self.hosts.waiting(s) + self.hosts.unread(s, &task.arrival)) / self.age_weight(s);
+        let least = |a: &Slot, b: &Slot| weighed(*a).total_cmp(&weighed(*b)).then(rank(*b).cmp(&rank(*a)));
+        let reader = if self.hosts.waiting(home) <= HOME_ESCAPE * mean {
+            Some(home)
+        } else {
+            pool.into_iter().min_by(least)
+        };
+        // Guards against a jam by scattered reads: what other readers have kept would make way for a text that
+        // is kept at its home. Without room at the reader that the rule names, the task is held.
+        reader.filter(|&s| self.hosts.has_room(s))
     }
 
     /// The mechanism: nearness first, within the band the fewest in flight, skipping those above average.
@@ -483,13 +506,11 @@
             sick.iter().filter(|&&s| self.now >= self.hosts.trial_at[s] && self.reissuable(task, reading));
         let judged = if well.is_empty() { sick.clone() } else { [well, trials.copied().collect()].concat() };
         let open = |s: &Slot| {
-            let room = !reading || self.hosts.has_room(*s);
-            room && self.now >= self.hosts.full_until[*s]
-                && self.may_go_to(task, *s)
-                && self.cold_room(*s, budget)
+            let allowed = self.may_go_to(task, *s) && self.cold_room(*s, budget);
+            allowed && self.now >= self.hosts.full_until[*s]
         };
         let open: Vec<Slot> = judged.into_iter().filter(open).collect();
-        let fit = |s: &Slot| self.hosts.has_room(*s) && !task.tried.contains(s);
+        let fit = |s: &Slot| (reading || self.hosts.has_room(*s)) && !task.tried.contains(s);
         let fit: Vec<Slot> = open.iter().copied().filter(fit).collect();
         if fit.is_empty() {
             open
@@ -581,7 +602,7 @@
                     reading,
                     streaming: false,
                     cancelled: false,
-                    tokens: task.arrival.prompt_tokens,
+                    tokens: if reading { self.hosts.unread(slot, &task.arrival) } else { 0.0 },
                     sent: self.now,
                 };
                 self.hosts.note_launch(&out, self.now, self.settings.fall_window);
@@ -633,6 +654,7 @@
         self.reads.push(0.0);
         self.limit.push(if role == Role::Reader { READS_START } else { STREAMS_START });
         self.cut_at.push(f64::NEG_INFINITY);
+        self.kept.push(VecDeque::new());
         self.load.push(Load::default());
         self.outcomes.push(0);
         self.outcome_count.push(0);
@@ -695,6 +717,32 @@
         }
     }
 
+    /// Tokens of a prompt that a reader would have to read, by what we saw it read lately.
+    fn unread(&self, slot: Slot, task: &Arrival) -> f64 {
+        let mine = |b: &Beginning| {
+            *b == Beginning::Session(task.session) || task.shared.is_some_and(|t| *b == Beginning::Shared(t))
+        };
+        let kept = self.kept[slot].iter().filter(|(b, _)| mine(b)).map(|(_, t)| *t).fold(0.0, f64::max);
+        (task.prompt_tokens - kept).max(0.0)
+    }
+
+    /// After a read its whole prompt is kept; what was forgotten of it meanwhile showed in the tokens found.
+    fn note_kept(&mut self, slot: Slot, task: &Arrival, found: f64) {
+        let expected = task.prompt_tokens - self.unread(slot, task);
+        let kept = &mut self.kept[slot];
+        if found < FORGOT * expected {
+            kept.clear();
+        }
+        let shared = task.shared.map(|t| (Beginning::Shared(t), task.shared_tokens));
+        for entry in shared.into_iter().chain([(Beginning::Session(task.session), task.prompt_tokens)]) {
+            kept.retain(|(b, _)| *b != entry.0);
+            kept.push_back(entry);
+        }
+        while kept.len() > KEPT_MOST {
+            kept.pop_front();
+        }
+    }
+
     fn has_room(&self, slot: Slot) -> bool {
         self.reads[slot] + self.streams[slot] + 1.0 <= self.limit[slot]
     }
