--- a/src/control.rs
+++ b/src/control.rs
@@ -35,6 +35,8 @@
 const READS_START: f64 = 4.0;
 const STREAMS_START: f64 = 16.0;
 const LIMIT_CUT: f64 = 0.7;
+/// Readers have room to spare below this share of their limits; a text is kept with less than this unread.
+const SPARE: f64 = 0.5;
 /// What a limit grows by for each limit's worth in time; streams last long, so a writer's grows faster.
 const READS_GROW: f64 = 1.0;
 const STREAMS_GROW: f64 = 3.0;
@@ -433,29 +435,27 @@
         }
     }
 
-    /// The reads' rule: the home that the hash names, unless too much waits there.
+    /// The reads' rule: the home that the hash names, unless too much waits there; then the least waiting.
     fn choose_reader(&mut self, task: &Task) -> Option<Slot> {
         let pool = self.pool(task, true);
-        let beginning = match task.arrival.shared {
-            Some(shared) => shared.0,
-            None => task.arrival.session.0,
-        };
+        let arrival = &task.arrival;
+        let beginning = arrival.shared.map_or(arrival.session.0, |shared| shared.0);
         let rank = |s: Slot| xxh3_64_with_seed(self.hosts.id[s].0.as_bytes(), beginning);
         let home = pool.iter().copied().max_by_key(|&s| rank(s))?;
+        let weighed = |s: Slot| (self.hosts.waiting(s) + self.hosts.unread(s, arrival)) / self.age_weight(s);
+        let order = |a: &Slot, b: &Slot| weighed(*a).total_cmp(&weighed(*b)).then(rank(*b).cmp(&rank(*a)));
+        let least = pool.iter().copied().min_by(order)?;
         // The read to be placed waits too, and counts in the mean.
-        let waiting = pool.iter().map(|&s| self.hosts.waiting(s)).sum::<f64>() + task.arrival.prompt_tokens;
-        let mean = waiting / pool.len() as f64;
-        let weighed =
-            |s: Slot| (self.hosts.waiting(s) + self.hosts.unread(s, &task.arrival)) / self.age_weight(s);
-        let least = |a: &Slot, b: &Slot| weighed(*a).total_cmp(&weighed(*b)).then(rank(*b).cmp(&rank(*a)));
-        let reader = if self.hosts.waiting(home) <= HOME_ESCAPE * mean {
-            Some(home)
-        } else {
-            pool.into_iter().min_by(least)
-        };
-        // Guards against a jam by scattered reads: what other readers have kept would make way for a text that
-        // is kept at its home. Without room at the reader that the rule names, the task is held.
-        reader.filter(|&s| self.hosts.has_room(s))
+        let waiting = pool.iter().map(|&s| self.hosts.waiting(s)).sum::<f64>() + arrival.prompt_tokens;
+        let too_much = self.hosts.waiting(home) > HOME_ESCAPE * waiting / pool.len() as f64;
+        // Guards against a jam by scattered reads: elsewhere they cost more and push out what is kept there.
+        // A home without room passes them on only while the readers together have room to spare, or to one
+        // that has kept most of the text; else the task is held for its home.
+        let reads = pool.iter().map(|&s| self.hosts.reads[s]).sum::<f64>();
+        let spare = reads < SPARE * pool.iter().map(|&s| self.hosts.limit[s]).sum::<f64>();
+        let kept = self.hosts.unread(least, arrival) < SPARE * arrival.prompt_tokens;
+        let leave = too_much || (!self.hosts.has_room(home) && (spare || kept));
+        Some(if leave { least } else { home }).filter(|&s| self.hosts.has_room(s))
     }
 
     /// The mechanism: nearness first, within the band the fewest in flight, skipping those above average.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -285,6 +285,7 @@
 #[test_case(include_str!("scenarios/judged.txt"); "judged")]
 #[test_case(include_str!("scenarios/limits.txt"); "limits")]
 #[test_case(include_str!("scenarios/writers.txt"); "writers")]
+#[test_case(include_str!("scenarios/homes.txt"); "homes")]
 fn scenario(text: &str) {
     play(text);
 }
