Waiting tokens scaled to all dispatchers; busy readers pass reads on only to where text is kept

Own waiting tokens now count once for each dispatcher. While the readers together are past half their limits, too much waiting no longer scatters reads either: the smallest exception found that keeps kept text alive in a jam. It may harm where entry is skewed: a dispatcher with most of the traffic sees too much waiting.

--- a/src/control.rs
+++ b/src/control.rs
@@ -64,6 +64,8 @@
 /// What the module knows of model hosts, in parallel arrays under a dense index.
 #[derive(Default)]
 struct Hosts {
+    /// How many dispatchers there are: each sees about its part of what waits.
+    dispatchers: f64,
     index: BTreeMap<HostId, Slot>,
     id: Vec<HostId>,
     role: Vec<Role>,
@@ -183,7 +185,7 @@
             rng: WyRand::new_seed(seed),
             born: None,
             now: 0.0,
-            hosts: Hosts::default(),
+            hosts: Hosts { dispatchers: f64::from(settings.dispatchers.max(1)), ..Hosts::default() },
             tasks: BTreeMap::new(),
             arrivals: VecDeque::new(),
             wanted_wake: None,
@@ -449,12 +451,12 @@
         let waiting = pool.iter().map(|&s| self.hosts.waiting(s)).sum::<f64>() + arrival.prompt_tokens;
         let too_much = self.hosts.waiting(home) > HOME_ESCAPE * waiting / pool.len() as f64;
         // Guards against a jam by scattered reads: elsewhere they cost more and push out what is kept there.
-        // A home without room passes them on only while the readers together have room to spare, or to one
-        // that has kept most of the text; else the task is held for its home.
+        // Reads leave their home (too much waits, or no room) only while the readers together have room to
+        // spare, or for one that has kept most of the text; else the task is held for its home.
         let reads = pool.iter().map(|&s| self.hosts.reads[s]).sum::<f64>();
         let spare = reads < SPARE * pool.iter().map(|&s| self.hosts.limit[s]).sum::<f64>();
         let kept = self.hosts.unread(least, arrival) < SPARE * arrival.prompt_tokens;
-        let leave = too_much || (!self.hosts.has_room(home) && (spare || kept));
+        let leave = (too_much || !self.hosts.has_room(home)) && (spare || kept);
         Some(if leave { least } else { home }).filter(|&s| self.hosts.has_room(s))
     }
 
@@ -692,9 +694,10 @@
         }
     }
 
-    /// Tokens waiting at a reader: our own, or what it reports, whichever is more.
+    /// Tokens waiting at a reader: as our own part suggests, or what it reports, whichever is more.
     fn waiting(&self, slot: Slot) -> f64 {
-        self.reading[slot].max(self.load[slot].waiting_kilotokens.unwrap_or(0.0) * 1000.0)
+        (self.dispatchers * self.reading[slot])
+            .max(self.load[slot].waiting_kilotokens.unwrap_or(0.0) * 1000.0)
     }
 
     /// A writer's load: our own streams and what it last reported, when it has reported it.
