A launch out for too long cuts its host's limit before its outcome comes

Also covers a host that accepts and never answers. It may harm where single prompts take long by themselves.

--- a/src/control.rs
+++ b/src/control.rs
@@ -116,6 +116,7 @@
     reading: bool,
     streaming: bool,
     cancelled: bool,
+    late: bool,
     tokens: f64,
     sent: Ms,
 }
@@ -373,7 +374,15 @@
             return self.give_up(task);
         }
         self.wake_at(ends);
-        if task.out.is_some() {
+        if let Some(out) = task.out.as_mut() {
+            // Evidence before the outcome: what is late has queued, also at a host that never answers.
+            let late_at = out.sent + QUEUED * task.allowed;
+            if self.now < late_at {
+                self.wake_at(late_at);
+            } else if !out.late {
+                out.late = true;
+                self.hosts.learn_limit(out.slot, out.sent, true, self.now);
+            }
             return;
         }
         if task.may_have_run.is_some() && !self.may_run_again(task) {
@@ -604,6 +613,7 @@
                     reading,
                     streaming: false,
                     cancelled: false,
+                    late: false,
                     tokens: if reading { self.hosts.unread(slot, &task.arrival) } else { 0.0 },
                     sent: self.now,
                 };
