--- a/src/control.rs
+++ b/src/control.rs
@@ -84,7 +84,9 @@
     cut_at: Vec<Ms>,
     /// The beginnings and sessions read there lately, each with the tokens that it keeps of them.
     kept: Vec<VecDeque<(Beginning, f64)>>,
-    load: Vec<Load>,
+    /// What it last reported: tasks in flight, and tokens waiting to be read or fetched.
+    reported: Vec<f64>,
+    reported_tokens: Vec<f64>,
     /// Last outcomes, newest in the lowest bit, and how many there are.
     outcomes: Vec<u32>,
     outcome_count: Vec<u32>,
@@ -240,7 +242,7 @@
             Event::Ended(ended) => self.learn_end(ended),
             Event::Probed { host, load, .. } => {
                 if let Some(&slot) = self.hosts.index.get(host) {
-                    self.hosts.load[slot].update(load);
+                    self.hosts.note_load(slot, load);
                 }
             }
             Event::Timer { timer } => {
@@ -269,7 +271,8 @@
                 // A new process under the same id: what was learned of the old one is void.
                 self.hosts.outcome_count[slot] = 0;
                 self.hosts.outcomes[slot] = 0;
-                self.hosts.load[slot] = Load::default();
+                self.hosts.reported[slot] = 0.0;
+                self.hosts.reported_tokens[slot] = 0.0;
                 self.hosts.kept[slot].clear();
             }
             self.hosts.role[slot] = role;
@@ -305,7 +308,7 @@
 
     fn learn_end(&mut self, ended: &Ended) {
         let Some(&slot) = self.hosts.index.get(&ended.host) else { return };
-        self.hosts.load[slot].update(&ended.load);
+        self.hosts.note_load(slot, &ended.load);
         let Some(task) = self.tasks.get_mut(&ended.task) else { return };
         let Some(out) = task.out.take_if(|o| o.launch == ended.launch && o.slot == slot) else { return };
         self.hosts.forget_launch(&out);
@@ -667,7 +670,8 @@
         self.limit.push(if role == Role::Reader { READS_START } else { STREAMS_START });
         self.cut_at.push(f64::NEG_INFINITY);
         self.kept.push(VecDeque::new());
-        self.load.push(Load::default());
+        self.reported.push(0.0);
+        self.reported_tokens.push(0.0);
         self.outcomes.push(0);
         self.outcome_count.push(0);
         self.full_until.push(f64::NEG_INFINITY);
@@ -677,6 +681,12 @@
         slot
     }
 
+    fn note_load(&mut self, slot: Slot, load: &Load) {
+        self.reported[slot] = load.in_flight.unwrap_or(self.reported[slot]);
+        let tokens = load.waiting_kilotokens.map(|k| k * 1000.0);
+        self.reported_tokens[slot] = tokens.unwrap_or(self.reported_tokens[slot]);
+    }
+
     fn serves(&self, slot: Slot, reading: bool) -> bool {
         match self.role[slot] {
             Role::Reader => reading,
@@ -706,13 +716,12 @@
 
     /// Tokens waiting at a reader: as our own part suggests, or what it reports, whichever is more.
     fn waiting(&self, slot: Slot) -> f64 {
-        (self.dispatchers * self.reading[slot])
-            .max(self.load[slot].waiting_kilotokens.unwrap_or(0.0) * 1000.0)
+        (self.dispatchers * self.reading[slot]).max(self.reported_tokens[slot])
     }
 
     /// A writer's load: our own streams and what it last reported, when it has reported it.
     fn in_flight(&self, slot: Slot) -> f64 {
-        self.streams[slot] + self.load[slot].in_flight.unwrap_or(0.0)
+        self.streams[slot] + self.reported[slot]
     }
 
     /// Guards against queues at hosts, where tasks grow late and keep out what readers have kept: each
@@ -794,20 +803,3 @@
 fn count_since(log: &VecDeque<Ms>, since: Ms) -> f64 {
     log.iter().rev().take_while(|&&at| at > since).count() as f64
 }
-
-impl Load {
-    fn update(&mut self, newer: &Load) {
-        let fields = [
-            (&mut self.in_flight, newer.in_flight),
-            (&mut self.queue, newer.queue),
-            (&mut self.slots_used, newer.slots_used),
-            (&mut self.memory_held, newer.memory_held),
-            (&mut self.waiting_kilotokens, newer.waiting_kilotokens),
-        ];
-        for (old, new) in fields {
-            if new.is_some() {
-                *old = new;
-            }
-        }
-    }
-}
