--- a/src/control.rs
+++ b/src/control.rs
@@ -30,10 +30,10 @@
 const QUEUED: f64 = 0.3;
 /// A read that takes this many times the shortest quoted time is not counted on for a writer any more.
 const OVERDUE: f64 = 0.5;
-/// Own launches out at a host: how many a dispatcher starts with at a reader and at a writer, and the cut
-/// when they queue.
-const READS_START: f64 = 4.0;
-const STREAMS_START: f64 = 16.0;
+/// Launches out at a reader and at a writer to start with, for all dispatchers together, and the cut
+/// of a limit when they queue.
+const READS_START: f64 = 12.0;
+const STREAMS_START: f64 = 48.0;
 const LIMIT_CUT: f64 = 0.7;
 /// Readers have room to spare below this share of their limits; a text is kept with less than this unread.
 const SPARE: f64 = 0.5;
@@ -667,7 +667,9 @@
         self.streams.push(0.0);
         self.reading.push(0.0);
         self.reads.push(0.0);
-        self.limit.push(if role == Role::Reader { READS_START } else { STREAMS_START });
+        self.limit.push(
+            (if role == Role::Reader { READS_START } else { STREAMS_START } / self.dispatchers).max(1.0),
+        );
         self.cut_at.push(f64::NEG_INFINITY);
         self.kept.push(VecDeque::new());
         self.reported.push(0.0);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -29,7 +29,7 @@
     let kind = |role| KindSettings { role, memory_tokens: 150_000.0 };
     Settings {
         me: DispatcherId(0),
-        dispatchers: 2,
+        dispatchers: 3,
         zone: ZoneId(0),
         tick: 4.0,
         profiles: vec![profile(Effect::Reissuable), profile(Effect::AtMostOnce)],
