Hosts that say nothing are judged before any outcome, and their reads are done elsewhere

Told from slow hosts by there being no outcome of any kind since the launch. Also covers cut links and hosts that died unlisted. It may harm where one prompt takes a quoted time by itself and the dispatcher has nothing else out there.

--- a/src/control.rs
+++ b/src/control.rs
@@ -28,8 +28,8 @@
 const HELD_SHARE: f64 = 0.4;
 /// A read, or a first token, that takes more than this share of the shortest quoted time waited in a queue.
 const QUEUED: f64 = 0.3;
-/// A read that takes this many times the shortest quoted time is not counted on for a writer any more.
-const OVERDUE: f64 = 0.5;
+/// A host that says nothing for this many shortest quoted times since it took a launch is doubted.
+const SILENT: f64 = 1.0;
 /// Launches out at a reader and at a writer to start with, for all dispatchers together, and the cut
 /// of a limit when they queue.
 const READS_START: f64 = 12.0;
@@ -90,6 +90,8 @@
     /// Last outcomes, newest in the lowest bit, and how many there are.
     outcomes: Vec<u32>,
     outcome_count: Vec<u32>,
+    /// When it last said anything about a launch of ours.
+    heard: Vec<Ms>,
     /// Until when a 'full' or a judgement keeps it out of the choice.
     full_until: Vec<Ms>,
     trial_at: Vec<Ms>,
@@ -112,6 +114,7 @@
     quoted_per_token: Ms,
 }
 
+#[derive(Default)]
 struct Out {
     launch: LaunchNo,
     slot: Slot,
@@ -119,6 +122,7 @@
     streaming: bool,
     cancelled: bool,
     late: bool,
+    silent: bool,
     tokens: f64,
     sent: Ms,
 }
@@ -148,7 +152,6 @@
     tried: Vec<Slot>,
     /// The first launch that may have run: where and when.
     may_have_run: Option<(Slot, Ms)>,
-    sent_at: Ms,
     over: bool,
     want: Want,
     want_cancel: bool,
@@ -236,8 +239,8 @@
                 let slot = out.slot;
                 let allowed = QUEUED * task.allowed;
                 self.hosts.learn_limit(slot, out.sent, self.now - out.sent > allowed, self.now);
-                self.hosts.judge(slot, true);
-                note(&mut self.hosts.dones[slot], self.now, self.settings.fall_window);
+                self.hosts.heard[slot] = self.now;
+                self.hosts.note_done(slot, self.now, self.settings.fall_window);
             }
             Event::Ended(ended) => self.learn_end(ended),
             Event::Probed { host, load, .. } => {
@@ -296,7 +299,6 @@
             idle_since: self.now,
             tried: Vec::new(),
             may_have_run: None,
-            sent_at: self.now,
             over: false,
             want: Want::Rest,
             want_cancel: false,
@@ -317,12 +319,15 @@
             let queued = ended.outcome != Outcome::ReadDone || self.now - out.sent > allowed;
             self.hosts.learn_limit(slot, out.sent, queued, self.now);
         }
+        if ended.outcome != Outcome::CalledOff && ended.outcome != Outcome::TimedOut {
+            self.hosts.heard[slot] = self.now;
+        }
         task.over |= ended.last;
         task.idle_since = self.now;
         let never_ran =
             out.reading || matches!(ended.outcome, Outcome::Full | Outcome::Unreachable | Outcome::Void);
         if !never_ran && ended.outcome != Outcome::Fulfilled {
-            task.may_have_run.get_or_insert((out.slot, task.sent_at));
+            task.may_have_run.get_or_insert((out.slot, out.sent));
         }
         match ended.outcome {
             Outcome::Fulfilled => self.hosts.judge(out.slot, true),
@@ -330,8 +335,7 @@
                 task.state = Some(out.slot);
                 task.tried.clear();
                 self.hosts.note_kept(slot, &task.arrival, ended.detail);
-                self.hosts.judge(out.slot, true);
-                note(&mut self.hosts.dones[out.slot], self.now, self.settings.fall_window);
+                self.hosts.note_done(slot, self.now, self.settings.fall_window);
             }
             Outcome::Full => {
                 if ended.detail == 1.0 {
@@ -360,7 +364,7 @@
     }
 
     fn plan(&mut self, task: &mut Task) {
-        task.want = Want::Rest;
+        (task.want, task.want_cancel) = (Want::Rest, false);
         if task.over {
             task.want_cancel = task.out.as_ref().is_some_and(|o| !o.streaming);
             task.want_release = task.out.is_none() && task.state.is_some();
@@ -378,14 +382,21 @@
         }
         self.wake_at(ends);
         if let Some(out) = task.out.as_mut() {
-            // Evidence before the outcome: what is late has queued, also at a host that never answers.
-            let late_at = out.sent + QUEUED * task.allowed;
-            if self.now < late_at {
-                self.wake_at(late_at);
-            } else if !out.late {
+            // Evidence before the outcome: what is late has queued, and a host that said nothing at all since
+            // it took a launch long ago may never answer; it counts as failing, and a read can be done again.
+            let [late_at, silent_at] = [QUEUED, SILENT].map(|share| out.sent + share * task.allowed);
+            if self.now >= late_at && !out.late {
                 out.late = true;
                 self.hosts.learn_limit(out.slot, out.sent, true, self.now);
             }
+            if self.now >= silent_at && !out.silent && self.hosts.heard[out.slot] <= out.sent {
+                out.silent = true;
+                self.hosts.doubt(out.slot);
+                task.want_cancel = out.reading && self.now < task.read_by;
+            }
+            if let Some(at) = [late_at, silent_at].into_iter().find(|&at| at > self.now) {
+                self.wake_at(at);
+            }
             return;
         }
         if task.may_have_run.is_some() && !self.may_run_again(task) {
@@ -526,11 +537,7 @@
         let open: Vec<Slot> = judged.into_iter().filter(open).collect();
         let fit = |s: &Slot| (reading || self.hosts.has_room(*s)) && !task.tried.contains(s);
         let fit: Vec<Slot> = open.iter().copied().filter(fit).collect();
-        if fit.is_empty() {
-            open
-        } else {
-            fit
-        }
+        [fit, open].into_iter().find(|hosts| !hosts.is_empty()).unwrap_or_default()
     }
 
     /// Whether a failure on a trial would cost no more than the time.
@@ -582,10 +589,7 @@
         let ready = |s: &Slot| self.hosts.serves(*s, false) && self.hosts.condition[*s] == Condition::Ready;
         let writers = (0..self.hosts.id.len()).filter(ready);
         let room: f64 = writers.map(|s| (self.hosts.limit[s] - self.hosts.streams[s]).max(0.0)).sum();
-        let coming = self
-            .tasks
-            .values()
-            .filter(|t| t.out.as_ref().is_some_and(|o| o.reading && self.now - o.sent < OVERDUE * t.allowed));
+        let coming = self.tasks.values().filter(|t| t.out.as_ref().is_some_and(|o| o.reading && !o.late));
         room >= coming.count() as f64 + 1.0
     }
 
@@ -610,21 +614,12 @@
                 let reading = task.state.is_none();
                 let host = self.hosts.id[slot].clone();
                 actions.push(Action::Launch { task: id, host, until: Some(task.ends) });
-                let out = Out {
-                    launch: LaunchNo(task.launches),
-                    slot,
-                    reading,
-                    streaming: false,
-                    cancelled: false,
-                    late: false,
-                    tokens: if reading { self.hosts.unread(slot, &task.arrival) } else { 0.0 },
-                    sent: self.now,
-                };
+                let tokens = if reading { self.hosts.unread(slot, &task.arrival) } else { 0.0 };
+                let (launch, sent) = (LaunchNo(task.launches), self.now);
+                let out = Out { launch, slot, reading, tokens, sent, ..Out::default() };
                 self.hosts.note_launch(&out, self.now, self.settings.fall_window);
-                self.hosts.trial_at[slot] =
-                    self.hosts.trial_at[slot].max(self.now + self.settings.fall_window);
+                self.hosts.trial_at[slot] = self.now + self.settings.fall_window;
                 task.out = Some(out);
-                task.sent_at = self.now;
                 task.launches += 1;
             }
             Want::Bounce => {
@@ -637,7 +632,6 @@
                 task.over = true;
             }
         }
-        task.want = Want::Rest;
     }
 
     fn emit_timer(&mut self, actions: &mut Vec<Action>) {
@@ -663,23 +657,23 @@
         self.zone.push(ZoneId(0));
         self.cell.push(CellId(0));
         self.condition.push(Condition::Gone);
-        self.started.push(f64::NEG_INFINITY);
-        self.streams.push(0.0);
-        self.reading.push(0.0);
-        self.reads.push(0.0);
-        self.limit.push(
-            (if role == Role::Reader { READS_START } else { STREAMS_START } / self.dispatchers).max(1.0),
-        );
-        self.cut_at.push(f64::NEG_INFINITY);
+        let start = if role == Role::Reader { READS_START } else { STREAMS_START };
+        self.limit.push((start / self.dispatchers).max(1.0));
         self.kept.push(VecDeque::new());
-        self.reported.push(0.0);
-        self.reported_tokens.push(0.0);
-        self.outcomes.push(0);
-        self.outcome_count.push(0);
-        self.full_until.push(f64::NEG_INFINITY);
-        self.trial_at.push(f64::NEG_INFINITY);
-        self.sends.push(VecDeque::new());
-        self.dones.push(VecDeque::new());
+        for log in [&mut self.sends, &mut self.dones] {
+            log.push(VecDeque::new());
+        }
+        for bits in [&mut self.outcomes, &mut self.outcome_count] {
+            bits.push(0);
+        }
+        let counts = [&mut self.streams, &mut self.reading, &mut self.reads];
+        for count in counts.into_iter().chain([&mut self.reported, &mut self.reported_tokens]) {
+            count.push(0.0);
+        }
+        let instants = [&mut self.started, &mut self.cut_at, &mut self.heard];
+        for instant in instants.into_iter().chain([&mut self.full_until, &mut self.trial_at]) {
+            instant.push(f64::NEG_INFINITY);
+        }
         slot
     }
 
@@ -707,6 +701,11 @@
         note(&mut self.sends[out.slot], now, window);
     }
 
+    fn note_done(&mut self, slot: Slot, now: Ms, window: Ms) {
+        self.judge(slot, true);
+        note(&mut self.dones[slot], now, window);
+    }
+
     fn forget_launch(&mut self, out: &Out) {
         if out.reading {
             self.reading[out.slot] -= out.tokens;
@@ -776,6 +775,12 @@
         self.outcome_count[slot] = (self.outcome_count[slot] + 1).min(JUDGED);
     }
 
+    /// A silent host is taken for failing, by as little as one success mends.
+    fn doubt(&mut self, slot: Slot) {
+        self.outcome_count[slot] = JUDGED;
+        self.outcomes[slot] = (1 << (JUDGED / 2 - 1)) - 1;
+    }
+
     fn success(&self, slot: Slot) -> f64 {
         match self.outcome_count[slot] {
             0 => 1.0,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -19,7 +19,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SharedTextId(pub u64);
 /// The launches of one task count from 0.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LaunchNo(pub u32);
 /// A zone, by its place in the settings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -173,6 +173,7 @@
 fn set(settings: &mut Settings, key: &str, value: &str) {
     match key {
         "release" => settings.release = number(value),
+        "patient" => settings.profiles[0].quoted = number(value),
         "launches" => settings.max_launches = number(value) as u32,
         "fall_window" => settings.fall_window = number(value),
         "copies" => settings.may_copy = value == "1",
@@ -286,6 +287,7 @@
 #[test_case(include_str!("scenarios/limits.txt"); "limits")]
 #[test_case(include_str!("scenarios/writers.txt"); "writers")]
 #[test_case(include_str!("scenarios/homes.txt"); "homes")]
+#[test_case(include_str!("scenarios/silent.txt"); "silent")]
 fn scenario(text: &str) {
     play(text);
 }
