--- a/src/control.rs
+++ b/src/control.rs
@@ -39,7 +39,8 @@
 /// What a limit grows by for each limit's worth in time; streams last long, so a writer's grows faster.
 const READS_GROW: f64 = 1.0;
 const STREAMS_GROW: f64 = 3.0;
-/// Held tasks are looked at again after this share of the release time.
+/// Held tasks are looked at again, and a host that said 'full' is asked again, after this share of the
+/// release time.
 const RETRY_SHARE: f64 = 0.1;
 /// Part of the cold budget that is used, the rest being for what one dispatcher cannot see; and where no
 /// host of the role is warm, so that there is nothing else to serve with.
@@ -54,8 +55,6 @@
 const KEPT_MOST: usize = 64;
 /// A host with less than this share of its peers' mean success is avoided.
 const SICK_BELOW: f64 = 0.5;
-/// A host that said 'full' is passed over for this share of the release time.
-const FULL_SHARE: f64 = 0.25;
 
 /// A model host's place in the parallel arrays.
 type Slot = usize;
@@ -352,7 +351,7 @@
                     task.state = None;
                 } else {
                     task.tried.push(out.slot);
-                    self.hosts.full_until[out.slot] = self.now + FULL_SHARE * self.settings.release;
+                    self.hosts.full_until[out.slot] = self.now + RETRY_SHARE * self.settings.release;
                 }
             }
             Outcome::Failed | Outcome::TimedOut | Outcome::Broken | Outcome::Unreachable => {
