--- a/src/control.rs
+++ b/src/control.rs
@@ -39,8 +39,7 @@
 /// What a limit grows by for each limit's worth in time; streams last long, so a writer's grows faster.
 const READS_GROW: f64 = 1.0;
 const STREAMS_GROW: f64 = 3.0;
-/// Held tasks are looked at again, and a host that said 'full' is asked again, after this share of the
-/// release time.
+/// Held tasks are looked at, and 'full' hosts asked, again after this share of the release time.
 const RETRY_SHARE: f64 = 0.1;
 /// Part of the cold budget that is used, the rest being for what one dispatcher cannot see; and where no
 /// host of the role is warm, so that there is nothing else to serve with.
@@ -332,8 +331,8 @@
         }
         task.over |= ended.last;
         task.idle_since = self.now;
-        let never_ran =
-            out.reading || matches!(ended.outcome, Outcome::Full | Outcome::Unreachable | Outcome::Void);
+        let never_ran = self.hosts.only_reads(&out)
+            || matches!(ended.outcome, Outcome::Full | Outcome::Unreachable | Outcome::Void);
         if !never_ran && ended.outcome != Outcome::Fulfilled {
             task.may_have_run.get_or_insert((out.slot, out.sent));
         }
@@ -408,7 +407,7 @@
             if self.now >= silent_at && !out.silent && self.hosts.heard[out.slot] <= out.sent {
                 out.silent = true;
                 self.hosts.doubt(out.slot);
-                task.want_cancel = out.reading && self.now < task.read_by;
+                task.want_cancel = self.hosts.only_reads(out) && self.now < task.read_by;
             }
             if let Some(at) = [late_at, silent_at].into_iter().find(|&at| at > self.now) {
                 self.wake_at(at);
@@ -419,10 +418,9 @@
             return self.give_up(task);
         }
         let left = self.settings.max_launches.saturating_sub(task.launches);
-        if task.state.is_some_and(|s| self.hosts.condition[s] == Condition::Gone) {
-            task.state = None;
-        }
-        let target = match task.state {
+        // A state whose reader is gone is read again, and let go in case the list is wrong.
+        task.want_release = task.state.is_some_and(|s| self.hosts.condition[s] == Condition::Gone);
+        let target = match task.state.filter(|_| !task.want_release) {
             _ if left == 0 => return self.give_up(task),
             Some(reader) => self.choose_writer(task, reader),
             None if left < 2 => return self.give_up(task),
@@ -445,7 +443,7 @@
     /// The task ends here, its state let go at once or, as a launch still waits for it, with that launch's
     /// outcome: a bounce where a retry is sure to do no harm, else a write-off.
     fn give_up(&mut self, task: &mut Task) {
-        let out_at_writer = task.out.as_ref().is_some_and(|o| !o.reading);
+        let out_at_writer = task.out.as_ref().is_some_and(|o| !self.hosts.only_reads(o));
         let may_have_run = task.may_have_run.is_some() || out_at_writer;
         let harmless = match self.profiles[task.arrival.profile.0 as usize].effect {
             Effect::Reissuable => true,
@@ -702,6 +700,11 @@
         }
     }
 
+    /// A read at a reader has no effect, however it ends; a mixed host answers what it has read.
+    fn only_reads(&self, out: &Out) -> bool {
+        out.reading && self.role[out.slot] == Role::Reader
+    }
+
     /// Counts a launch in (1) or out (-1).
     fn tally(&mut self, out: &Out, sign: f64) {
         if out.reading {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,7 +1,7 @@
 //! Plays the scenario files of `tests/scenarios/`. Their notation, a line each, `#` starts a comment:
 //!
 //! `set KEY VALUE` changes a default setting; `effect P WORDS` a profile's effect.
-//! `list KIND NAME:ROLE:ZONE:CELL[:CONDITION[:STARTED]] ...` tells of model hosts, ROLE being `r` or `w`.
+//! `list KIND NAME:ROLE:ZONE:CELL[:CONDITION[:STARTED]] ...` tells of model hosts, ROLE being `r`, `w` or `b`.
 //! `at T` goes to the instant T, firing due timers on the way, and opens a batch of events:
 //! `task ID PROFILE PATIENCE PROMPT [s=SESSION] [p=SHARED/TOKENS] [t=TENANT]`, `first ID HOST`,
 //! `end ID HOST OUTCOME [last] [none] [x1=K]`, `left ID`, `burst ID COUNT PROFILE PATIENCE PROMPT`.
@@ -35,7 +35,7 @@
         profiles: vec![profile(Effect::Reissuable), profile(Effect::AtMostOnce)],
         tenants: Vec::new(),
         over_share_worth: 0.1,
-        kinds: vec![kind(Role::Reader), kind(Role::Writer)],
+        kinds: vec![kind(Role::Reader), kind(Role::Writer), kind(Role::Both)],
         discovery: Discovery::Pushed,
         release: 500.0,
         writers_read: false,
@@ -130,7 +130,7 @@
     Entry {
         host: HostId(parts[0].into()),
         zone: ZoneId(number(parts[2]) as u32),
-        kind: KindId(u32::from(parts[1] == "w")),
+        kind: KindId(["r", "w", "b"].iter().position(|k| *k == parts[1]).unwrap() as u32),
         cell: CellId(number(parts[3]) as u32),
         condition,
         weight: 1.0,
