--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -290,6 +290,7 @@
 #[test_case(include_str!("scenarios/silent.txt"); "silent")]
 #[test_case(include_str!("scenarios/order.txt"); "order")]
 #[test_case(include_str!("scenarios/tenants.txt"); "tenants")]
+#[test_case(include_str!("scenarios/newborn.txt"); "newborn")]
 fn scenario(text: &str) {
     play(text);
 }
