--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -5,7 +5,7 @@
 //! `at T` goes to the instant T, firing due timers on the way, and opens a batch of events:
 //! `task ID PROFILE PATIENCE PROMPT [s=SESSION] [p=SHARED/TOKENS] [t=TENANT]`, `first ID HOST`,
 //! `end ID HOST OUTCOME [last] [none] [x1=K]`, `left ID`, `burst ID COUNT PROFILE PATIENCE PROMPT`.
-//! The launch's number is the runner's: it counts launches as they come.
+//! The launch's number is the runner's: it counts launches as they come; HOST `*` is the newest one's.
 //! `> WORDS` must be among the actions since the last `at` that stands before an expectation, in any order,
 //! and is used up; `! WORDS` must not be there; `*` in WORDS stands for any one word. `most N WORDS` and
 //! `least N WORDS` count. `> launch 1 r2 by 3990` also checks the time-out.
@@ -65,6 +65,7 @@
     seen: Vec<String>,
     timers: Vec<(Ms, TimerId)>,
     launches: BTreeMap<u32, u32>,
+    newest: BTreeMap<u32, HostId>,
     checked: bool,
 }
 
@@ -78,6 +79,7 @@
             match action {
                 Action::Launch { task, host, until } => {
                     *self.launches.entry(task.0).or_default() += 1;
+                    self.newest.insert(task.0, host.clone());
                     self.seen.push(format!("launch {} {} by {}", task.0, host.0, until.unwrap_or(0.0)));
                 }
                 Action::Arm { delay, timer } => self.timers.push((now + delay, timer)),
@@ -206,13 +208,17 @@
         seen: Vec::new(),
         timers: Vec::new(),
         launches: BTreeMap::new(),
+        newest: BTreeMap::new(),
         checked: false,
     };
     for (at, line) in text.lines().enumerate() {
         let words: Vec<&str> = line.split('#').next().unwrap_or("").split_whitespace().collect();
         let Some((&verb, rest)) = words.split_first() else { continue };
-        let host = || HostId(rest[1].into());
         let id = || TaskId(number(rest[0]) as u32);
+        let host = |play: &Play| match rest[1] {
+            "*" => play.newest[&id().0].clone(),
+            name => HostId(name.into()),
+        };
         let newest = |play: &Play| LaunchNo(play.launches.get(&id().0).map_or(0, |n| n.saturating_sub(1)));
         match verb {
             "set" => set(&mut play.settings, rest[0], rest[1]),
@@ -241,14 +247,14 @@
             "left" => play.events.push(Event::Left { task: id() }),
             "first" => {
                 let launch = newest(&play);
-                play.events.push(Event::FirstToken { task: id(), launch, host: host(), latency: 50.0 });
+                play.events.push(Event::FirstToken { task: id(), launch, host: host(&play), latency: 50.0 });
             }
             "end" => {
                 let x1 = rest.iter().find_map(|w| w.strip_prefix("x1=")).map(number);
                 play.events.push(Event::Ended(Ended {
                     task: id(),
                     launch: newest(&play),
-                    host: host(),
+                    host: host(&play),
                     outcome: outcome(rest[2]),
                     latency: 50.0,
                     last: rest.contains(&"last"),
