--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -6,6 +6,7 @@
 //! `task ID PROFILE PATIENCE PROMPT [s=SESSION] [p=SHARED/TOKENS] [t=TENANT]`, `first ID HOST`,
 //! `end ID HOST OUTCOME [last] [none] [x1=K]`, `left ID`, `burst ID COUNT PROFILE PATIENCE PROMPT`.
 //! The launch's number is the runner's: it counts launches as they come; HOST `*` is the newest one's.
+//! `each A B VERB WORDS` repeats a line for the ids from A to B.
 //! `> WORDS` must be among the actions since the last `at` that stands before an expectation, in any order,
 //! and is used up; `! WORDS` must not be there; `*` in WORDS stands for any one word. `most N WORDS` and
 //! `least N WORDS` count. `> launch 1 r2 by 3990` also checks the time-out.
@@ -199,6 +200,18 @@
     }
 }
 
+/// `each A B VERB WORDS` stands for `VERB ID WORDS` with every id from A to B.
+fn spread(line: &str) -> std::vec::IntoIter<String> {
+    let words: Vec<&str> = line.split_whitespace().collect();
+    match words.as_slice() {
+        ["each", a, b, verb, rest @ ..] => (number(a) as u32..=number(b) as u32)
+            .map(|id| format!("{verb} {id} {}", rest.join(" ")))
+            .collect::<Vec<_>>()
+            .into_iter(),
+        _ => vec![line.to_owned()].into_iter(),
+    }
+}
+
 fn play(text: &str) {
     let mut play = Play {
         settings: settings(),
@@ -211,7 +224,7 @@
         newest: BTreeMap::new(),
         checked: false,
     };
-    for (at, line) in text.lines().enumerate() {
+    for (at, line) in text.lines().enumerate().flat_map(|(at, line)| spread(line).map(move |l| (at, l))) {
         let words: Vec<&str> = line.split('#').next().unwrap_or("").split_whitespace().collect();
         let Some((&verb, rest)) = words.split_first() else { continue };
         let id = || TaskId(number(rest[0]) as u32);
