One place for ready hosts, a task's effect and the end of a task; no decision changed

The filter of ready hosts stood twice and the look-up of a profile's effect four times; the guard before `may_run_again` stood again inside it; three choosers borrowed more than they need; the adapter's list owner was wrapped in an option that was never empty.

--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -59,7 +59,7 @@
                 }
             }
             Line::Row(entry) => {
-                let held = parser.list_owner().and_then(|i| instances.get_mut(&i));
+                let held = instances.get_mut(&parser.list_owner());
                 if let Some(Event::Listed { entries, .. }) = held.and_then(|i| i.events.last_mut()) {
                     entries.push(entry);
                 }
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -121,8 +121,8 @@
         format!("line {}: expected {}, came {came:?}", self.number, problem.expected)
     }
 
-    pub fn list_owner(&self) -> Option<u32> {
-        Some(self.list_owner)
+    pub fn list_owner(&self) -> u32 {
+        self.list_owner
     }
 
     pub fn line(&mut self, raw: &[u8], in_batch: bool) -> Result<Line, Malformed> {
--- a/src/control.rs
+++ b/src/control.rs
@@ -262,8 +262,7 @@
             }
         }
         for entry in entries {
-            let Some(kind) = self.settings.kinds.get(entry.kind.0 as usize) else { continue };
-            let role = kind.role;
+            let Some(role) = self.settings.kinds.get(entry.kind.0 as usize).map(|k| k.role) else { continue };
             let started = entry.started.unwrap_or(f64::NEG_INFINITY);
             let slot = self.hosts.slot(&entry.host, role);
             if started > self.hosts.started[slot] {
@@ -334,12 +333,12 @@
         let never_ran = self.hosts.only_reads(&out)
             || matches!(ended.outcome, Outcome::Full | Outcome::Unreachable | Outcome::Void);
         if !never_ran && ended.outcome != Outcome::Fulfilled {
-            task.may_have_run.get_or_insert((out.slot, out.sent));
+            task.may_have_run.get_or_insert((slot, out.sent));
         }
         match ended.outcome {
-            Outcome::Fulfilled => self.hosts.judge(out.slot, true),
+            Outcome::Fulfilled => self.hosts.judge(slot, true),
             Outcome::ReadDone => {
-                task.state = Some(out.slot);
+                task.state = Some(slot);
                 task.tried.clear();
                 self.hosts.note_kept(slot, &task.arrival, ended.detail);
                 self.hosts.note_done(slot, self.now, self.settings.fall_window);
@@ -349,13 +348,13 @@
                     // The state is gone (its reader died or let it go): read again.
                     task.state = None;
                 } else {
-                    task.tried.push(out.slot);
-                    self.hosts.full_until[out.slot] = self.now + RETRY_SHARE * self.settings.release;
+                    task.tried.push(slot);
+                    self.hosts.full_until[slot] = self.now + RETRY_SHARE * self.settings.release;
                 }
             }
             Outcome::Failed | Outcome::TimedOut | Outcome::Broken | Outcome::Unreachable => {
-                task.tried.push(out.slot);
-                self.hosts.judge(out.slot, false);
+                task.tried.push(slot);
+                self.hosts.judge(slot, false);
             }
             Outcome::CalledOff | Outcome::Void => {}
         }
@@ -414,7 +413,7 @@
             }
             return;
         }
-        if task.may_have_run.is_some() && !self.may_run_again(task) {
+        if !self.may_run_again(task) {
             return self.give_up(task);
         }
         let left = self.settings.max_launches.saturating_sub(task.launches);
@@ -442,10 +441,10 @@
 
     /// The task ends here, its state let go at once or, as a launch still waits for it, with that launch's
     /// outcome: a bounce where a retry is sure to do no harm, else a write-off.
-    fn give_up(&mut self, task: &mut Task) {
+    fn give_up(&self, task: &mut Task) {
         let out_at_writer = task.out.as_ref().is_some_and(|o| !self.hosts.only_reads(o));
         let may_have_run = task.may_have_run.is_some() || out_at_writer;
-        let harmless = match self.profiles[task.arrival.profile.0 as usize].effect {
+        let harmless = match self.effect(task) {
             Effect::Reissuable => true,
             Effect::Numbered { group, .. } => !may_have_run || group == Group::All,
             Effect::AtMostOnce => !may_have_run,
@@ -455,9 +454,13 @@
         task.want_release = task.out.is_none() && task.state.is_some();
     }
 
+    fn effect(&self, task: &Task) -> Effect {
+        self.profiles[task.arrival.profile.0 as usize].effect
+    }
+
     /// Whether a task that may have run may be sent again at all; `may_go_to` says where.
     fn may_run_again(&self, task: &Task) -> bool {
-        match self.profiles[task.arrival.profile.0 as usize].effect {
+        match self.effect(task) {
             Effect::Reissuable => true,
             Effect::Numbered { window, .. } => task.may_have_run.is_none_or(|(_, at)| self.now < at + window),
             Effect::AtMostOnce => task.may_have_run.is_none(),
@@ -466,7 +469,7 @@
 
     fn may_go_to(&self, task: &Task, slot: Slot) -> bool {
         let Some((first, _)) = task.may_have_run else { return true };
-        match self.profiles[task.arrival.profile.0 as usize].effect {
+        match self.effect(task) {
             Effect::Numbered { group: Group::Zone, .. } => self.hosts.zone[first] == self.hosts.zone[slot],
             Effect::Numbered { group: Group::Cell, .. } => self.hosts.cell[first] == self.hosts.cell[slot],
             _ => true,
@@ -474,7 +477,7 @@
     }
 
     /// The reads' rule: the home that the hash names, unless too much waits there; then the least waiting.
-    fn choose_reader(&mut self, task: &Task) -> Option<Slot> {
+    fn choose_reader(&self, task: &Task) -> Option<Slot> {
         let pool = self.pool(task, true);
         let arrival = &task.arrival;
         let beginning = arrival.shared.map_or(arrival.session.0, |shared| shared.0);
@@ -501,10 +504,9 @@
         let pool = self.pool(task, false);
         let best = pool.iter().map(|&s| self.nearness(reader, s)).fold(0.0, f64::max);
         let mean = pool.iter().map(|&s| self.hosts.streams[s]).sum::<f64>() / pool.len().max(1) as f64;
-        let kept = pool.iter().copied().filter(|&s| {
-            self.nearness(reader, s) >= best - TAU && self.hosts.streams[s] <= mean + ABOVE_AVERAGE
-        });
-        let kept: Vec<Slot> = kept.collect();
+        let near = |s: Slot| self.nearness(reader, s) >= best - TAU;
+        let few = |s: Slot| self.hosts.streams[s] <= mean + ABOVE_AVERAGE;
+        let kept: Vec<Slot> = pool.iter().copied().filter(|&s| near(s) && few(s)).collect();
         self.fewest(if kept.is_empty() { pool } else { kept })
     }
 
@@ -532,16 +534,14 @@
     /// Hosts of a role that may take this task now; none means that it is held. Drains and cold budgets are
     /// never set aside. Judged hosts come in only when every host of the role is judged, not when the others
     /// are merely busy: a host that fails fast always looks as if it had room.
-    fn pool(&mut self, task: &Task, reading: bool) -> Vec<Slot> {
-        let ready: Vec<Slot> = (0..self.hosts.id.len())
-            .filter(|&s| self.hosts.serves(s, reading) && self.hosts.condition[s] == Condition::Ready)
-            .collect();
+    fn pool(&self, task: &Task, reading: bool) -> Vec<Slot> {
+        let ready: Vec<Slot> = self.hosts.ready(reading).collect();
         let peers = self.hosts.mean_success(&ready);
         let budget = self.cold_budget(&ready);
         let (well, sick): (Vec<Slot>, Vec<Slot>) =
             ready.iter().partition(|&&s| !self.hosts.is_sick(s, peers));
         // A failure on a trial may cost no more than the time.
-        let harmless = reading || self.profiles[task.arrival.profile.0 as usize].effect == Effect::Reissuable;
+        let harmless = reading || self.effect(task) == Effect::Reissuable;
         let trials = sick.iter().filter(|&&s| harmless && self.now >= self.hosts.trial_at[s]);
         let judged = if well.is_empty() { sick.clone() } else { [well, trials.copied().collect()].concat() };
         let open = |s: &Slot| {
@@ -595,8 +595,7 @@
 
     /// Whether the writers can take what is being read and one more: a read state cannot wait for long.
     fn writers_have_room(&self) -> bool {
-        let ready = |s: &Slot| self.hosts.serves(*s, false) && self.hosts.condition[*s] == Condition::Ready;
-        let writers = (0..self.hosts.id.len()).filter(ready);
+        let writers = self.hosts.ready(false);
         let room: f64 = writers.map(|s| (self.hosts.limit[s] - self.hosts.streams[s]).max(0.0)).sum();
         let coming = self.tasks.values().filter(|t| t.out.as_ref().is_some_and(|o| o.reading && !o.late));
         room >= coming.count() as f64 + 1.0
@@ -636,13 +635,10 @@
             Want::Bounce => {
                 let wait = self.settings.clients_hear_retry.then_some(self.settings.release);
                 actions.push(Action::Bounce { task: id, retry_after: wait });
-                task.over = true;
-            }
-            Want::WriteOff => {
-                actions.push(Action::WriteOff { task: id });
-                task.over = true;
             }
+            Want::WriteOff => actions.push(Action::WriteOff { task: id }),
         }
+        task.over |= matches!(task.want, Want::Bounce | Want::WriteOff);
     }
 
     fn emit_timer(&mut self, actions: &mut Vec<Action>) {
@@ -700,6 +696,11 @@
         }
     }
 
+    fn ready(&self, reading: bool) -> impl Iterator<Item = Slot> + '_ {
+        let ready = move |s: &Slot| self.serves(*s, reading) && self.condition[*s] == Condition::Ready;
+        (0..self.id.len()).filter(ready)
+    }
+
     /// A read at a reader has no effect, however it ends; a mixed host answers what it has read.
     fn only_reads(&self, out: &Out) -> bool {
         out.reading && self.role[out.slot] == Role::Reader
