A step plans only the tasks that can have changed

Cause: Control::step planned every live task at every call, so a task's price grew with the tasks live. Change: Turns keeps which tasks may change: those without a launch out at each step, those whose launch is out when an event of theirs comes or their time does, streams and ended ones only with an event. wake_all keeps the plain rule for comparison.

--- a/src/control.rs
+++ b/src/control.rs
@@ -4,11 +4,12 @@
 //! Callers make one [`Control`] a dispatcher, hand each batch of events to [`Control::step`] with its instant
 //! and carry out the actions in order; timers come back as `Event::Timer`. The types of both sides are in
 //! [`crate::interface`]. The same settings, seed and events give the same actions.
-//! A step runs in three parts: `learn` takes the events in, `plan` sets what is wanted of each task, and
-//! `emit` alone turns the difference between wanted and present into actions.
+//! A step runs in three parts: `learn` takes the events in, `plan` sets what is wanted of each task that can
+//! have changed (`Turns`), and `emit` alone turns the difference between wanted and present into actions.
 
 use crate::interface::*;
 use nanorand::{Rng, WyRand};
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -151,6 +152,7 @@
     now: Ms,
     hosts: Hosts,
     tasks: BTreeMap<TaskId, Task>,
+    queue: Turns,
     /// Launches a millisecond that a warm writer, and a warm reader, bear of ours, and tasks that arrive.
     borne: [Rate; 2],
     arriving: Rate,
@@ -183,6 +185,7 @@
                 ..Hosts::default()
             },
             tasks: BTreeMap::new(),
+            queue: Turns::default(),
             borne: Default::default(),
             arriving: Rate::default(),
             tenants: settings.tenants.iter().map(|_| Rate::default()).collect(),
@@ -200,34 +203,49 @@
             self.learn(event);
         }
         self.wanted_wake = None;
+        self.queue.fall_due(self.now);
         for id in self.turns() {
             let Some(mut task) = self.tasks.remove(&id) else { continue };
+            self.queue.coming -= task.coming();
             self.plan(&mut task);
             self.emit(id, &mut task, actions);
+            self.queue.settle(id, &task, self.now);
+            self.queue.coming += task.coming();
             if !(task.over && task.out.is_none()) {
                 self.tasks.insert(id, task);
             }
         }
+        debug_assert_eq!(self.queue.coming, self.tasks.values().map(Task::coming).sum::<usize>());
+        if let Some(&(due, _)) = self.queue.due.first() {
+            self.wake_at(due.0);
+        }
         let host = |slot: Slot| Action::Probe { host: self.hosts.listed[slot].host.clone() };
         actions.extend(self.wanted_probes.iter().map(|&slot| host(slot)));
         self.wanted_probes.clear();
         self.emit_timer(actions);
     }
 
+    /// The plain rule, which the lean one is held against: every task is planned at the next step.
+    pub fn wake_all(&mut self) {
+        self.queue.awake.extend(self.tasks.keys());
+    }
+
     fn learn(&mut self, event: &Event) {
         match event {
             Event::Listed { kind, entries } => self.learn_list(*kind, entries),
             Event::Arrived(arrival) => self.learn_arrival(arrival),
             Event::Left { task } => {
-                if let Some(task) = self.tasks.get_mut(task) {
-                    task.over = true;
+                if let Some(held) = self.tasks.get_mut(task) {
+                    held.over = true;
+                    self.queue.awake.insert(*task);
                 }
             }
             Event::FirstToken { task, launch, .. } => {
-                let Some(task) = self.tasks.get_mut(task) else { return };
+                let (id, Some(task)) = (*task, self.tasks.get_mut(task)) else { return };
                 let Some(out) = task.out.as_mut().filter(|o| o.launch == *launch) else { return };
                 out.streaming = true;
                 task.state = None;
+                self.queue.awake.insert(id);
                 let slot = out.slot;
                 let allowed = QUEUED * task.allowed;
                 self.hosts.learn_limit(slot, out.sent, self.now - out.sent > allowed, self.now);
@@ -281,6 +299,7 @@
             ..Task::default()
         };
         self.tasks.insert(arrival.task, task);
+        self.queue.awake.insert(arrival.task);
         self.arriving.note(1.0, self.now, self.settings.ramp);
     }
 
@@ -296,7 +315,10 @@
         let Some(&slot) = self.hosts.index.get(&ended.host) else { return };
         self.hosts.note_load(slot, &ended.load, self.now);
         let Some(task) = self.tasks.get_mut(&ended.task) else { return };
+        let coming = task.coming();
         let Some(out) = task.out.take_if(|o| o.launch == ended.launch && o.slot == slot) else { return };
+        self.queue.coming -= coming;
+        self.queue.awake.insert(ended.task);
         self.hosts.tally(&out, -1.0);
         if out.reading && matches!(ended.outcome, Outcome::ReadDone | Outcome::TimedOut | Outcome::Full) {
             let allowed = QUEUED * task.allowed;
@@ -342,7 +364,8 @@
         let cheap = |s: Slot, a: &Arrival| self.hosts.unread(s, a) < SPARE * a.prompt_tokens;
         let dear = |t: &Task| t.launches == 0 && !self.hosts.ready(true).any(|s| cheap(s, &t.arrival));
         let turn = |(id, t): (&TaskId, &Task)| (t.over_share, dear(t), (1000.0 * t.read_by) as i64, *id);
-        let turns: BTreeSet<_> = self.tasks.iter().map(turn).collect();
+        let awake = self.queue.awake.iter().filter_map(|id| self.tasks.get_key_value(id));
+        let turns: BTreeSet<_> = awake.map(turn).collect();
         turns.into_iter().map(|turn| turn.3).collect()
     }
 
@@ -606,8 +629,7 @@
     fn writers_have_room(&self) -> bool {
         let writers = self.hosts.ready(false);
         let room: f64 = writers.map(|s| (self.hosts.limit[s] - self.hosts.streams[s]).max(0.0)).sum();
-        let coming = self.tasks.values().filter(|t| t.out.as_ref().is_some_and(|o| o.reading && !o.late));
-        room >= coming.count() as f64 + 1.0
+        room >= self.queue.coming as f64 + 1.0
     }
 
     /// The only place that acts on a task: brings the present state to the wanted one.
@@ -661,6 +683,66 @@
     }
 }
 
+impl Task {
+    /// One if it is being read, in good time so far: the writers will be wanted for it.
+    fn coming(&self) -> usize {
+        usize::from(self.out.as_ref().is_some_and(|o| o.reading && !o.late))
+    }
+}
+
+/// An instant in order.
+#[derive(Clone, Copy, PartialEq)]
+struct Due(Ms);
+
+impl Eq for Due {}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.0.total_cmp(&other.0)
+    }
+}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+/// Which tasks a step has to look at. A task without a launch out may change with anything and is awake at
+/// every step. One whose launch is out changes with an event of its own or when its time comes; one that
+/// streams, or is over, only with an event. So a step costs by what waits, not by what lives.
+#[derive(Default)]
+struct Turns {
+    awake: BTreeSet<TaskId>,
+    due: BTreeSet<(Due, TaskId)>,
+    due_of: BTreeMap<TaskId, Due>,
+    /// Tasks being read, in good time so far.
+    coming: usize,
+}
+
+impl Turns {
+    fn fall_due(&mut self, now: Ms) {
+        let due = self.due.iter().take_while(|(due, _)| due.0 <= now);
+        self.awake.extend(due.map(|(_, id)| *id));
+    }
+
+    fn settle(&mut self, id: TaskId, task: &Task, now: Ms) {
+        if let Some(due) = self.due_of.remove(&id) {
+            self.due.remove(&(due, id));
+        }
+        let rests = task.over || task.out.is_some();
+        if rests {
+            self.awake.remove(&id);
+        }
+        if let Some(out) = task.out.as_ref().filter(|o| !task.over && !o.streaming) {
+            let late_at = out.sent + QUEUED * task.allowed;
+            let due = Due(if now < late_at { late_at.min(task.ends) } else { task.ends });
+            self.due.insert((due, id));
+            self.due_of.insert(id, due);
+        }
+    }
+}
+
 impl Hosts {
     fn slot(&mut self, entry: &Entry, kind: &KindSettings) -> Slot {
         if let Some(&slot) = self.index.get(&entry.host) {
