Messages and framing, network as a parameter; the lean step held against the plain one

Need: the running dispatcher wants one schema, a transport and a clock as parameters, and a proof that a step that plans fewer tasks decides the same. Change: crates/protocol (prost, compiled by protox without protoc), crates/net (TCP, memory, clocks); tests/lean.rs plays random events through both rules; benches/step.rs prices a whole task.

--- /dev/null
+++ b/benches/step.rs
@@ -0,0 +1,147 @@
+//! The price of one whole task (arrival, read, first token, end: four steps or more) as live streams grow.
+//! The fleet is the same in every row, so that only the live streams differ; `plain` plans every task at
+//! every step, as the module did before its turns were kept.
+
+use cindercleat::control::Control;
+use cindercleat::interface::*;
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion, Throughput};
+use std::sync::Arc;
+
+const READERS: u32 = 16;
+const WRITERS: u32 = 240;
+
+fn settings() -> Settings {
+    let profile = ProfileSettings {
+        effect: Effect::Reissuable,
+        quoted: 1000.0,
+        quoted_per_1000_tokens: 40.0,
+        patience: 8000.0,
+        payoff: 1.0,
+        late_share: 0.2,
+        token_pace: 60.0,
+        streams: true,
+    };
+    Settings {
+        me: DispatcherId(0),
+        dispatchers: 1,
+        zone: ZoneId(0),
+        tick: 4.0,
+        profiles: vec![profile],
+        tenants: vec![],
+        over_share_worth: 1.0,
+        kinds: [Role::Reader, Role::Writer].map(|role| KindSettings { role, memory_tokens: 2e5 }).to_vec(),
+        discovery: Discovery::Pushed,
+        release: 500.0,
+        writers_read: false,
+        may_hold_ahead: false,
+        may_cancel: true,
+        may_copy: false,
+        may_probe: false,
+        may_tell: false,
+        clients_hear_retry: true,
+        max_retry_after: 2000.0,
+        max_launches: 4,
+        connect_timeout: 250.0,
+        drain_grace: 500.0,
+        answer_grace: 16.0,
+        fall_multiple: 4.0,
+        fall_window: 1000.0,
+        start_capacity: 0.3,
+        ramp: 5000.0,
+    }
+}
+
+struct Bench {
+    control: Control,
+    plain: bool,
+    now: Ms,
+    next: u32,
+    actions: Vec<Action>,
+}
+
+impl Bench {
+    fn new(live: u32, plain: bool) -> Self {
+        let entry = |i: u32| Entry {
+            host: HostId(Arc::from(format!("host-{i}"))),
+            zone: ZoneId(0),
+            kind: KindId(u32::from(i >= READERS)),
+            cell: CellId(i % 4),
+            condition: Condition::Ready,
+            weight: 1.0,
+            started: None,
+        };
+        let mut bench = Bench {
+            control: Control::new(settings(), 1),
+            plain: false,
+            now: 0.0,
+            next: 0,
+            actions: Vec::new(),
+        };
+        let entries = (0..READERS + WRITERS).map(entry).collect();
+        bench.step(Event::Listed { kind: ListKind::Full, entries });
+        for _ in 0..live {
+            bench.begin();
+        }
+        bench.plain = plain;
+        bench
+    }
+
+    fn step(&mut self, event: Event) {
+        self.actions.clear();
+        self.now += 0.5;
+        if self.plain {
+            self.control.wake_all();
+        }
+        self.control.step(self.now, &[event], &mut self.actions);
+    }
+
+    fn launched(&self) -> HostId {
+        let host = |a: &Action| match a {
+            Action::Launch { host, .. } => Some(host.clone()),
+            _ => None,
+        };
+        self.actions.iter().find_map(host).expect("a launch")
+    }
+
+    /// A task up to its first token.
+    fn begin(&mut self) -> (TaskId, HostId) {
+        let task = TaskId(self.next);
+        self.next += 1;
+        let session = SessionId(u64::from(self.next) * 0x9e37_79b9);
+        let arrival =
+            Arrival { task, session, patience_left: 8000.0, prompt_tokens: 900.0, ..Arrival::default() };
+        self.step(Event::Arrived(arrival));
+        let host = self.launched();
+        self.step(ended(task, 0, host, Outcome::ReadDone));
+        let host = self.launched();
+        self.step(Event::FirstToken { task, launch: LaunchNo(1), host: host.clone(), latency: 1.0 });
+        (task, host)
+    }
+
+    fn whole(&mut self) {
+        let (task, host) = self.begin();
+        self.step(ended(task, 1, host, Outcome::Fulfilled));
+    }
+}
+
+fn ended(task: TaskId, launch: u32, host: HostId, outcome: Outcome) -> Event {
+    let (launch, last, load) = (LaunchNo(launch), outcome == Outcome::Fulfilled, Load::default());
+    Event::Ended(Ended { task, launch, host, outcome, latency: 1.0, last, detail: 0.0, load })
+}
+
+fn step(c: &mut Criterion) {
+    let mut group = c.benchmark_group("whole_task");
+    group.throughput(Throughput::Elements(1)).sample_size(20);
+    for live in [10, 100, 1_000, 10_000] {
+        for (name, plain) in [("lean", false), ("plain", true)] {
+            group.bench_with_input(BenchmarkId::new(name, live), &live, |b, &live| {
+                let mut bench = Bench::new(live, plain);
+                b.iter(|| bench.whole());
+            });
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, step);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,180 @@
+//! What network code takes as parameters: a transport (connect, listen, byte streams) and a clock.
+//!
+//! [`Tcp`] and [`SystemClock`] serve. [`Memory`] joins both ends within one thread and [`TokioClock`] follows
+//! the runtime's time, which can be paused: with both, a run needs no sockets and no real time.
+
+mod memory;
+
+pub use memory::Memory;
+
+use cindercleat_protocol::{encode, Decoder, Frame, Malformed};
+use std::future::Future;
+use std::io;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
+
+/// Milliseconds with fractions.
+pub type Ms = f64;
+
+/// Connects and listens. Addresses are text: `ip:port` for TCP, any name in memory.
+pub trait Transport: Clone + 'static {
+    type Stream: AsyncRead + AsyncWrite + Unpin + 'static;
+    type Listener: Listener<Stream = Self::Stream> + 'static;
+
+    /// # Errors
+    /// Nobody listens there, or cannot be reached.
+    fn connect(&self, address: &str) -> impl Future<Output = io::Result<Self::Stream>>;
+
+    /// # Errors
+    /// The address is taken or is none.
+    fn listen(&self, address: &str) -> impl Future<Output = io::Result<Self::Listener>>;
+}
+
+/// Takes connections in.
+pub trait Listener {
+    type Stream;
+
+    /// # Errors
+    /// This connection failed, or (for good) the listener did.
+    fn accept(&mut self) -> impl Future<Output = io::Result<Self::Stream>>;
+
+    /// The address to connect to.
+    fn address(&self) -> String;
+}
+
+/// Tells the time, in milliseconds since 1970, and waits for it. Never goes backwards.
+pub trait Clock: Clone + 'static {
+    fn now(&self) -> Ms;
+
+    fn sleep_until(&self, at: Ms) -> impl Future<Output = ()>;
+}
+
+/// TCP sockets, with Nagle's delay off.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tcp;
+
+impl Transport for Tcp {
+    type Stream = TcpStream;
+    type Listener = TcpListener;
+
+    async fn connect(&self, address: &str) -> io::Result<TcpStream> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+
+    async fn listen(&self, address: &str) -> io::Result<TcpListener> {
+        TcpListener::bind(address).await
+    }
+}
+
+impl Listener for TcpListener {
+    type Stream = TcpStream;
+
+    async fn accept(&mut self) -> io::Result<TcpStream> {
+        let (stream, _) = TcpListener::accept(self).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+
+    fn address(&self) -> String {
+        self.local_addr().map_or_else(|_| String::new(), |a| a.to_string())
+    }
+}
+
+/// The runtime's time, counted from an instant since 1970 that is given or the system's at the start. Steps
+/// of the system's clock do not reach it.
+#[derive(Clone, Copy, Debug)]
+pub struct TokioClock {
+    zero: Instant,
+    at_zero: Ms,
+}
+
+/// The clock that serves: the system's time at the start, and from then on the runtime's.
+pub type SystemClock = TokioClock;
+
+impl TokioClock {
+    pub fn system() -> Self {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        TokioClock::starting_at(since.as_secs_f64() * 1000.0)
+    }
+
+    pub fn starting_at(at_zero: Ms) -> Self {
+        TokioClock { zero: Instant::now(), at_zero }
+    }
+}
+
+impl Clock for TokioClock {
+    fn now(&self) -> Ms {
+        self.at_zero + self.zero.elapsed().as_secs_f64() * 1000.0
+    }
+
+    async fn sleep_until(&self, at: Ms) {
+        let wait = Duration::try_from_secs_f64((at - self.now()) / 1000.0).unwrap_or_default();
+        tokio::time::sleep(wait).await;
+    }
+}
+
+/// Why no frame came.
+#[derive(Debug)]
+pub enum Cut {
+    /// The other side closed between two frames.
+    Closed,
+    /// It closed, or failed, in the middle of one.
+    Broken(io::Error),
+    /// It sent what is not this protocol.
+    Malformed(Malformed),
+}
+
+/// Reads frames from one direction of a connection.
+pub struct FrameReader<R> {
+    from: R,
+    decoder: Decoder,
+}
+
+impl<R: AsyncRead + Unpin> FrameReader<R> {
+    /// `most`: the largest frame taken, in bytes.
+    pub fn new(from: R, most: usize) -> Self {
+        FrameReader { from, decoder: Decoder::new(most) }
+    }
+
+    /// # Errors
+    /// The connection is over. Dropped in mid-wait, it loses nothing.
+    pub async fn next(&mut self) -> Result<Frame, Cut> {
+        loop {
+            if let Some(frame) = self.buffered()? {
+                return Ok(frame);
+            }
+            let read = self.from.read_buf(self.decoder.buffer()).await.map_err(Cut::Broken)?;
+            if read == 0 {
+                let whole = self.decoder.buffer().is_empty();
+                return Err(if whole {
+                    Cut::Closed
+                } else {
+                    Cut::Broken(io::ErrorKind::UnexpectedEof.into())
+                });
+            }
+        }
+    }
+
+    /// A frame that is here already.
+    ///
+    /// # Errors
+    /// As `next`.
+    pub fn buffered(&mut self) -> Result<Option<Frame>, Cut> {
+        self.decoder.next_frame().map_err(Cut::Malformed)
+    }
+}
+
+/// Writes one frame at once.
+///
+/// # Errors
+/// The connection is over.
+pub async fn write_frame<W: AsyncWrite + Unpin>(to: &mut W, frame: &Frame) -> io::Result<()> {
+    let mut out = Default::default();
+    encode(frame, &mut out);
+    to.write_all(&out).await?;
+    to.flush().await
+}
--- /dev/null
+++ b/tests/lean.rs
@@ -0,0 +1,234 @@
+//! The lean step against the plain one: random events go to two modules, one of which is told before each
+//! step to plan every task. Their actions must be the same, in number, order and content.
+
+use cindercleat::control::Control;
+use cindercleat::interface::*;
+use proptest::prelude::*;
+use std::sync::Arc;
+
+fn settings() -> Settings {
+    let profile = |effect, patience| ProfileSettings {
+        effect,
+        quoted: 800.0,
+        quoted_per_1000_tokens: 40.0,
+        patience,
+        payoff: 1.0,
+        late_share: 0.2,
+        token_pace: 60.0,
+        streams: true,
+    };
+    Settings {
+        me: DispatcherId(0),
+        dispatchers: 2,
+        zone: ZoneId(0),
+        tick: 4.0,
+        profiles: vec![
+            profile(Effect::Reissuable, 4000.0),
+            profile(Effect::Numbered { group: Group::Zone, window: 900.0 }, 3000.0),
+            profile(Effect::AtMostOnce, 2500.0),
+        ],
+        tenants: vec![TenantSettings { allowance_per_s: 3.0, share: 0.5 }; 2],
+        over_share_worth: 0.1,
+        kinds: [Role::Reader, Role::Writer, Role::Both]
+            .map(|role| KindSettings { role, memory_tokens: 2e5 })
+            .to_vec(),
+        discovery: Discovery::Pushed,
+        release: 500.0,
+        writers_read: false,
+        may_hold_ahead: false,
+        may_cancel: true,
+        may_copy: false,
+        may_probe: true,
+        may_tell: false,
+        clients_hear_retry: true,
+        max_retry_after: 2000.0,
+        max_launches: 4,
+        connect_timeout: 250.0,
+        drain_grace: 500.0,
+        answer_grace: 16.0,
+        fall_multiple: 4.0,
+        fall_window: 1000.0,
+        start_capacity: 0.3,
+        ramp: 5000.0,
+    }
+}
+
+fn host(i: u32) -> HostId {
+    HostId(Arc::from(format!("host-{i}")))
+}
+
+const HOSTS: u32 = 7;
+
+fn entry(i: u32, condition: Condition, started: Option<Ms>) -> Entry {
+    // Three readers, three writers and one that does both, in two zones of two cells.
+    let kind = KindId(if i == 6 { 2 } else { i % 2 });
+    let (zone, cell) = (ZoneId(i / 2 % 2), CellId(i / 2 % 4));
+    Entry { host: host(i), zone, kind, cell, condition, weight: 1.0, started }
+}
+
+/// One thing that happens: what, to whom, and how long after the last.
+type Draw = (u8, u16, u16);
+
+/// A launch that is out.
+#[derive(Clone)]
+struct Out {
+    task: TaskId,
+    launch: LaunchNo,
+    host: HostId,
+    first: bool,
+    sent: Ms,
+}
+
+#[derive(Default)]
+struct World {
+    now: Ms,
+    tasks: u32,
+    launches: Vec<u32>,
+    out: Vec<Out>,
+    timers: Vec<(Ms, TimerId)>,
+    probes: Vec<HostId>,
+}
+
+impl World {
+    fn draw(&mut self, (what, whom, after): Draw) -> Vec<Event> {
+        self.now += f64::from(after % 512) * [0.25, 0.25, 1.0, 1.0][usize::from(after >> 9) % 4];
+        let mut events = Vec::new();
+        let now = self.now;
+        self.timers.retain(|&(at, timer)| {
+            if at <= now {
+                events.push(Event::Timer { timer });
+            }
+            at > now
+        });
+        let pick = |n: usize| usize::from(whom) % n.max(1);
+        match what % 16 {
+            0..=5 => {
+                self.tasks += 1;
+                self.launches.push(0);
+                events.push(Event::Arrived(Arrival {
+                    task: TaskId(self.tasks - 1),
+                    profile: ProfileId(u32::from(whom) % 3),
+                    tenant: (whom % 5 < 2).then_some(TenantId(u32::from(whom) % 2)),
+                    session: SessionId(u64::from(whom % 11)),
+                    patience_left: 300.0 + f64::from(whom % 3000),
+                    shared: (whom % 4 > 0).then_some(SharedTextId(u64::from(whom % 4))),
+                    prompt_tokens: f64::from(100 + whom % 3000),
+                    shared_tokens: 90.0,
+                    max_tokens: 200.0,
+                    ..Arrival::default()
+                }));
+            }
+            6 => events.push(Event::Left { task: TaskId(pick(self.tasks as usize) as u32) }),
+            7 => {
+                let condition =
+                    [Condition::Ready, Condition::Draining, Condition::Gone][usize::from(whom >> 4) % 3];
+                let started = (whom >> 7) % 4 == 0;
+                let line = entry(u32::from(whom) % HOSTS, condition, started.then_some(self.now));
+                events.push(Event::Listed { kind: ListKind::Changes, entries: vec![line] });
+            }
+            8 => {
+                if !self.probes.is_empty() {
+                    let host = self.probes.remove(pick(self.probes.len()));
+                    let load = Load {
+                        memory_held: Some(f64::from(whom % 100) / 100.0),
+                        waiting_kilotokens: Some(f64::from(whom % 37)),
+                        ..Load::default()
+                    };
+                    events.push(Event::Probed { host, outcome: Outcome::Fulfilled, latency: 1.0, load });
+                }
+            }
+            9 => events.push(Event::FirstToken {
+                task: TaskId(u32::from(whom)),
+                launch: LaunchNo(0),
+                host: host(0),
+                latency: 1.0,
+            }),
+            _ if self.out.is_empty() => {}
+            kind => {
+                let at = pick(self.out.len());
+                let Out { task, launch, host, first, sent } = self.out[at].clone();
+                let latency = self.now - sent;
+                let reader = ["host-0", "host-2", "host-4"].contains(&&*host.0);
+                if !reader && !first && kind < 13 {
+                    self.out[at].first = true;
+                    events.push(Event::FirstToken { task, launch, host, latency });
+                } else {
+                    self.out.remove(at);
+                    let outcome = match (whom >> 5) % 12 {
+                        0 => Outcome::Full,
+                        1 => Outcome::Broken,
+                        2 => Outcome::Failed,
+                        3 => Outcome::Unreachable,
+                        4 => Outcome::TimedOut,
+                        5 => Outcome::CalledOff,
+                        _ if reader => Outcome::ReadDone,
+                        _ => Outcome::Fulfilled,
+                    };
+                    let last = outcome == Outcome::Fulfilled || first && outcome == Outcome::Broken;
+                    let detail = f64::from(u8::from(outcome == Outcome::Full && whom % 3 == 0));
+                    let load = Load::default();
+                    let end = Ended { task, launch, host, outcome, latency, last, detail, load };
+                    events.push(Event::Ended(end));
+                }
+            }
+        }
+        events
+    }
+
+    fn carry_out(&mut self, actions: &[Action]) {
+        for action in actions {
+            match action {
+                Action::Launch { task, host, .. } => {
+                    let launch = LaunchNo(self.launches[task.0 as usize]);
+                    self.launches[task.0 as usize] += 1;
+                    let out = Out { task: *task, launch, host: host.clone(), first: false, sent: self.now };
+                    self.out.push(out);
+                }
+                Action::Arm { delay, timer } => self.timers.push((self.now + delay, *timer)),
+                Action::Probe { host } => self.probes.push(host.clone()),
+                _ => {}
+            }
+        }
+    }
+}
+
+fn play(draws: &[Draw], seed: u64) -> Result<usize, TestCaseError> {
+    let [mut lean, mut plain] = [(); 2].map(|()| Control::new(settings(), seed));
+    let mut world = World::default();
+    let entries = (0..HOSTS).map(|i| entry(i, Condition::Ready, None)).collect();
+    let mut events = vec![Event::Listed { kind: ListKind::Remembered, entries }];
+    let mut acted = 0;
+    for (at, draw) in draws.iter().enumerate() {
+        events.extend(world.draw(*draw));
+        let [mut a, mut b] = [Vec::new(), Vec::new()];
+        lean.step(world.now, &events, &mut a);
+        plain.wake_all();
+        plain.step(world.now, &events, &mut b);
+        prop_assert_eq!(&a, &b, "after {} draws", at);
+        world.carry_out(&a);
+        acted += a.len();
+        events.clear();
+    }
+    Ok(acted)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn the_lean_step_acts_as_the_plain_one(
+        draws in prop::collection::vec(any::<Draw>(), 1..400),
+        seed in any::<u64>(),
+    ) {
+        play(&draws, seed)?;
+    }
+}
+
+/// The property above compares something: a long row of draws leads to thousands of actions.
+#[test]
+fn long_rows_of_draws_act_a_great_deal() {
+    let draws: Vec<Draw> = (0..20_000u32)
+        .map(|i| (((i * 7919) >> 3) as u8, ((i * 40503) >> 4) as u16, (i * 31 % 97) as u16))
+        .collect();
+    let acted = play(&draws, 7).unwrap_or_else(|e| panic!("{e}"));
+    assert!(acted > 10_000, "{acted} actions");
+}
