Dispatcher: a ledger without I/O that drives the decisions, and a shell that moves bytes

Need: the decisions are to run on sockets. Change: crates/dispatcher. The ledger holds tasks, launches, read states, links and timers behind one handle(); the shell carries frames between it and any transport.

--- /dev/null
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -0,0 +1,497 @@
+//! The side of the ledger that faces the model hosts: launches out, read states held, probes, and what hosts
+//! and links have to say of them.
+
+use super::links::{Use, Waiting};
+use super::*;
+use crate::ledger::tasks::Launch;
+
+/// The whole of the credit is given back in so many parts.
+const CREDIT_PARTS: u32 = 2;
+
+impl Ledger {
+    pub(super) fn launch(&mut self, id: TaskId, host: HostId, until: Option<Ms>, out: &mut Vec<Output>) {
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        let no = LaunchNo(task.launches);
+        task.launches += 1;
+        let row = self.fleet.hosts.get(&host);
+        let reading = task.state.is_none() && row.is_some_and(|r| r.role == Role::Reader);
+        // Guards against sending what must not be: a second launch, one for a task that is over or beyond the
+        // number allowed, one to a host that is not ready. Each ends as never sent.
+        let void = task.answered
+            || task.out.is_some()
+            || task.launches > self.settings.policy.max_launches
+            || self.fleet.condition(&host) != Condition::Ready;
+        let Some(row) = row.filter(|_| !void) else {
+            return self.events.push(never_sent(id, no, host, Outcome::Void, task.answered));
+        };
+        let address = row.line.address.clone();
+        let state = v1::StateId { run: self.settings.run, task: id.0, launch: no.0 };
+        let body =
+            if reading { read(&task.submit, state) } else { write(task, &self.fleet, self.settings.window) };
+        let purpose = Use::Launch(id, no);
+        let opened =
+            self.links.open(&host, &address, purpose, self.now, &self.settings, (&mut self.timers, out));
+        let Ok((link, stream)) = opened else {
+            return self.events.push(never_sent(id, no, host, Outcome::Full, task.answered));
+        };
+        task.out = Some(Launch {
+            no,
+            host,
+            link,
+            stream,
+            reading,
+            since: self.now,
+            first: false,
+            position: 0,
+            came: 0,
+            gone: 0,
+            credited: self.settings.window,
+            last_came: self.now,
+            last_gone: self.now,
+        });
+        task.sent |= self.links.get(link).is_some_and(|l| l.up);
+        let until = until.unwrap_or(task.ends).min(task.ends);
+        self.timers.set(until, Due::Launch(id, no));
+        self.links.send(link, Waiting::Stream(stream, body), out);
+    }
+
+    /// The wire's end of the launch that is out: what has not gone out is taken back, else the host is told.
+    /// Tells whether it never went out.
+    pub(super) fn stop_launch(&mut self, id: TaskId, out: &mut Vec<Output>) -> bool {
+        let Some(launch) = self.tasks.get(&id).and_then(|t| t.out.as_ref()) else { return true };
+        let (link, stream) = (launch.link, launch.stream);
+        if self.links.unsend(link, stream) {
+            self.links.close_stream(link, stream, self.now, self.settings.link_idle, &mut self.timers);
+            return true;
+        }
+        // The stream stays taken until the host ends it: what the host still works on takes room there.
+        self.make_past(link, stream);
+        self.links.send(link, Waiting::Stream(stream, Body::Cancel(v1::Cancel {})), out);
+        false
+    }
+
+    fn make_past(&mut self, id: LinkId, stream: StreamNo) {
+        if let Some(link) = self.links.get_mut(id) {
+            link.streams.insert(stream, Use::Past);
+            self.timers.set(self.now + self.settings.stall_limit, Due::Past(id, stream));
+        }
+    }
+
+    /// Guards against a host that hears nothing any more on a connection that never breaks: what was called
+    /// off there would take its room for ever.
+    pub(super) fn look_at_past(&mut self, id: LinkId, stream: StreamNo, out: &mut Vec<Output>) {
+        let Some(link) = self.links.get(id) else { return };
+        if link.streams.get(&stream) != Some(&Use::Past) {
+            return;
+        }
+        let until = link.heard + self.settings.stall_limit;
+        if self.now >= until {
+            self.drop_link(id, "it says nothing and ends nothing", out);
+        } else {
+            self.timers.set(until, Due::Past(id, stream));
+        }
+    }
+
+    /// The ledger's end of the launch that is out; the decisions are told.
+    pub(super) fn end_launch(&mut self, id: TaskId, outcome: Outcome, detail: f64, load: Load) {
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        let Some(launch) = task.out.take() else { return };
+        if outcome == Outcome::ReadDone {
+            let state = v1::StateId { run: self.settings.run, task: id.0, launch: launch.no.0 };
+            task.state = Some(Held { host: launch.host.clone(), id: state });
+        } else if outcome == Outcome::Full && detail == 1.0 {
+            task.state = None;
+        }
+        let latency = self.now - launch.since;
+        let last = task.answered;
+        let (launch, host) = (launch.no, launch.host);
+        self.events.push(Event::Ended(Ended {
+            task: id,
+            launch,
+            host,
+            outcome,
+            latency,
+            last,
+            detail,
+            load,
+        }));
+        self.forget_past(id);
+    }
+
+    /// A launch whose outcome the client is told at once: its whole answer, or the break of its stream. For a
+    /// stream that had begun there is no other way on: what was sent cannot be taken back.
+    fn finish_launch(
+        &mut self,
+        id: TaskId,
+        outcome: Outcome,
+        reason: &str,
+        load: Load,
+        out: &mut Vec<Output>,
+    ) {
+        let streams = self.tasks.get(&id).is_some_and(Task::streams);
+        match outcome {
+            Outcome::Fulfilled => self.answer(id, v1::Answer::Fulfilled, 0.0, "", out),
+            _ if streams => self.answer(id, v1::Answer::WrittenOff, 0.0, reason, out),
+            _ => {}
+        }
+        self.end_launch(id, outcome, 0.0, load);
+    }
+
+    pub(super) fn call_off(&mut self, id: TaskId, no: LaunchNo, out: &mut Vec<Output>) {
+        let launch = self.tasks.get(&id).and_then(|t| t.out.as_ref());
+        if !launch.is_some_and(|l| l.no == no && !l.first) {
+            return;
+        }
+        let unsent = self.stop_launch(id, out);
+        self.end_launch(id, if unsent { Outcome::Void } else { Outcome::CalledOff }, 0.0, Load::default());
+    }
+
+    pub(super) fn time_out(&mut self, id: TaskId, no: LaunchNo, out: &mut Vec<Output>) {
+        let launch = self.tasks.get(&id).and_then(|t| t.out.as_ref());
+        if !launch.is_some_and(|l| l.no == no && !l.first) {
+            return;
+        }
+        let unsent = self.stop_launch(id, out);
+        self.end_launch(id, if unsent { Outcome::Void } else { Outcome::TimedOut }, 0.0, Load::default());
+    }
+
+    /// Lets the state held for a task go.
+    pub(super) fn release(&mut self, id: TaskId, out: &mut Vec<Output>) {
+        let Some(held) = self.tasks.get_mut(&id).and_then(|t| t.state.take()) else { return };
+        self.release_state(held, out);
+        self.forget_past(id);
+    }
+
+    fn release_state(&mut self, held: Held, out: &mut Vec<Output>) {
+        let Some(row) = self.fleet.hosts.get(&held.host) else { return };
+        let address = row.line.address.clone();
+        let body = Body::Release(v1::Release { state: Some(held.id) });
+        let to = (&mut self.timers, out);
+        self.links.message(&held.host, &address, body, self.now, &self.settings, to);
+    }
+
+    pub(super) fn hold_ahead(&mut self, id: TaskId, host: &HostId, out: &mut Vec<Output>) {
+        let Some(launch) = self.tasks.get(&id).and_then(|t| t.out.as_ref()) else { return };
+        let state = v1::StateId { run: self.settings.run, task: id.0, launch: launch.no.0 };
+        let purpose = Use::Hold(id, launch.no);
+        let Some(row) = self.fleet.hosts.get(host).filter(|r| r.condition == Condition::Ready) else {
+            return;
+        };
+        let address = row.line.address.clone();
+        let to = (&mut self.timers, &mut *out);
+        let opened = self.links.open(host, &address, purpose, self.now, &self.settings, to);
+        if let Ok((link, stream)) = opened {
+            let body = Body::Hold(v1::Hold { state: Some(state) });
+            self.links.send(link, Waiting::Stream(stream, body), out);
+        }
+    }
+
+    /// Ends a stream in good order; its client comes back for the rest.
+    pub(super) fn move_away(&mut self, id: TaskId, out: &mut Vec<Output>) {
+        if self.tasks.get(&id).is_some_and(Task::streams) {
+            self.stop_launch(id, out);
+            self.answer(id, v1::Answer::WrittenOff, 0.0, "moved: come back for the rest", out);
+            self.end_launch(id, Outcome::CalledOff, 0.0, Load::default());
+        }
+    }
+
+    pub(super) fn probe(&mut self, host: HostId, out: &mut Vec<Output>) {
+        let address = self.fleet.hosts.get(&host).map(|row| row.line.address.clone());
+        let purpose = Use::Probe { sent: self.now };
+        let to = (&mut self.timers, &mut *out);
+        let opened =
+            address.and_then(|a| self.links.open(&host, &a, purpose, self.now, &self.settings, to).ok());
+        let Some((link, stream)) = opened else {
+            let (outcome, load) = (Outcome::Unreachable, Load::default());
+            return self.events.push(Event::Probed { host, outcome, latency: 0.0, load });
+        };
+        self.timers.set(self.now + self.settings.probe_timeout, Due::Probe(link, stream));
+        self.links.send(link, Waiting::Stream(stream, Body::Probe(v1::Probe {})), out);
+    }
+
+    pub(super) fn end_probe(&mut self, id: LinkId, stream: StreamNo, outcome: Outcome, load: Load) {
+        let Some(link) = self.links.get_mut(id) else { return };
+        let Some(Use::Probe { sent }) = link.streams.get(&stream).copied() else { return };
+        let host = link.host.clone();
+        self.events.push(Event::Probed { host, outcome, latency: self.now - sent, load });
+        if outcome == Outcome::TimedOut && !self.links.unsend(id, stream) {
+            self.make_past(id, stream);
+        } else {
+            self.links.close_stream(id, stream, self.now, self.settings.link_idle, &mut self.timers);
+        }
+    }
+
+    pub(super) fn close_idle(&mut self, host: &HostId, out: &mut Vec<Output>) {
+        for id in self.links.ids_of(host) {
+            if self.links.is_idle(id, self.now, 0.0) {
+                self.drop_link(id, "idle", out);
+            }
+        }
+    }
+
+    pub(super) fn take_link_up(&mut self, id: LinkId, out: &mut Vec<Output>) {
+        let Some(link) = self.links.get_mut(id) else {
+            let reason = "not wanted any more".to_owned();
+            return out.push(Output::CloseLink { link: id, reason });
+        };
+        link.up = true;
+        let (host, waiting) = (link.host.clone(), std::mem::take(&mut link.waiting));
+        // Guards against a drain that was learned while the link came up: a launch that has not gone out does
+        // not go out any more, and is known not to have run.
+        let ready = self.fleet.condition(&host) == Condition::Ready;
+        for what in waiting {
+            let stream = match &what {
+                Waiting::Stream(stream, _) => Some(*stream),
+                Waiting::Message(_) => None,
+            };
+            let purpose = stream.and_then(|s| self.links.get(id)?.streams.get(&s).copied());
+            match (purpose, stream) {
+                (Some(Use::Launch(task, _)), Some(stream)) if !ready => {
+                    self.close_stream(id, stream);
+                    self.end_launch(task, Outcome::Void, 0.0, Load::default());
+                }
+                (Some(Use::Launch(task, _)), _) => {
+                    if let Some(task) = self.tasks.get_mut(&task) {
+                        task.sent = true;
+                    }
+                    out.push(Output::ToHost { link: id, frame: what.into_frame() });
+                }
+                _ => out.push(Output::ToHost { link: id, frame: what.into_frame() }),
+            }
+        }
+        if self.links.get(id).is_some_and(|l| l.streams.is_empty()) {
+            self.timers.set(self.now + self.settings.link_idle, Due::Idle(id));
+        }
+    }
+
+    fn close_stream(&mut self, id: LinkId, stream: StreamNo) -> Option<Use> {
+        self.links.close_stream(id, stream, self.now, self.settings.link_idle, &mut self.timers)
+    }
+
+    /// Closes a link from this side.
+    pub(super) fn drop_link(&mut self, id: LinkId, reason: &str, out: &mut Vec<Output>) {
+        if self.links.get(id).is_some() {
+            out.push(Output::CloseLink { link: id, reason: reason.to_owned() });
+            self.take_link_closed(id, reason, out);
+        }
+    }
+
+    /// Whatever was out on a link that came up may have run; on one that did not, nothing was sent.
+    pub(super) fn take_link_closed(&mut self, id: LinkId, reason: &str, out: &mut Vec<Output>) {
+        let Some(link) = self.links.remove(id) else { return };
+        let outcome = if link.up { Outcome::Broken } else { Outcome::Unreachable };
+        if !link.streams.is_empty() {
+            let streams = link.streams.len();
+            let text = format!("link to {} over with {streams} streams: {reason}", link.host.0);
+            out.push(Output::Log { level: Level::Warn, text });
+        }
+        for (_, purpose) in link.streams {
+            match purpose {
+                Use::Launch(task, _) => {
+                    self.finish_launch(task, outcome, "the writer's connection broke", Load::default(), out);
+                }
+                Use::Probe { sent } => {
+                    let (host, load) = (link.host.clone(), Load::default());
+                    self.events.push(Event::Probed { host, outcome, latency: self.now - sent, load });
+                }
+                Use::Hold(..) | Use::Past => {}
+            }
+        }
+    }
+
+    pub(super) fn take_host(&mut self, id: LinkId, frame: Frame, out: &mut Vec<Output>) {
+        let stream = StreamNo(frame.stream);
+        // What comes after a link was given up here is old.
+        let Some(link) = self.links.get_mut(id) else { return };
+        link.heard = self.now;
+        let host = link.host.clone();
+        let purpose = link.streams.get(&stream).copied();
+        let name = name_of(frame.body.as_ref());
+        let good = match (purpose, frame.body) {
+            (Some(Use::Launch(task, _)), Some(Body::Tokens(tokens))) => self.take_tokens(task, tokens, out),
+            (Some(Use::Launch(task, _)), Some(Body::Ended(ended))) => {
+                self.close_stream(id, stream);
+                self.take_ended(task, &ended, out)
+            }
+            (Some(Use::Probe { .. }), Some(Body::Load(load))) => {
+                self.end_probe(id, stream, Outcome::Fulfilled, load_of(&load));
+                true
+            }
+            (Some(Use::Hold(task, launch)), Some(Body::Place(place))) => {
+                self.close_stream(id, stream);
+                self.events.push(Event::Place { task, launch, host: host.clone(), held: place.held });
+                true
+            }
+            (Some(Use::Past), Some(Body::Ended(ended))) => {
+                self.close_stream(id, stream);
+                self.take_late_end(host.clone(), &ended, out);
+                true
+            }
+            (Some(Use::Past), Some(Body::Load(_))) => {
+                self.close_stream(id, stream);
+                true
+            }
+            (Some(Use::Past), Some(Body::Tokens(_))) => true,
+            (None, Some(Body::Goodbye(bye))) if stream.0 == 0 => {
+                self.drop_link(id, &format!("it said goodbye: {}", bye.reason), out);
+                true
+            }
+            _ => false,
+        };
+        if !good {
+            // Guards against a host that does not keep to the protocol: nothing more that it says on this
+            // connection can be believed. What was out there may have run.
+            let text = format!("host {} sent {name} on stream {} where it cannot be", host.0, stream.0);
+            out.push(Output::Log { level: Level::Warn, text });
+            self.drop_link(id, "it does not keep to the protocol", out);
+        }
+    }
+
+    /// A read that ended after it was given up: the decisions do not know of its state, so it is let go here,
+    /// or it would stay pinned.
+    fn take_late_end(&mut self, host: HostId, ended: &v1::Ended, out: &mut Vec<Output>) {
+        if let (v1::Status::ReadDone, Some(state)) = (ended.status(), ended.state) {
+            self.release_state(Held { host, id: state }, out);
+        }
+    }
+
+    /// Tells whether the host may say so.
+    fn take_ended(&mut self, id: TaskId, ended: &v1::Ended, out: &mut Vec<Output>) -> bool {
+        let Some(launch) = self.tasks.get(&id).and_then(|t| t.out.as_ref()) else { return true };
+        let load = ended.load.as_ref().map(load_of).unwrap_or_default();
+        let (reading, first) = (launch.reading, launch.first);
+        match ended.status() {
+            v1::Status::ReadDone if reading => {
+                self.end_launch(id, Outcome::ReadDone, f64::from(ended.kept_tokens), load);
+            }
+            v1::Status::Fulfilled if !reading => self.finish_launch(id, Outcome::Fulfilled, "", load, out),
+            v1::Status::Full if !first => self.end_launch(id, Outcome::Full, 0.0, load),
+            v1::Status::NoState if !reading && !first => self.end_launch(id, Outcome::Full, 1.0, load),
+            v1::Status::Failed => self.finish_launch(id, Outcome::Failed, &ended.reason, load, out),
+            _ => {
+                // The stream is closed already; the launch ends with the link, and may have run.
+                self.finish_launch(id, Outcome::Broken, "the writer broke the protocol", load, out);
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Tells whether the host may say so: a writer, the next tokens, within its credit.
+    fn take_tokens(&mut self, id: TaskId, tokens: v1::Tokens, out: &mut Vec<Output>) -> bool {
+        let Some(task) = self.tasks.get_mut(&id) else { return true };
+        let Some(launch) = task.out.as_mut() else { return true };
+        if launch.reading || tokens.position != launch.position || launch.came >= launch.credited {
+            return false;
+        }
+        if task.answered {
+            // The answer is out, and the decisions may not call off: nothing more reaches the client.
+            self.stop_launch(id, out);
+            self.end_launch(id, Outcome::CalledOff, 0.0, Load::default());
+            return true;
+        }
+        launch.came += 1;
+        launch.position = launch.position.saturating_add(tokens.count);
+        launch.last_came = self.now;
+        if !launch.first {
+            launch.first = true;
+            launch.last_gone = self.now;
+            task.state = None;
+            let (no, host, latency) = (launch.no, launch.host.clone(), self.now - launch.since);
+            self.timers.set(self.now + self.settings.stall_limit, Due::Stall(id, no));
+            self.events.push(Event::FirstToken { task: id, launch: no, host, latency });
+        }
+        let (conn, stream) = task.ticket;
+        out.push(Output::ToClient { conn, frame: frame(stream.0, Body::Tokens(tokens)) });
+        true
+    }
+
+    /// The client has taken some of a stream: the writer may send as much more.
+    pub(super) fn take_flushed(&mut self, ticket: Ticket, messages: u32, out: &mut Vec<Output>) {
+        let Some(task) = self.tickets.get(&ticket).and_then(|id| self.tasks.get_mut(id)) else { return };
+        let Some(launch) = task.out.as_mut() else { return };
+        launch.gone = (launch.gone + messages).min(launch.came);
+        launch.last_gone = self.now;
+        let room = (launch.gone + self.settings.window).saturating_sub(launch.credited);
+        if room >= (self.settings.window / CREDIT_PARTS).max(1) {
+            launch.credited += room;
+            let (link, stream) = (launch.link, launch.stream);
+            let body = Body::Credit(v1::Credit { messages: room });
+            self.links.send(link, Waiting::Stream(stream, body), out);
+        }
+    }
+
+    /// Guards against streams that neither go on nor end: a writer that stalls is given up as broken, and a
+    /// client that takes nothing has left. A writer that waits for credit does not stall.
+    pub(super) fn look_at_stream(&mut self, id: TaskId, no: LaunchNo, out: &mut Vec<Output>) {
+        let Some(task) = self.tasks.get(&id) else { return };
+        let Some(launch) = task.out.as_ref().filter(|l| l.no == no) else { return };
+        let client_waits = launch.gone == launch.came;
+        let since = if client_waits { launch.last_came.max(launch.last_gone) } else { launch.last_gone };
+        let limit = self.settings.stall_limit;
+        if self.now < since + limit {
+            return self.timers.set(since + limit, Due::Stall(id, no));
+        }
+        if client_waits {
+            let text = format!("stream of task {} stalled at {}", id.0, launch.host.0);
+            out.push(Output::Log { level: Level::Warn, text });
+            self.stop_launch(id, out);
+            self.finish_launch(id, Outcome::Broken, "the writer stalled", Load::default(), out);
+        } else {
+            let (conn, _) = task.ticket;
+            self.leave(id, out);
+            out.push(Output::CloseClient { conn, reason: "it takes nothing".to_owned() });
+        }
+    }
+}
+
+fn never_sent(task: TaskId, launch: LaunchNo, host: HostId, outcome: Outcome, last: bool) -> Event {
+    let load = Load::default();
+    Event::Ended(Ended { task, launch, host, outcome, latency: 0.0, last, detail: 0.0, load })
+}
+
+fn read(submit: &v1::Submit, state: v1::StateId) -> Body {
+    Body::Read(v1::Read {
+        state: Some(state),
+        key: submit.key.clone(),
+        session: submit.session,
+        shared_text: submit.shared_text,
+        prompt_tokens: submit.prompt_tokens,
+        shared_tokens: submit.shared_tokens,
+        profile: submit.profile.clone(),
+        tenant: submit.tenant.clone(),
+        prompt: submit.prompt.clone(),
+    })
+}
+
+fn write(task: &Task, fleet: &Fleet, window: u32) -> Body {
+    let submit = &task.submit;
+    let reader = task.state.as_ref().and_then(|held| fleet.hosts.get(&held.host));
+    Body::Write(v1::Write {
+        state: task.state.as_ref().map(|held| held.id),
+        reader: reader.map(|row| row.line.host.clone()).unwrap_or_default(),
+        reader_address: reader.map(|row| row.line.address.clone()).unwrap_or_default(),
+        key: submit.key.clone(),
+        session: submit.session,
+        shared_text: submit.shared_text,
+        prompt_tokens: submit.prompt_tokens,
+        shared_tokens: submit.shared_tokens,
+        max_tokens: submit.max_tokens,
+        profile: submit.profile.clone(),
+        tenant: submit.tenant.clone(),
+        window,
+        prompt: submit.prompt.clone(),
+    })
+}
+
+fn load_of(load: &v1::Load) -> Load {
+    // Guards against a report that would poison every mean.
+    let said = |value: Option<f64>| value.filter(|v| v.is_finite() && *v >= 0.0);
+    Load {
+        in_flight: said(load.in_flight),
+        queue: said(load.queue),
+        slots_used: said(load.slots_used),
+        memory_held: said(load.memory_held),
+        waiting_kilotokens: said(load.waiting_kilotokens),
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -0,0 +1,437 @@
+//! The dispatcher without its I/O: tasks, launches, read states, links and timers. Inputs go in by
+//! [`Ledger::handle`] with their instant; what is to be done comes out. It tells when it wants to be called
+//! next ([`Ledger::wants_call_at`]). The same inputs give the same outputs.
+//!
+//! Every choice between hosts, every bounce and write-off of a task that was taken is
+//! [`Control`](cindercleat::control::Control)'s. The ledger carries them out, tells it each outcome, and sees
+//! to what holds for any decision: one final answer a task, nothing to a host that left the list meanwhile,
+//! nothing held that the decisions do not know of, bounded buffers.
+
+mod fleet;
+mod hosts;
+mod links;
+mod tasks;
+mod timers;
+
+use crate::settings::ProgramSettings;
+use cindercleat::control::Control;
+use cindercleat::interface::*;
+use cindercleat_protocol::{frame, name_of, v1, Body, Frame};
+use fleet::Fleet;
+use links::Links;
+use std::collections::BTreeMap;
+use tasks::{Held, Task, Ticket};
+use timers::{Due, Timers};
+
+/// A client's connection, as the shell numbers it; never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(pub u64);
+/// A connection to a model host, as the ledger numbers it; never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LinkId(pub u64);
+/// What belongs together on one connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StreamNo(pub u64);
+
+/// What happens to a dispatcher.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// A client's message, after its greeting.
+    Client { conn: ConnId, frame: Frame },
+    /// The client's connection is over.
+    ClientClosed { conn: ConnId },
+    /// So many token messages of a stream have left for the client.
+    Flushed { conn: ConnId, stream: StreamNo, messages: u32 },
+    /// A dialled link is up: the host has greeted by its right name.
+    LinkUp { link: LinkId },
+    /// A link could not be had, or is over.
+    LinkClosed { link: LinkId, reason: String },
+    /// A host's message.
+    Host { link: LinkId, frame: Frame },
+    /// The list that was kept by the process before; the first input, if there is one.
+    Remembered(v1::HostList),
+    /// From the list feed.
+    Listed(v1::HostList),
+    /// The list feed refused a call or is lost.
+    ListRefused,
+    /// From another dispatcher.
+    Heard { from: DispatcherId, bytes: Vec<u8> },
+    /// Time has passed.
+    Tick,
+    /// Take nothing new, finish what is open within the grace, end.
+    Stop,
+}
+
+/// What a dispatcher does.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    ToClient {
+        conn: ConnId,
+        frame: Frame,
+    },
+    /// After what was sent before.
+    CloseClient {
+        conn: ConnId,
+        reason: String,
+    },
+    Dial {
+        link: LinkId,
+        host: HostId,
+        address: String,
+    },
+    ToHost {
+        link: LinkId,
+        frame: Frame,
+    },
+    /// After what was sent before.
+    CloseLink {
+        link: LinkId,
+        reason: String,
+    },
+    /// The list to start from next time.
+    KeepList(v1::HostList),
+    /// Asks the list feed for the list.
+    Follow {
+        changes: bool,
+    },
+    Tell {
+        to: Option<DispatcherId>,
+        bytes: Vec<u8>,
+    },
+    Log {
+        level: Level,
+        text: String,
+    },
+    /// The stop is complete.
+    Stopped,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Level {
+    Info,
+    Warn,
+}
+
+/// How much a ledger holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Holding {
+    pub tasks: usize,
+    pub links: usize,
+    pub timers: usize,
+}
+
+pub struct Ledger {
+    settings: ProgramSettings,
+    control: Control,
+    now: Ms,
+    tasks: BTreeMap<TaskId, Task>,
+    tickets: BTreeMap<Ticket, TaskId>,
+    next_task: u32,
+    fleet: Fleet,
+    links: Links,
+    timers: Timers,
+    /// What the decisions have not been told yet.
+    events: Vec<Event>,
+    stopping: Option<Ms>,
+    stopped: bool,
+}
+
+impl Ledger {
+    /// `seed` starts the chance that the decisions draw.
+    pub fn new(settings: ProgramSettings, seed: u64) -> Self {
+        Ledger {
+            control: Control::new(settings.policy.clone(), seed),
+            settings,
+            now: f64::NEG_INFINITY,
+            tasks: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            next_task: 0,
+            fleet: Fleet::default(),
+            links: Links::default(),
+            timers: Timers::default(),
+            events: Vec::new(),
+            stopping: None,
+            stopped: false,
+        }
+    }
+
+    /// Takes one input in at its instant; an instant before the last counts as the last. What has fallen due
+    /// by then is done after it.
+    pub fn handle(&mut self, now: Ms, input: Input, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        match input {
+            Input::Client { conn, frame } => self.take_client(conn, frame, out),
+            Input::ClientClosed { conn } => self.take_client_closed(conn, out),
+            Input::Flushed { conn, stream, messages } => self.take_flushed((conn, stream), messages, out),
+            Input::LinkUp { link } => self.take_link_up(link, out),
+            Input::LinkClosed { link, reason } => self.take_link_closed(link, &reason, out),
+            Input::Host { link, frame } => self.take_host(link, frame, out),
+            Input::Remembered(list) => self.take_list(&list, Some(ListKind::Remembered), out),
+            Input::Listed(list) => self.take_list(&list, None, out),
+            Input::ListRefused => {
+                self.events.push(Event::Listed { kind: ListKind::Refused, entries: Vec::new() });
+            }
+            Input::Heard { from, bytes } => self.events.push(Event::Heard { from, bytes }),
+            Input::Tick => {}
+            Input::Stop => self.take_stop(out),
+        }
+        self.settle(out);
+        while let Some(due) = self.timers.take_due(self.now) {
+            self.take_due(due, out);
+            self.settle(out);
+        }
+        if self.stopping.is_some() && self.tasks.is_empty() && !self.stopped {
+            self.stopped = true;
+            out.push(Output::Stopped);
+        }
+    }
+
+    /// When `handle` wants to be called at the latest; an earlier `Tick` does no harm.
+    pub fn wants_call_at(&self) -> Option<Ms> {
+        self.timers.next_at()
+    }
+
+    /// How much is held, for logs and for tests of what must not grow.
+    pub fn held(&self) -> Holding {
+        Holding { tasks: self.tasks.len(), links: self.links.len(), timers: self.timers.len() }
+    }
+
+    /// Tells the decisions what happened and does what they decide, until nothing more follows. What is done
+    /// may be over at once (a launch that no link can take); each such round ends a launch, and a task has few.
+    fn settle(&mut self, out: &mut Vec<Output>) {
+        let mut actions = Vec::new();
+        while !self.events.is_empty() {
+            let events = std::mem::take(&mut self.events);
+            self.control.step(self.now, &events, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(action, out);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action, out: &mut Vec<Output>) {
+        match action {
+            Action::Launch { task, host, until } => self.launch(task, host, until, out),
+            Action::Cancel { task, launch } => self.call_off(task, launch, out),
+            Action::Bounce { task, retry_after } => {
+                let retry_after_ms = retry_after.unwrap_or(0.0).min(self.settings.policy.max_retry_after);
+                self.answer(task, v1::Answer::Bounced, retry_after_ms, "turned away", out);
+            }
+            Action::WriteOff { task } => {
+                self.answer(task, v1::Answer::WrittenOff, 0.0, "no answer in time", out)
+            }
+            Action::Release { task } => self.release(task, out),
+            Action::HoldAhead { task, host } => self.hold_ahead(task, &host, out),
+            Action::Move { task } => self.move_away(task, out),
+            Action::Arm { delay, timer } => self.timers.set(self.now + delay.max(0.0), Due::Module(timer)),
+            Action::Probe { host } => self.probe(host, out),
+            Action::CloseIdle { host } => self.close_idle(&host, out),
+            Action::Tell { to, bytes } => out.push(Output::Tell { to, bytes }),
+            Action::FetchList => out.push(Output::Follow { changes: false }),
+            Action::FollowList { on } => out.push(Output::Follow { changes: on }),
+            Action::Log { text } => out.push(Output::Log { level: Level::Info, text }),
+        }
+    }
+
+    fn take_due(&mut self, due: Due, out: &mut Vec<Output>) {
+        match due {
+            Due::Module(timer) => self.events.push(Event::Timer { timer }),
+            Due::Launch(task, launch) => self.time_out(task, launch, out),
+            Due::Patience(id) => self.end_patience(id, out),
+            Due::Stall(task, launch) => self.look_at_stream(task, launch, out),
+            Due::Connect(link) => {
+                if self.links.get(link).is_some_and(|l| !l.up) {
+                    self.drop_link(link, "no connection in time", out);
+                }
+            }
+            Due::Idle(link) => {
+                if self.links.is_idle(link, self.now, self.settings.link_idle) {
+                    self.drop_link(link, "idle", out);
+                }
+            }
+            Due::Probe(link, stream) => self.end_probe(link, stream, Outcome::TimedOut, Load::default()),
+            Due::Past(link, stream) => self.look_at_past(link, stream, out),
+            Due::StopGrace => self.end_grace(out),
+        }
+    }
+
+    fn take_client(&mut self, conn: ConnId, frame: Frame, out: &mut Vec<Output>) {
+        let stream = StreamNo(frame.stream);
+        match frame.body {
+            Some(Body::Submit(submit)) => self.take_submit((conn, stream), submit, out),
+            Some(Body::Cancel(_)) => {
+                // An unknown one has been answered in this very turn; nothing more is owed.
+                if let Some(id) = self.tickets.get(&(conn, stream)).copied() {
+                    self.leave(id, out);
+                }
+            }
+            Some(Body::Goodbye(_)) => {}
+            other => {
+                let reason = format!("a client does not send {}", name_of(other.as_ref()));
+                out.push(Output::CloseClient { conn, reason });
+            }
+        }
+    }
+
+    fn take_submit(&mut self, ticket: Ticket, submit: v1::Submit, out: &mut Vec<Output>) {
+        let (conn, stream) = ticket;
+        let mut say = |body| out.push(Output::ToClient { conn, frame: frame(stream.0, body) });
+        if self.tickets.contains_key(&ticket) || stream.0 == 0 {
+            let reason = format!("stream {} is in use or reserved", stream.0);
+            return out.push(Output::CloseClient { conn, reason });
+        }
+        let arrival = match self.arrival(&submit) {
+            Ok(arrival) => arrival,
+            Err((field, reason)) => {
+                return say(Body::Rejected(v1::Rejected { field: field.to_owned(), reason }));
+            }
+        };
+        // Guards against more open tasks than memory and patience bear; nothing has run, so a retry is harmless.
+        let full = self.tasks.len() >= self.settings.most_tasks || self.next_task == u32::MAX;
+        if full || self.stopping.is_some() {
+            let reason = if full { "too many tasks are open" } else { "stopping" };
+            let retry_after_ms = self.settings.policy.release.min(self.settings.policy.max_retry_after);
+            let answer = v1::Answer::Bounced.into();
+            return say(Body::Final(v1::Final { answer, retry_after_ms, reason: reason.to_owned() }));
+        }
+        let id = arrival.task;
+        self.next_task += 1;
+        say(Body::Accepted(v1::Accepted { task: id.0 }));
+        let ends = self.now + arrival.patience_left;
+        self.timers.set(ends, Due::Patience(id));
+        self.tickets.insert(ticket, id);
+        let task =
+            Task { ticket, submit, ends, answered: false, launches: 0, out: None, state: None, sent: false };
+        self.tasks.insert(id, task);
+        self.events.push(Event::Arrived(arrival));
+    }
+
+    /// The task as the decisions take it; or the field that cannot be right, and why.
+    fn arrival(&self, submit: &v1::Submit) -> Result<Arrival, (&'static str, String)> {
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name).map(|at| at as u32);
+        let profile = place(&self.settings.profiles, &submit.profile)
+            .ok_or_else(|| ("profile", format!("there is no profile {:?}", submit.profile)))?;
+        let tenant = match submit.tenant.as_str() {
+            "" => None,
+            name => Some(
+                place(&self.settings.tenants, name)
+                    .ok_or_else(|| ("tenant", format!("there is no tenant {name:?}")))?,
+            ),
+        };
+        if !submit.patience_ms.is_finite() || submit.patience_ms <= 0.0 {
+            return Err(("patience_ms", format!("{} is no time to wait", submit.patience_ms)));
+        }
+        if submit.prompt_tokens == 0 || submit.max_tokens == 0 {
+            let field = if submit.prompt_tokens == 0 { "prompt_tokens" } else { "max_tokens" };
+            return Err((field, "at least one token is wanted".to_owned()));
+        }
+        if submit.shared_tokens > submit.prompt_tokens {
+            return Err(("shared_tokens", "more than the prompt has".to_owned()));
+        }
+        Ok(Arrival {
+            task: TaskId(self.next_task),
+            profile: ProfileId(profile),
+            tenant: tenant.map(TenantId),
+            session: SessionId(submit.session),
+            patience_left: submit.patience_ms,
+            answer_hint: None,
+            shared: Some(submit.shared_text).filter(|t| *t != 0).map(SharedTextId),
+            prompt_tokens: f64::from(submit.prompt_tokens),
+            shared_tokens: f64::from(submit.shared_tokens),
+            max_tokens: f64::from(submit.max_tokens),
+            retried: submit.retried,
+            resumed: submit.resumed,
+        })
+    }
+
+    fn take_client_closed(&mut self, conn: ConnId, out: &mut Vec<Output>) {
+        let all = (conn, StreamNo(0))..=(conn, StreamNo(u64::MAX));
+        let ids: Vec<TaskId> = self.tickets.range(all).map(|(_, id)| *id).collect();
+        for id in ids {
+            self.leave(id, out);
+        }
+    }
+
+    /// The client wants no more of a task: nothing is owed, and what is out for it ends.
+    fn leave(&mut self, id: TaskId, out: &mut Vec<Output>) {
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        task.answered = true;
+        self.tickets.remove(&task.ticket);
+        self.events.push(Event::Left { task: id });
+        // A stream that nobody reads ends; what has not begun the decisions call off themselves.
+        if task.streams() {
+            self.stop_launch(id, out);
+            self.end_launch(id, Outcome::CalledOff, 0.0, Load::default());
+        }
+        self.forget_past(id);
+    }
+
+    /// The one place that gives a final answer.
+    fn answer(
+        &mut self,
+        id: TaskId,
+        answer: v1::Answer,
+        retry_after_ms: f64,
+        reason: &str,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(task) = self.tasks.get_mut(&id).filter(|t| !t.answered) else { return };
+        task.answered = true;
+        let (conn, stream) = task.ticket;
+        self.tickets.remove(&task.ticket);
+        let body = v1::Final { answer: answer.into(), retry_after_ms, reason: reason.to_owned() };
+        out.push(Output::ToClient { conn, frame: frame(stream.0, Body::Final(body)) });
+        self.forget_past(id);
+    }
+
+    fn forget_past(&mut self, id: TaskId) {
+        if self.tasks.get(&id).is_some_and(Task::is_past) {
+            self.tasks.remove(&id);
+        }
+    }
+
+    /// Guards against a task that the decisions left without an answer, whatever the reason: no task is lost.
+    fn end_patience(&mut self, id: TaskId, out: &mut Vec<Output>) {
+        let Some(task) = self.tasks.get(&id) else { return };
+        if task.answered || task.streams() {
+            return;
+        }
+        let text = format!("task {} was not answered before its client's time was up", id.0);
+        out.push(Output::Log { level: Level::Warn, text });
+        self.answer(id, v1::Answer::WrittenOff, 0.0, "time is up", out);
+        self.events.push(Event::Left { task: id });
+    }
+
+    fn take_list(&mut self, list: &v1::HostList, remembered: Option<ListKind>, out: &mut Vec<Output>) {
+        let (kind, entries, wrong) = self.fleet.take(list, &self.settings);
+        out.extend(wrong.into_iter().map(|text| Output::Log { level: Level::Warn, text }));
+        if remembered.is_none() {
+            out.push(Output::KeepList(self.fleet.whole()));
+        }
+        for entry in entries.iter().filter(|e| e.condition != Condition::Ready) {
+            self.close_idle(&entry.host, out);
+        }
+        self.events.push(Event::Listed { kind: remembered.unwrap_or(kind), entries });
+    }
+
+    fn take_stop(&mut self, out: &mut Vec<Output>) {
+        if self.stopping.is_none() {
+            self.stopping = Some(self.now);
+            self.timers.set(self.now + self.settings.stop_grace, Due::StopGrace);
+            let text = format!("stopping with {} tasks open", self.tasks.len());
+            out.push(Output::Log { level: Level::Info, text });
+        }
+    }
+
+    /// What is still open at the end of the grace is answered: bounced if nothing of it ever went out, else
+    /// written off, which promises nothing; its launches are called off and its states let go.
+    fn end_grace(&mut self, out: &mut Vec<Output>) {
+        let ids: Vec<TaskId> = self.tasks.keys().copied().collect();
+        for id in ids {
+            let Some(task) = self.tasks.get(&id) else { continue };
+            let answer = if task.sent { v1::Answer::WrittenOff } else { v1::Answer::Bounced };
+            self.answer(id, answer, 0.0, "the dispatcher stops", out);
+            self.leave(id, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/ledger/tasks.rs
@@ -0,0 +1,64 @@
+//! A task as the dispatcher's ledger knows it.
+
+use super::{ConnId, LinkId, StreamNo};
+use cindercleat::interface::{HostId, LaunchNo, Ms};
+use cindercleat_protocol::v1;
+
+/// A client's stream: its connection and its own number for the task.
+pub(super) type Ticket = (ConnId, StreamNo);
+
+#[derive(Debug)]
+pub(super) struct Task {
+    pub ticket: Ticket,
+    pub submit: v1::Submit,
+    /// When the client gives up, unless a stream has begun.
+    pub ends: Ms,
+    /// The one final answer is out, or the client left and none is owed.
+    pub answered: bool,
+    /// How many launches there were; the next one's number.
+    pub launches: u32,
+    pub out: Option<Launch>,
+    /// Where the read state waits.
+    pub state: Option<Held>,
+    /// Whether any launch of it went to a host's socket.
+    pub sent: bool,
+}
+
+/// A read state held at a reader.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Held {
+    pub host: HostId,
+    pub id: v1::StateId,
+}
+
+/// The launch of a task that is out.
+#[derive(Debug)]
+pub(super) struct Launch {
+    pub no: LaunchNo,
+    pub host: HostId,
+    pub link: LinkId,
+    pub stream: StreamNo,
+    pub reading: bool,
+    pub since: Ms,
+    pub first: bool,
+    /// Where the next token message must begin.
+    pub position: u32,
+    /// Token messages come from the writer, gone to the client, and credited to the writer.
+    pub came: u32,
+    pub gone: u32,
+    pub credited: u32,
+    /// When the writer last sent, and the client last took, something.
+    pub last_came: Ms,
+    pub last_gone: Ms,
+}
+
+impl Task {
+    /// Nothing of it is out, held or owed.
+    pub fn is_past(&self) -> bool {
+        self.answered && self.out.is_none() && self.state.is_none()
+    }
+
+    pub fn streams(&self) -> bool {
+        self.out.as_ref().is_some_and(|o| o.first)
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/ledger/timers.rs
@@ -0,0 +1,67 @@
+//! Timers, earliest first; those of one instant in the order in which they were set.
+
+use super::{LinkId, StreamNo};
+use cindercleat::interface::{LaunchNo, Ms, TaskId, TimerId};
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+
+/// What a timer is for. Timers are not taken back: who is called looks whether there is still cause.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Due {
+    Module(TimerId),
+    /// The module's time for a launch has passed.
+    Launch(TaskId, LaunchNo),
+    /// The client's own time for a task has passed.
+    Patience(TaskId),
+    /// A stream may have stalled.
+    Stall(TaskId, LaunchNo),
+    Connect(LinkId),
+    Idle(LinkId),
+    Probe(LinkId, StreamNo),
+    /// The host should have ended what was called off.
+    Past(LinkId, StreamNo),
+    StopGrace,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct At(Ms);
+
+impl Eq for At {}
+
+impl Ord for At {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.0.total_cmp(&other.0)
+    }
+}
+
+impl PartialOrd for At {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Timers {
+    queue: BTreeMap<(At, u64), Due>,
+    set: u64,
+}
+
+impl Timers {
+    pub fn set(&mut self, at: Ms, due: Due) {
+        self.set += 1;
+        self.queue.insert((At(at), self.set), due);
+    }
+
+    pub fn next_at(&self) -> Option<Ms> {
+        self.queue.first_key_value().map(|((at, _), _)| at.0)
+    }
+
+    pub fn take_due(&mut self, now: Ms) -> Option<Due> {
+        let entry = self.queue.first_entry()?;
+        (entry.key().0 .0 <= now).then(|| entry.remove())
+    }
+
+    pub fn len(&self) -> usize {
+        self.queue.len()
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/settings.rs
@@ -0,0 +1,36 @@
+//! What a dispatcher's program is told at its start, besides what its decisions are told.
+
+use cindercleat::interface::{Ms, Settings};
+
+/// A dispatcher's settings. Counts are upper limits; times are milliseconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ProgramSettings {
+    pub name: String,
+    /// Tells this process from others of its name; drawn anew at each start.
+    pub run: u64,
+    pub policy: Settings,
+    /// The names behind the ids in `policy`, in the same order.
+    pub profiles: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    /// Tasks open at once; one more is bounced.
+    pub most_tasks: usize,
+    /// Launches and probes on one connection to a host, and connections to one host.
+    pub streams_per_link: usize,
+    pub links_per_host: usize,
+    /// A connection without streams is closed after this long.
+    pub link_idle: Ms,
+    /// Token messages of one stream that may be between a writer and its client.
+    pub window: u32,
+    /// A stream whose writer sends nothing, or whose client takes nothing, for this long is over.
+    pub stall_limit: Ms,
+    pub probe_timeout: Ms,
+    /// After a stop: how long what is open may still run.
+    pub stop_grace: Ms,
+    /// The largest frame taken from anybody, in bytes.
+    pub most_frame: usize,
+    /// Connections of clients at once, and how long one may take to greet.
+    pub most_clients: usize,
+    pub greet_within: Ms,
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -146,6 +146,7 @@
         Some(Body::Follow(_)) => "follow",
         Some(Body::List(_)) => "list",
         Some(Body::Peer(_)) => "peer",
+        Some(Body::Rejected(_)) => "rejected",
     }
 }
 
