--- /dev/null
+++ b/crates/standin/src/audit.rs
@@ -0,0 +1,417 @@
+//! Holds the five rules against a transcript: what crossed the sockets of clients, hosts and the list feed.
+//! It knows nothing of a dispatcher's state, and takes the words of the brief as they stand.
+//!
+//! Instants are the stand-ins'. What a dispatcher did is seen when it arrives, so each bound has a stated
+//! `slack` for the way between, which is far below the bounds.
+
+use crate::transcript::{Note, Record, Way, What};
+use cindercleat_net::Ms;
+use cindercleat_protocol::{v1, Body};
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What the rules are measured by.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    /// Profiles that must never run twice.
+    pub at_most_once: BTreeSet<String>,
+    pub answer_grace: Ms,
+    pub drain_grace: Ms,
+    pub release: Ms,
+    pub fall_multiple: f64,
+    pub fall_window: Ms,
+    /// For the way between a dispatcher and who saw it, and for a busy machine.
+    pub slack: Ms,
+    /// A token's time in a writer's slot, for the work that a launch there brings.
+    pub token_ms: Ms,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub enum Rule {
+    TaskLost,
+    EffectTwice,
+    DrainBroken,
+    ColdHostPushed,
+    LeftPinned,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Breach {
+    pub rule: Rule,
+    pub at: Ms,
+    pub what: String,
+}
+
+/// What was checked: a rule that met no case proves nothing.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Cases {
+    pub tries: usize,
+    pub finals: usize,
+    pub launches: usize,
+    pub at_most_once_runs: usize,
+    pub drains: usize,
+    pub cold_launches: usize,
+    pub states: usize,
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Findings {
+    pub cases: Cases,
+    pub breaches: Vec<Breach>,
+}
+
+/// The state or launch of a task, by the process that made it: run, task, launch.
+type Key = (u64, u32, u32);
+
+pub fn audit(records: &[Record], rules: &Rules) -> Findings {
+    let mut findings = Findings::default();
+    tasks(records, rules, &mut findings);
+    effects(records, rules, &mut findings);
+    let launches = launches(records);
+    findings.cases.launches = launches.len();
+    drains(records, &launches, rules, &mut findings);
+    cold(records, &launches, rules, &mut findings);
+    pinned(records, &launches, rules, &mut findings);
+    findings.breaches.sort_by(|a, b| a.at.total_cmp(&b.at));
+    findings
+}
+
+impl Findings {
+    fn breach(&mut self, rule: Rule, at: Ms, what: String) {
+        self.breaches.push(Breach { rule, at, what });
+    }
+}
+
+fn kills(records: &[Record]) -> BTreeMap<&str, Vec<Ms>> {
+    let mut kills: BTreeMap<&str, Vec<Ms>> = BTreeMap::new();
+    for record in records {
+        if record.what == What::Note(Note::Killed) {
+            kills.entry(&record.seer).or_default().push(record.at);
+        }
+    }
+    kills
+}
+
+#[derive(Default)]
+struct Try {
+    sent: Ms,
+    patience: Ms,
+    dispatcher: String,
+    first: Option<Ms>,
+    finals: Vec<Ms>,
+    after: usize,
+    left: Option<Ms>,
+    closed: Option<Ms>,
+    rejected: bool,
+}
+
+/// No task is lost: one final answer for each task taken, before its client's time is up, and nothing after it.
+fn tasks(records: &[Record], rules: &Rules, findings: &mut Findings) {
+    let mut tries: BTreeMap<(&str, u64, u64), Try> = BTreeMap::new();
+    let mut open: BTreeMap<(&str, u64), Vec<u64>> = BTreeMap::new();
+    for record in records {
+        let conn = (&*record.seer, record.conn);
+        match &record.what {
+            What::Frame(way, frame) => {
+                let id = (conn.0, conn.1, frame.stream);
+                match (way, &frame.body) {
+                    (Way::Out, Some(Body::Submit(submit))) => {
+                        let dispatcher = record.peer.to_string();
+                        let (sent, patience) = (record.at, submit.patience_ms);
+                        open.entry(conn).or_default().push(frame.stream);
+                        tries.insert(id, Try { sent, patience, dispatcher, ..Try::default() });
+                    }
+                    (Way::Out, Some(Body::Cancel(_))) => {
+                        if let Some(this) = tries.get_mut(&id) {
+                            this.left.get_or_insert(record.at);
+                        }
+                    }
+                    (Way::In, Some(body)) => {
+                        let Some(this) = tries.get_mut(&id) else { continue };
+                        this.after += usize::from(!this.finals.is_empty());
+                        match body {
+                            Body::Final(_) => this.finals.push(record.at),
+                            Body::Tokens(_) => {
+                                this.first.get_or_insert(record.at);
+                            }
+                            Body::Rejected(_) => this.rejected = true,
+                            _ => {}
+                        }
+                    }
+                    _ => {}
+                }
+            }
+            What::Note(Note::Closed { .. }) => {
+                for stream in open.remove(&conn).unwrap_or_default() {
+                    if let Some(this) = tries.get_mut(&(conn.0, conn.1, stream)) {
+                        this.closed.get_or_insert(record.at);
+                    }
+                }
+            }
+            What::Note(_) => {}
+        }
+    }
+    let kills = kills(records);
+    findings.cases.tries = tries.len();
+    for ((client, conn, stream), this) in tries {
+        let name = format!("{client}, connection {conn}, stream {stream}, sent at {:.0}", this.sent);
+        let ends = this.sent + this.patience;
+        findings.cases.finals += this.finals.len();
+        let killed = kills.get(&*this.dispatcher).into_iter().flatten();
+        let killed = killed
+            .clone()
+            .any(|&at| at >= this.sent && this.closed.is_some_and(|c| c <= at + 1000.0 + rules.slack));
+        if this.after > 0 {
+            let what = format!("{name}: {} messages after its final answer", this.after);
+            findings.breach(Rule::TaskLost, this.finals[0], what);
+        }
+        match this.finals.first() {
+            _ if this.rejected || this.left.is_some() => {}
+            None if killed => {}
+            None => findings.breach(Rule::TaskLost, ends, format!("{name}: no final answer")),
+            Some(&at) if this.first.is_none() && at > ends + rules.answer_grace + rules.slack => {
+                let what = format!("{name}: answered {:.0} ms after its client's time", at - ends);
+                findings.breach(Rule::TaskLost, at, what);
+            }
+            Some(_) => {}
+        }
+    }
+}
+
+/// No effect happens twice, and no bounce is given for what has run.
+fn effects(records: &[Record], rules: &Rules, findings: &mut Findings) {
+    let mut ran: BTreeMap<&str, (Ms, &str)> = BTreeMap::new();
+    let mut keys: BTreeMap<(&str, u64, u64), (&str, &str)> = BTreeMap::new();
+    for record in records {
+        match &record.what {
+            What::Note(Note::Ran { key, profile }) if rules.at_most_once.contains(profile) => {
+                findings.cases.at_most_once_runs += 1;
+                if let Some((at, host)) = ran.insert(key, (record.at, &record.seer)) {
+                    let what = format!("{key} ran at {host} at {at:.0} and again at {}", record.seer);
+                    findings.breach(Rule::EffectTwice, record.at, what);
+                }
+            }
+            What::Frame(Way::Out, frame) => {
+                if let Some(Body::Submit(submit)) = &frame.body {
+                    keys.insert((&record.seer, record.conn, frame.stream), (&submit.key, &submit.profile));
+                }
+            }
+            What::Frame(Way::In, frame) => {
+                let Some(Body::Final(last)) = &frame.body else { continue };
+                let Some((key, profile)) = keys.get(&(&*record.seer, record.conn, frame.stream)) else {
+                    continue;
+                };
+                let once = rules.at_most_once.contains(*profile);
+                if once && last.answer() == v1::Answer::Bounced && ran.contains_key(key) {
+                    let what = format!("{key} was bounced after it ran");
+                    findings.breach(Rule::EffectTwice, record.at, what);
+                }
+            }
+            What::Note(_) => {}
+        }
+    }
+    // The run may be noted after the bounce: the launch was out when the client heard that none was.
+    for record in records {
+        let What::Frame(Way::In, frame) = &record.what else { continue };
+        let Some(Body::Final(last)) = &frame.body else { continue };
+        let Some((key, profile)) = keys.get(&(&*record.seer, record.conn, frame.stream)) else { continue };
+        if last.answer() != v1::Answer::Bounced || !rules.at_most_once.contains(*profile) {
+            continue;
+        }
+        let again =
+            keys.iter().any(|(id, (k, _))| k == key && *id != (&*record.seer, record.conn, frame.stream));
+        if !again && ran.get(key).is_some_and(|(at, _)| *at > record.at) {
+            let what = format!("{key} ran after its last bounce");
+            findings.breach(Rule::EffectTwice, record.at, what);
+        }
+    }
+}
+
+/// A launch as a host saw it.
+#[derive(Clone, Debug)]
+struct Launch {
+    host: String,
+    dispatcher: String,
+    came: Ms,
+    ended: Ms,
+    state: Option<Key>,
+    /// Units of the host's capacity, see [`cold`].
+    work: f64,
+}
+
+fn key(state: &v1::StateId) -> Key {
+    (state.run, state.task, state.launch)
+}
+
+fn launches(records: &[Record]) -> Vec<Launch> {
+    let mut launches: Vec<Launch> = Vec::new();
+    let mut open: BTreeMap<(&str, u64), BTreeMap<u64, usize>> = BTreeMap::new();
+    for record in records {
+        let conn = (&*record.seer, record.conn);
+        let mut begin = |stream: u64, state: Option<&v1::StateId>, work: f64| {
+            open.entry(conn).or_default().insert(stream, launches.len());
+            launches.push(Launch {
+                host: record.seer.to_string(),
+                dispatcher: record.peer.to_string(),
+                came: record.at,
+                ended: f64::INFINITY,
+                state: state.map(key),
+                work,
+            });
+        };
+        match &record.what {
+            What::Frame(Way::In, frame) => match &frame.body {
+                Some(Body::Read(read)) => begin(frame.stream, None, f64::from(read.prompt_tokens)),
+                Some(Body::Write(write)) => {
+                    begin(frame.stream, write.state.as_ref(), f64::from(write.max_tokens));
+                }
+                Some(Body::Cancel(_)) => {
+                    if let Some(at) = open.get_mut(&conn).and_then(|c| c.remove(&frame.stream)) {
+                        launches[at].ended = record.at;
+                    }
+                }
+                _ => {}
+            },
+            What::Frame(Way::Out, frame) => {
+                // A stream that has begun has taken its state.
+                if matches!(frame.body, Some(Body::Ended(_))) {
+                    if let Some(at) = open.get_mut(&conn).and_then(|c| c.remove(&frame.stream)) {
+                        launches[at].ended = record.at;
+                    }
+                }
+            }
+            What::Note(Note::Closed { .. }) => {
+                for at in open.remove(&conn).unwrap_or_default().into_values() {
+                    launches[at].ended = record.at;
+                }
+            }
+            What::Note(_) => {}
+        }
+    }
+    launches
+}
+
+/// Drains are kept: nothing new to a host later than the grace after its dispatcher was told.
+fn drains(records: &[Record], launches: &[Launch], rules: &Rules, findings: &mut Findings) {
+    let mut told: BTreeMap<(String, String), Vec<(Ms, bool)>> = BTreeMap::new();
+    let mut known: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
+    for record in records {
+        let What::Frame(Way::Out, frame) = &record.what else { continue };
+        let Some(Body::List(list)) = &frame.body else { continue };
+        let dispatcher = record.peer.to_string();
+        let known = known.entry(dispatcher.clone()).or_default();
+        let mut tell = |host: &str, ready: bool| {
+            told.entry((dispatcher.clone(), host.to_owned())).or_default().push((record.at, ready));
+        };
+        for line in &list.hosts {
+            known.insert(line.host.clone());
+            tell(&line.host, line.condition() == v1::HostCondition::Ready);
+        }
+        if list.kind() == v1::ListKind::Full {
+            for host in known.iter().filter(|h| !list.hosts.iter().any(|line| line.host == **h)) {
+                tell(host, false);
+            }
+        }
+    }
+    findings.cases.drains = told.values().flatten().filter(|(_, ready)| !ready).count();
+    for launch in launches {
+        let Some(told) = told.get(&(launch.dispatcher.clone(), launch.host.clone())) else { continue };
+        // The bound holds for the whole of the grace only if nothing said 'ready' within it.
+        let since = launch.came - rules.drain_grace - rules.slack;
+        let before = told.iter().rev().find(|(at, _)| *at <= since);
+        let lately = told.iter().any(|(at, ready)| *ready && *at > since && *at <= launch.came);
+        if before.is_some_and(|(_, ready)| !ready) && !lately {
+            let what = format!("{} sent to {}, which drains or is gone", launch.dispatcher, launch.host);
+            findings.breach(Rule::DrainBroken, launch.came, what);
+        }
+    }
+}
+
+/// No cold host is pushed over. Work is counted in units of capacity: at a reader prompt tokens, of which it
+/// reads so many a second; at a writer the slot time of the most tokens that the answer may have. A launch
+/// counts whole when it arrives, also one turned away; one launch more than the bound is slack.
+fn cold(records: &[Record], launches: &[Launch], rules: &Rules, findings: &mut Findings) {
+    for record in records {
+        let What::Note(Note::Started { capacity, start_share, ramp }) = &record.what else { continue };
+        let writer = launches.iter().any(|l| l.host == *record.seer && l.state.is_some());
+        let unit = |l: &Launch| if writer { l.work * rules.token_ms / 1000.0 } else { l.work };
+        let until = record.at + ramp;
+        let here =
+            launches.iter().filter(|l| l.host == *record.seer && l.came >= record.at && l.came < until);
+        let here: Vec<&Launch> = here.collect();
+        findings.cases.cold_launches += here.len();
+        for (at, last) in here.iter().enumerate() {
+            let window = here[..=at].iter().filter(|l| l.came > last.came - rules.fall_window);
+            let sent: f64 = window.map(|l| unit(l)).sum();
+            let share = start_share + (1.0 - start_share) * (last.came - record.at) / ramp;
+            let bound = rules.fall_multiple * capacity * share * rules.fall_window / 1000.0;
+            if sent > bound + unit(last) {
+                let what = format!("{} was sent {sent:.1} units where {bound:.1} push it over", record.seer);
+                findings.breach(Rule::ColdHostPushed, last.came, what);
+                break;
+            }
+        }
+    }
+}
+
+/// Nothing is left pinned: while none of a task's launches is out, a state held for it is taken or let go within
+/// the release time, counted from the last outcome. A dispatcher that was killed owes nothing any more.
+fn pinned(records: &[Record], launches: &[Launch], rules: &Rules, findings: &mut Findings) {
+    let mut held: BTreeMap<Key, (Ms, &Record)> = BTreeMap::new();
+    let mut over: BTreeMap<Key, Ms> = BTreeMap::new();
+    let mut died: BTreeMap<&str, Vec<Ms>> = BTreeMap::new();
+    for record in records {
+        match &record.what {
+            What::Frame(Way::Out, frame) => {
+                if let Some(Body::Ended(v1::Ended { state: Some(state), .. })) = &frame.body {
+                    held.insert(key(state), (record.at, record));
+                }
+            }
+            What::Frame(Way::In, frame) => {
+                let state = match &frame.body {
+                    Some(Body::Release(release)) => release.state,
+                    Some(Body::Fetch(fetch)) => fetch.state,
+                    _ => None,
+                };
+                if let Some(state) = state {
+                    over.entry(key(&state)).or_insert(record.at);
+                }
+            }
+            What::Note(Note::Died) => died.entry(&record.seer).or_default().push(record.at),
+            What::Note(_) => {}
+        }
+    }
+    let kills = kills(records);
+    let end = records.last().map_or(0.0, |r| r.at);
+    findings.cases.states = held.len();
+    let mut out: BTreeMap<Key, Vec<(Ms, Ms)>> = BTreeMap::new();
+    for launch in launches {
+        if let Some(state) = launch.state {
+            out.entry(state).or_default().push((launch.came, launch.ended));
+        }
+    }
+    for (state, (since, record)) in held {
+        let first = |times: Option<&Vec<Ms>>| times.into_iter().flatten().copied().find(|at| *at >= since);
+        let ends =
+            [over.get(&state).copied(), first(died.get(&*record.seer)), first(kills.get(&*record.peer))];
+        let until = ends.into_iter().flatten().fold(end, f64::min);
+        let mut idle_since = since;
+        let mut outs = out.remove(&state).unwrap_or_default();
+        outs.sort_by(|a, b| a.0.total_cmp(&b.0));
+        outs.push((until, until));
+        for (came, ended) in outs {
+            let came = came.min(until);
+            if came - idle_since > rules.release + rules.slack {
+                let (run, task, launch) = state;
+                let what = format!(
+                    "the state of task {task} (launch {launch}, run {run:x}) lay at {} for {:.0} ms with nothing out",
+                    record.seer,
+                    came - idle_since
+                );
+                findings.breach(Rule::LeftPinned, came, what);
+                break;
+            }
+            idle_since = idle_since.max(ended);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/client.rs
@@ -0,0 +1,425 @@
+//! Clients: open-loop arrivals from a seed, sessions with shared texts, patience, leaving early, and retries as
+//! the profile allows.
+
+use crate::transcript::{Note, Transcript, Way, What};
+use crate::{call, exponential, share};
+use cindercleat_net::{Clock, Ms, Transport};
+use cindercleat_protocol::{encode, frame, v1, Body, Frame};
+use hdrhistogram::Histogram;
+use nanorand::{Rng, WyRand};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::io::AsyncWriteExt;
+use tokio::sync::{mpsc, Notify};
+use tokio::task::spawn_local;
+
+/// One profile's traffic.
+#[derive(Clone, Debug)]
+pub struct Traffic {
+    pub profile: String,
+    pub share: f64,
+    /// Whether a client may ask again whatever came of a try; else only after a bounce, or if nothing went out.
+    pub again_always: bool,
+    pub quoted: Ms,
+    pub patience: Ms,
+    pub prompt_tokens: (u32, u32),
+    pub shared_tokens: u32,
+    pub shared_texts: u64,
+    pub max_tokens: u32,
+    pub payoff: f64,
+}
+
+/// All clients' habits.
+#[derive(Clone, Debug)]
+pub struct Habits {
+    pub traffic: Vec<Traffic>,
+    pub rate_per_s: f64,
+    pub length: Ms,
+    /// Tries after the first.
+    pub retries: u32,
+    pub retry_after: Ms,
+    /// The share that leaves early, at any time before its patience ends.
+    pub leaves: f64,
+    /// Connections to each dispatcher.
+    pub connections: usize,
+    pub sessions: u64,
+    pub tenants: Vec<String>,
+}
+
+/// What clients saw, for one profile.
+#[derive(Clone, Debug)]
+pub struct Tally {
+    pub tasks: u64,
+    pub tries: u64,
+    pub fulfilled: u64,
+    /// Fulfilled, and the first token came within the quoted time of the first try's instant.
+    pub in_time: u64,
+    pub bounced: u64,
+    pub written_off: u64,
+    pub left: u64,
+    /// Tries whose connection broke, and tries that could not be sent.
+    pub cut: u64,
+    pub unsent: u64,
+    /// Microseconds from a try to its first token, and between two token messages.
+    pub first_token: Histogram<u64>,
+    pub gap: Histogram<u64>,
+    pub tokens: u64,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        // Bounds of a minute; two digits.
+        let histogram = || Histogram::new_with_bounds(1, 60_000_000, 2).unwrap_or_else(|_| unreachable!());
+        Tally {
+            tasks: 0,
+            tries: 0,
+            fulfilled: 0,
+            in_time: 0,
+            bounced: 0,
+            written_off: 0,
+            left: 0,
+            cut: 0,
+            unsent: 0,
+            first_token: histogram(),
+            gap: histogram(),
+            tokens: 0,
+        }
+    }
+}
+
+/// How one try ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum End {
+    Fulfilled,
+    Bounced {
+        retry_after: Ms,
+    },
+    WrittenOff,
+    Rejected(String),
+    /// The client left.
+    Left,
+    /// The connection ended first.
+    Cut,
+    /// There was no connection to send it on.
+    Unsent,
+}
+
+/// One connection to a dispatcher, shared by many streams.
+pub struct Port<T, C> {
+    name: Rc<str>,
+    to: String,
+    transport: T,
+    clock: C,
+    transcript: Transcript,
+    line: RefCell<Option<Rc<Line>>>,
+    next: Cell<u64>,
+}
+
+struct Line {
+    conn: u64,
+    peer: Rc<str>,
+    out: RefCell<bytes::BytesMut>,
+    more: Notify,
+    streams: RefCell<BTreeMap<u64, mpsc::UnboundedSender<Body>>>,
+    over: Cell<bool>,
+}
+
+impl<T: Transport, C: Clock> Port<T, C> {
+    pub fn new(name: &str, to: &str, transport: T, clock: C, transcript: Transcript) -> Rc<Self> {
+        Rc::new(Port {
+            name: Rc::from(name),
+            to: to.to_owned(),
+            transport,
+            clock,
+            transcript,
+            line: RefCell::default(),
+            next: Cell::new(1),
+        })
+    }
+
+    async fn line(self: &Rc<Self>) -> Option<Rc<Line>> {
+        if let Some(line) = self.line.borrow().as_ref().filter(|l| !l.over.get()) {
+            return Some(line.clone());
+        }
+        let names = (v1::Party::Client, &*self.name, "");
+        let (them, mut from, mut to) = call(&self.transport, &self.to, names).await?;
+        let line = Rc::new(Line {
+            conn: self.transcript.new_conn(),
+            peer: Rc::from(them.name),
+            out: RefCell::default(),
+            more: Notify::new(),
+            streams: RefCell::default(),
+            over: Cell::new(false),
+        });
+        *self.line.borrow_mut() = Some(line.clone());
+        let (writing, port) = (line.clone(), self.clone());
+        let writer = spawn_local(async move {
+            loop {
+                let bytes = writing.out.borrow_mut().split();
+                if bytes.is_empty() {
+                    writing.more.notified().await;
+                } else if to.write_all(&bytes).await.is_err() {
+                    return;
+                }
+            }
+        });
+        let reading = line.clone();
+        spawn_local(async move {
+            while let Ok(frame) = from.next().await {
+                port.record(&reading, Way::In, &frame);
+                let stream = frame.stream;
+                if let (Some(to), Some(body)) = (reading.streams.borrow().get(&stream), frame.body) {
+                    let _ = to.send(body);
+                }
+            }
+            writer.abort();
+            reading.over.set(true);
+            reading.streams.borrow_mut().clear();
+            let what = What::Note(Note::Closed { own: false });
+            port.transcript.add(port.clock.now(), &port.name, &reading.peer, reading.conn, what);
+        });
+        Some(line)
+    }
+
+    fn record(&self, line: &Line, way: Way, frame: &Frame) {
+        self.transcript.add(
+            self.clock.now(),
+            &self.name,
+            &line.peer,
+            line.conn,
+            What::Frame(way, frame.clone()),
+        );
+    }
+
+    fn say(&self, line: &Line, stream: u64, body: Body) {
+        let frame = frame(stream, body);
+        self.record(line, Way::Out, &frame);
+        encode(&frame, &mut line.out.borrow_mut());
+        line.more.notify_one();
+    }
+
+    /// One try: sends the task, waits for its end, leaves at `leave_at` if that comes first. `see` is told of
+    /// each token message.
+    pub async fn run(
+        self: &Rc<Self>,
+        submit: v1::Submit,
+        leave_at: Option<Ms>,
+        mut see: impl FnMut(&v1::Tokens),
+    ) -> End {
+        let Some(line) = self.line().await else { return End::Unsent };
+        let stream = self.next.get();
+        self.next.set(stream + 1);
+        let (to, mut from) = mpsc::unbounded_channel();
+        line.streams.borrow_mut().insert(stream, to);
+        self.say(&line, stream, Body::Submit(submit));
+        let end = loop {
+            let next = tokio::select! { biased;
+                next = from.recv() => next,
+                () = self.clock.sleep_until(leave_at.unwrap_or(0.0)), if leave_at.is_some() => {
+                    self.say(&line, stream, Body::Cancel(v1::Cancel {}));
+                    break End::Left;
+                }
+            };
+            match next {
+                None => break End::Cut,
+                Some(Body::Tokens(tokens)) => see(&tokens),
+                Some(Body::Rejected(rejected)) => break End::Rejected(rejected.reason),
+                Some(Body::Final(last)) => {
+                    break match last.answer() {
+                        v1::Answer::Fulfilled => End::Fulfilled,
+                        v1::Answer::Bounced => End::Bounced { retry_after: last.retry_after_ms },
+                        _ => End::WrittenOff,
+                    }
+                }
+                Some(_) => {}
+            }
+        };
+        line.streams.borrow_mut().remove(&stream);
+        end
+    }
+}
+
+/// The clients of a day.
+pub struct Clients<T, C> {
+    habits: Habits,
+    clock: C,
+    /// Ports by dispatcher.
+    ports: Vec<Vec<Rc<Port<T, C>>>>,
+    tallies: RefCell<BTreeMap<String, Tally>>,
+    open: Cell<usize>,
+    rate: Cell<f64>,
+    hot: Cell<Option<u64>>,
+    rng: RefCell<WyRand>,
+}
+
+impl<T: Transport, C: Clock> Clients<T, C> {
+    /// `dispatchers`: their addresses.
+    pub fn new(
+        habits: Habits,
+        dispatchers: &[String],
+        (transport, clock, transcript): (T, C, Transcript),
+        seed: u64,
+    ) -> Rc<Self> {
+        let port = |i: usize, address: &str| {
+            Port::new(&format!("client-{i}"), address, transport.clone(), clock.clone(), transcript.clone())
+        };
+        let ports =
+            dispatchers.iter().map(|a| (0..habits.connections).map(|i| port(i, a)).collect()).collect();
+        let tallies = habits.traffic.iter().map(|t| (t.profile.clone(), Tally::default())).collect();
+        Rc::new(Clients {
+            habits,
+            clock,
+            ports,
+            tallies: RefCell::new(tallies),
+            open: Cell::new(0),
+            rate: Cell::new(1.0),
+            hot: Cell::new(None),
+            rng: RefCell::new(WyRand::new_seed(seed)),
+        })
+    }
+
+    /// So many times the usual arrivals from now on.
+    pub fn set_rate(&self, times: f64) {
+        self.rate.set(times);
+    }
+
+    /// New sessions begin with this text, unseen so far.
+    pub fn set_hot_text(&self, text: Option<u64>) {
+        self.hot.set(text);
+    }
+
+    pub fn tallies(&self) -> BTreeMap<String, Tally> {
+        self.tallies.borrow().clone()
+    }
+
+    /// Arrivals for the day's length, then the end of all that is open.
+    pub async fn run(self: Rc<Self>) {
+        let (begin, mut number) = (self.clock.now(), 0);
+        let mut at = begin;
+        loop {
+            let mean = 1000.0 / (self.habits.rate_per_s * self.rate.get()).max(1e-3);
+            at += exponential(&mut self.rng.borrow_mut(), mean);
+            if at > begin + self.habits.length {
+                break;
+            }
+            self.clock.sleep_until(at).await;
+            number += 1;
+            self.open.set(self.open.get() + 1);
+            let clients = self.clone();
+            let seed = self.rng.borrow_mut().generate::<u64>();
+            spawn_local(async move {
+                clients.task(number, WyRand::new_seed(seed)).await;
+                clients.open.set(clients.open.get() - 1);
+            });
+        }
+        while self.open.get() > 0 {
+            self.clock.sleep_until(self.clock.now() + 20.0).await;
+        }
+    }
+
+    async fn task(&self, number: u64, mut rng: WyRand) {
+        let mut drawn = share(&mut rng) * self.habits.traffic.iter().map(|t| t.share).sum::<f64>();
+        let traffic = self.habits.traffic.iter().find(|t| {
+            drawn -= t.share;
+            drawn <= 0.0
+        });
+        let Some(traffic) = traffic.or(self.habits.traffic.last()) else { return };
+        let (least, most) = traffic.prompt_tokens;
+        let prompt_tokens = least + (share(&mut rng) * f64::from(most - least)) as u32;
+        let shared_text = match self.hot.get() {
+            Some(hot) if share(&mut rng) < 0.5 => hot,
+            // Low numbers are common, high ones rare.
+            _ => 1 + (traffic.shared_texts as f64 * share(&mut rng).powi(2)) as u64,
+        };
+        let tenants = &self.habits.tenants;
+        let tenant =
+            tenants.get((share(&mut rng) * tenants.len() as f64) as usize).cloned().unwrap_or_default();
+        let submit = v1::Submit {
+            profile: traffic.profile.clone(),
+            tenant,
+            session: 1000 + rng.generate::<u64>() % self.habits.sessions.max(1),
+            shared_text,
+            prompt_tokens,
+            shared_tokens: traffic.shared_tokens.min(prompt_tokens),
+            max_tokens: traffic.max_tokens,
+            patience_ms: traffic.patience,
+            retried: false,
+            resumed: false,
+            key: format!("{}-{number}", traffic.profile),
+            prompt: bytes::Bytes::new(),
+        };
+        let leaves = share(&mut rng) < self.habits.leaves;
+        let asked = self.clock.now();
+        self.tally(traffic, |t| t.tasks += 1);
+        for attempt in 0..=self.habits.retries {
+            let now = self.clock.now();
+            // What is left of the client's patience; a first token ends its running.
+            let patience = traffic.patience - (now - asked);
+            if patience < 0.1 * traffic.patience {
+                return;
+            }
+            let leave_at = leaves.then(|| now + share(&mut rng) * patience);
+            let ports = &self.ports[rng.generate::<u64>() as usize % self.ports.len()];
+            let port = &ports[rng.generate::<u64>() as usize % ports.len()];
+            let submit = v1::Submit { retried: attempt > 0, patience_ms: patience, ..submit.clone() };
+            let mut seen = Seen { last: now, first: None, gaps: Vec::new() };
+            let end = port.run(submit, leave_at, |_| seen.see(self.clock.now())).await;
+            let (first, gaps) = (seen.first, seen.gaps);
+            self.tally(traffic, |t| {
+                t.tries += 1;
+                t.tokens += gaps.len() as u64 + u64::from(first.is_some());
+                if let Some(first) = first {
+                    t.first_token.saturating_record((1000.0 * (first - now)) as u64);
+                }
+                for gap in &gaps {
+                    t.gap.saturating_record((1000.0 * gap) as u64);
+                }
+                match &end {
+                    End::Fulfilled => {
+                        t.fulfilled += 1;
+                        t.in_time += u64::from(first.is_some_and(|f| f - asked <= traffic.quoted));
+                    }
+                    End::Bounced { .. } => t.bounced += 1,
+                    End::WrittenOff => t.written_off += 1,
+                    End::Left => t.left += 1,
+                    End::Cut => t.cut += 1,
+                    End::Unsent => t.unsent += 1,
+                    End::Rejected(_) => {}
+                }
+            });
+            let wait = match end {
+                End::Fulfilled | End::Left | End::Rejected(_) => return,
+                End::Bounced { retry_after } => retry_after,
+                End::Unsent => 0.0,
+                End::WrittenOff | End::Cut if traffic.again_always => 0.0,
+                // It may have run: to try again could do it twice.
+                End::WrittenOff | End::Cut => return,
+            };
+            let wait = wait.max(self.habits.retry_after * (0.5 + share(&mut rng)) * f64::from(attempt + 1));
+            self.clock.sleep_until(self.clock.now() + wait).await;
+        }
+    }
+
+    fn tally(&self, traffic: &Traffic, change: impl FnOnce(&mut Tally)) {
+        change(self.tallies.borrow_mut().entry(traffic.profile.clone()).or_default());
+    }
+}
+
+/// The instants of one stream's token messages.
+struct Seen {
+    last: Ms,
+    first: Option<Ms>,
+    gaps: Vec<Ms>,
+}
+
+impl Seen {
+    fn see(&mut self, now: Ms) {
+        if self.first.is_none() {
+            self.first = Some(now);
+        } else {
+            self.gaps.push(now - self.last);
+        }
+        self.last = now;
+    }
+}
--- /dev/null
+++ b/crates/standin/src/feed.rs
@@ -0,0 +1,131 @@
+//! The list feed: knows which hosts' processes run, and tells its followers late.
+
+use crate::transcript::{Transcript, Way, What};
+use crate::welcome;
+use cindercleat_net::{write_frame, Clock, Listener, Ms, Transport};
+use cindercleat_protocol::{frame, v1, Body};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
+use tokio::task::spawn_local;
+
+struct Inner<C> {
+    clock: C,
+    transcript: Transcript,
+    name: Rc<str>,
+    told: RefCell<BTreeMap<String, v1::HostLine>>,
+    version: Cell<u64>,
+    followers: RefCell<Vec<UnboundedSender<v1::HostList>>>,
+    delay: Cell<Ms>,
+    silent: Cell<bool>,
+}
+
+/// A list feed; clones are the same one.
+pub struct Feed<C> {
+    inner: Rc<Inner<C>>,
+}
+
+impl<C> Clone for Feed<C> {
+    fn clone(&self) -> Self {
+        Feed { inner: self.inner.clone() }
+    }
+}
+
+impl<C: Clock> Feed<C> {
+    pub fn new(name: &str, clock: C, transcript: Transcript, delay: Ms) -> Self {
+        let inner = Inner {
+            clock,
+            transcript,
+            name: Rc::from(name),
+            told: RefCell::default(),
+            version: Cell::new(0),
+            followers: RefCell::default(),
+            delay: Cell::new(delay),
+            silent: Cell::new(false),
+        };
+        Feed { inner: Rc::new(inner) }
+    }
+
+    /// How late changes are told from now on.
+    pub fn set_delay(&self, delay: Ms) {
+        self.inner.delay.set(delay);
+    }
+
+    /// A silent feed takes followers in and tells them nothing; its changes are told when it speaks again.
+    pub fn set_silent(&self, silent: bool) {
+        self.inner.silent.set(silent);
+        if !silent {
+            let list = self.list(v1::ListKind::Full, self.inner.told.borrow().values().cloned().collect());
+            self.push(&list);
+        }
+    }
+
+    /// A change of the fleet, told to all followers after the delay.
+    pub fn change(&self, line: v1::HostLine) {
+        let feed = self.clone();
+        let at = self.inner.clock.now() + self.inner.delay.get();
+        spawn_local(async move {
+            feed.inner.clock.sleep_until(at).await;
+            feed.tell(line);
+        });
+    }
+
+    /// A change that is told at once.
+    pub fn tell(&self, line: v1::HostLine) {
+        self.inner.version.set(self.inner.version.get() + 1);
+        self.inner.told.borrow_mut().insert(line.host.clone(), line.clone());
+        if !self.inner.silent.get() {
+            self.push(&self.list(v1::ListKind::Changes, vec![line]));
+        }
+    }
+
+    fn push(&self, list: &v1::HostList) {
+        self.inner.followers.borrow_mut().retain(|f| f.send(list.clone()).is_ok());
+    }
+
+    fn list(&self, kind: v1::ListKind, mut hosts: Vec<v1::HostLine>) -> v1::HostList {
+        if kind == v1::ListKind::Full {
+            hosts.retain(|line| line.condition() != v1::HostCondition::Gone);
+        }
+        v1::HostList { kind: kind.into(), version: self.inner.version.get(), hosts }
+    }
+
+    pub async fn serve<T: Transport>(self, mut listener: T::Listener) {
+        while let Ok(stream) = listener.accept().await {
+            spawn_local(self.clone().follower::<T>(stream));
+        }
+    }
+
+    async fn follower<T: Transport>(self, stream: T::Stream) {
+        let Some((them, mut from, mut to)) = welcome::<T>(stream, v1::Party::Feed, &self.inner.name).await
+        else {
+            return;
+        };
+        let (peer, conn) = (Rc::from(them.name), self.inner.transcript.new_conn());
+        let (send, mut lists) = unbounded_channel();
+        loop {
+            let list = tokio::select! { biased;
+                list = lists.recv() => list,
+                frame = from.next() => match frame.ok().and_then(|f| f.body) {
+                    Some(Body::Follow(follow)) => {
+                        if follow.changes && !self.inner.followers.borrow().iter().any(|f| f.same_channel(&send)) {
+                            self.inner.followers.borrow_mut().push(send.clone());
+                        }
+                        let hosts = self.inner.told.borrow().values().cloned().collect();
+                        Some(self.list(v1::ListKind::Full, hosts)).filter(|_| !self.inner.silent.get())
+                    }
+                    _ => return,
+                },
+            };
+            if let Some(list) = list {
+                let frame = frame(1, Body::List(list));
+                let record = What::Frame(Way::Out, frame.clone());
+                self.inner.transcript.add(self.inner.clock.now(), &self.inner.name, &peer, conn, record);
+                if write_frame(&mut to, &frame).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/host.rs
@@ -0,0 +1,671 @@
+//! A model host: reads prompts and holds read states, or fetches states and streams answers, with slots, a
+//! queue, memory, a cold start, load reports that lag, and faults that a script turns on and off.
+//!
+//! Its laws are plain and are assumptions of ours: a reader's slots share its reading speed evenly, a writer
+//! answers a token a pace in each slot, and a cold host does both slower by its share of capacity.
+
+use crate::transcript::{Note, Transcript, Way, What};
+use crate::{call, share, welcome, Writer};
+use cindercleat_net::{Clock, Listener, Ms, Transport};
+use cindercleat_protocol::{encode, frame, text, v1, Body, Frame};
+use nanorand::WyRand;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::io::AsyncWriteExt;
+use tokio::sync::{Notify, Semaphore};
+use tokio::task::{spawn_local, AbortHandle};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Does {
+    Reads,
+    Writes,
+    Both,
+}
+
+/// What a host is.
+#[derive(Clone, Debug)]
+pub struct HostSpec {
+    pub name: String,
+    pub zone: String,
+    pub cell: String,
+    pub kind: String,
+    pub does: Does,
+    pub slots: usize,
+    pub queue: usize,
+    pub memory_tokens: f64,
+    pub read_per_s: f64,
+    pub token_ms: Ms,
+    pub fetch_per_s: f64,
+    pub start_share: f64,
+    pub ramp: Ms,
+    /// How long a reader holds a state that nobody asks for.
+    pub hold: Ms,
+    /// How old a load report is, and by what share it errs.
+    pub report_age: Ms,
+    pub report_noise: f64,
+    /// Answers are this share of the most tokens asked for, at the least.
+    pub answer_share: f64,
+}
+
+/// What is wrong with a host at the moment.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Troubles {
+    pub slow: f64,
+    /// Takes everything in and answers nothing.
+    pub mute: bool,
+    /// Stalls each stream after this many tokens.
+    pub stall_after: Option<u32>,
+    /// The share of launches that fail at once.
+    pub fails: f64,
+    /// Turns this profile away.
+    pub full_for: Option<String>,
+    /// Load reports are this much older.
+    pub reports_late: Ms,
+    pub draining: bool,
+    /// Dies after its last token of a stream, before the end mark.
+    pub dies_before_end: bool,
+}
+
+impl Default for Troubles {
+    fn default() -> Self {
+        Troubles {
+            slow: 1.0,
+            mute: false,
+            stall_after: None,
+            fails: 0.0,
+            full_for: None,
+            reports_late: 0.0,
+            draining: false,
+            dies_before_end: false,
+        }
+    }
+}
+
+type StateKey = (u64, u32, u32);
+
+#[derive(Default)]
+struct Live {
+    troubles: Troubles,
+    /// Read states held, with their tokens.
+    states: BTreeMap<StateKey, f64>,
+    kept: VecDeque<(u64, f64)>,
+    memory: f64,
+    waiting: usize,
+    running: usize,
+    waiting_tokens: f64,
+    /// Reports made, oldest first.
+    reports: VecDeque<(Ms, v1::Load)>,
+    jobs: Vec<AbortHandle>,
+}
+
+struct Inner<T, C> {
+    spec: HostSpec,
+    me: Rc<str>,
+    transport: T,
+    clock: C,
+    transcript: Transcript,
+    live: RefCell<Live>,
+    rng: RefCell<WyRand>,
+    /// None while its process does not run.
+    started: Cell<Option<Ms>>,
+    long_warm: Cell<bool>,
+    slots: RefCell<Arc<Semaphore>>,
+    changed: Notify,
+    place: RefCell<String>,
+}
+
+/// A host; clones are the same one.
+pub struct Host<T, C> {
+    inner: Rc<Inner<T, C>>,
+}
+
+impl<T, C> Clone for Host<T, C> {
+    fn clone(&self) -> Self {
+        Host { inner: self.inner.clone() }
+    }
+}
+
+/// One connection of a host.
+struct Conn {
+    id: u64,
+    peer: Rc<str>,
+    out: RefCell<bytes::BytesMut>,
+    more: Notify,
+    credit: RefCell<BTreeMap<u64, u32>>,
+    credited: Notify,
+    cancelled: RefCell<BTreeMap<u64, Rc<Notify>>>,
+}
+
+impl<T: Transport, C: Clock> Host<T, C> {
+    pub fn new(spec: HostSpec, transport: T, clock: C, transcript: Transcript, seed: u64) -> Self {
+        let inner = Inner {
+            me: Rc::from(spec.name.as_str()),
+            slots: RefCell::new(Arc::new(Semaphore::new(spec.slots))),
+            spec,
+            transport,
+            clock,
+            transcript,
+            live: RefCell::default(),
+            rng: RefCell::new(WyRand::new_seed(seed)),
+            started: Cell::new(None),
+            long_warm: Cell::new(true),
+            changed: Notify::new(),
+            place: RefCell::default(),
+        };
+        Host { inner: Rc::new(inner) }
+    }
+
+    /// Starts its process at an address, warm (as if long since) or cold. Gives the address in words.
+    ///
+    /// # Errors
+    /// The address cannot be had.
+    pub async fn start(&self, address: &str, warm: bool) -> std::io::Result<String> {
+        let mut listener = self.inner.transport.listen(address).await?;
+        *self.inner.place.borrow_mut() = listener.address();
+        self.inner.started.set(Some(self.now()));
+        self.inner.long_warm.set(warm);
+        *self.inner.live.borrow_mut() = Live::default();
+        *self.inner.slots.borrow_mut() = Arc::new(Semaphore::new(self.inner.spec.slots));
+        if !warm {
+            let spec = &self.inner.spec;
+            let capacity = if spec.does == Does::Reads { spec.read_per_s } else { spec.slots as f64 };
+            let (start_share, ramp) = (spec.start_share, spec.ramp);
+            self.inner.transcript.note(
+                self.now(),
+                &self.inner.me,
+                Note::Started { capacity, start_share, ramp },
+            );
+        }
+        let host = self.clone();
+        let accepting = spawn_local(async move {
+            while let Ok(stream) = listener.accept().await {
+                host.spawn(host.clone().serve(stream));
+            }
+        });
+        self.inner.live.borrow_mut().jobs.push(accepting.abort_handle());
+        let host = self.clone();
+        self.spawn(async move { host.report().await });
+        Ok(self.address())
+    }
+
+    pub fn address(&self) -> String {
+        self.inner.place.borrow().clone()
+    }
+
+    pub fn name(&self) -> &str {
+        &self.inner.spec.name
+    }
+
+    pub fn spec(&self) -> &HostSpec {
+        &self.inner.spec
+    }
+
+    /// Its line of the list.
+    pub fn line(&self, condition: v1::HostCondition) -> v1::HostLine {
+        let spec = &self.inner.spec;
+        v1::HostLine {
+            host: spec.name.clone(),
+            address: self.address(),
+            zone: spec.zone.clone(),
+            kind: spec.kind.clone(),
+            cell: spec.cell.clone(),
+            condition: condition.into(),
+            weight: 1.0,
+            started_ms: self.inner.started.get().filter(|_| !self.inner.long_warm.get()),
+        }
+    }
+
+    /// The process is gone at once, with all that it held.
+    pub fn die(&self) {
+        self.inner.started.set(None);
+        self.inner.transcript.note(self.now(), &self.inner.me, Note::Died);
+        for job in std::mem::take(&mut self.inner.live.borrow_mut().jobs) {
+            job.abort();
+        }
+    }
+
+    pub fn runs(&self) -> bool {
+        self.inner.started.get().is_some()
+    }
+
+    /// Changes what is wrong with it.
+    pub fn trouble(&self, change: impl FnOnce(&mut Troubles)) {
+        change(&mut self.inner.live.borrow_mut().troubles);
+        self.inner.changed.notify_waiters();
+    }
+
+    pub fn forget_texts(&self) {
+        self.inner.live.borrow_mut().kept.clear();
+    }
+
+    /// Cuts all of its connections; the process runs on.
+    pub fn cut(&self) {
+        // The first two jobs are the listener and the reports.
+        let jobs: Vec<AbortHandle> = self.inner.live.borrow_mut().jobs.drain(2..).collect();
+        for job in jobs {
+            job.abort();
+        }
+    }
+
+    /// States held now.
+    pub fn states(&self) -> usize {
+        self.inner.live.borrow().states.len()
+    }
+
+    fn now(&self) -> Ms {
+        self.inner.clock.now()
+    }
+
+    fn spawn(&self, job: impl std::future::Future<Output = ()> + 'static) {
+        let handle = spawn_local(job).abort_handle();
+        let mut live = self.inner.live.borrow_mut();
+        if live.jobs.len() > 64 && live.jobs.len().is_multiple_of(64) {
+            let kept: Vec<AbortHandle> = live.jobs.drain(2..).filter(|j| !j.is_finished()).collect();
+            live.jobs.extend(kept);
+        }
+        live.jobs.push(handle);
+    }
+
+    /// The share of its capacity that it has now.
+    fn capacity(&self) -> f64 {
+        let spec = &self.inner.spec;
+        let age = if self.inner.long_warm.get() {
+            f64::INFINITY
+        } else {
+            self.now() - self.inner.started.get().unwrap_or(0.0)
+        };
+        let part = (age / spec.ramp).clamp(0.0, 1.0);
+        (spec.start_share + (1.0 - spec.start_share) * part) / self.inner.live.borrow().troubles.slow
+    }
+
+    /// Waits for `work` milliseconds' worth at full capacity, as the capacity changes meanwhile.
+    async fn work(&self, mut work: Ms) {
+        const PART: Ms = 20.0;
+        while work > 0.0 {
+            let capacity = self.capacity().max(1e-3);
+            let wait = PART.min(work / capacity);
+            self.inner.clock.sleep_until(self.now() + wait).await;
+            work -= wait * capacity;
+        }
+    }
+
+    async fn unmuted(&self) {
+        while self.inner.live.borrow().troubles.mute {
+            self.inner.changed.notified().await;
+        }
+    }
+
+    async fn report(&self) {
+        loop {
+            let now = self.now();
+            self.make_report(now);
+            let spec = &self.inner.spec;
+            self.inner.clock.sleep_until(now + (spec.report_age / 2.0).max(10.0)).await;
+        }
+    }
+
+    fn make_report(&self, now: Ms) {
+        let spec = &self.inner.spec;
+        let mut live = self.inner.live.borrow_mut();
+        let noise = || 1.0 + spec.report_noise * (2.0 * share(&mut self.inner.rng.borrow_mut()) - 1.0);
+        let load = v1::Load {
+            in_flight: Some((live.running + live.waiting) as f64),
+            queue: Some(live.waiting as f64),
+            slots_used: Some((live.running as f64 / spec.slots as f64 * noise()).min(1.0)),
+            memory_held: Some((live.memory / spec.memory_tokens * noise()).min(1.0)),
+            waiting_kilotokens: Some(live.waiting_tokens / 1000.0 * noise()),
+        };
+        live.reports.push_back((now, load));
+        let old = spec.report_age + live.troubles.reports_late;
+        while live.reports.len() > 1 && live.reports[1].0 <= now - old {
+            live.reports.pop_front();
+        }
+    }
+
+    fn load(&self) -> Option<v1::Load> {
+        self.inner.live.borrow().reports.front().map(|(_, load)| *load)
+    }
+
+    async fn serve(self, stream: T::Stream) {
+        let Some((them, mut from, to)) = welcome::<T>(stream, v1::Party::Host, &self.inner.spec.name).await
+        else {
+            return;
+        };
+        let conn = Rc::new(Conn {
+            id: self.inner.transcript.new_conn(),
+            peer: Rc::from(them.name.as_str()),
+            out: RefCell::default(),
+            more: Notify::new(),
+            credit: RefCell::default(),
+            credited: Notify::new(),
+            cancelled: RefCell::default(),
+        });
+        // Jobs of this connection end with it: what nobody can hear is not gone on with.
+        let jobs: RefCell<Vec<AbortHandle>> = RefCell::default();
+        let seen = Seen { host: self.clone(), conn: conn.clone(), jobs };
+        let writing = spawn_local(write_out::<T>(to, conn.clone()));
+        seen.jobs.borrow_mut().push(writing.abort_handle());
+        let greeted = frame(0, Body::Hello(them));
+        self.record(&conn, Way::In, &greeted);
+        while let Ok(frame) = from.next().await {
+            self.record(&conn, Way::In, &frame);
+            self.unmuted().await;
+            let stream = frame.stream;
+            match frame.body {
+                Some(Body::Read(read)) => seen.begin(stream, self.clone().read(conn.clone(), stream, read)),
+                Some(Body::Write(write)) => {
+                    conn.credit.borrow_mut().insert(stream, write.window);
+                    seen.begin(stream, self.clone().write(conn.clone(), stream, write));
+                }
+                Some(Body::Credit(credit)) => {
+                    if let Some(left) = conn.credit.borrow_mut().get_mut(&stream) {
+                        *left += credit.messages;
+                    }
+                    conn.credited.notify_waiters();
+                }
+                Some(Body::Cancel(_)) => {
+                    if let Some(cancelled) = conn.cancelled.borrow().get(&stream) {
+                        cancelled.notify_one();
+                    }
+                }
+                Some(Body::Release(v1::Release { state: Some(state) })) => self.let_go(key(&state)),
+                Some(Body::Probe(_)) => self.say(&conn, stream, Body::Load(self.load().unwrap_or_default())),
+                Some(Body::Hold(_)) => self.say(&conn, stream, Body::Place(v1::Place { held: false })),
+                Some(Body::Fetch(v1::Fetch { state: Some(state) })) => {
+                    let tokens = self.inner.live.borrow().states.get(&key(&state)).copied();
+                    let (found, tokens) = (tokens.is_some(), tokens.unwrap_or(0.0) as u32);
+                    self.let_go(key(&state));
+                    self.say(&conn, stream, Body::State(v1::State { found, tokens }));
+                }
+                Some(Body::Goodbye(_)) => break,
+                _ => break,
+            }
+        }
+    }
+
+    fn record(&self, conn: &Conn, way: Way, frame: &Frame) {
+        let what = What::Frame(way, frame.clone());
+        self.inner.transcript.add(self.now(), &self.inner.me, &conn.peer, conn.id, what);
+    }
+
+    fn say(&self, conn: &Conn, stream: u64, body: Body) {
+        let frame = frame(stream, body);
+        self.record(conn, Way::Out, &frame);
+        encode(&frame, &mut conn.out.borrow_mut());
+        conn.more.notify_one();
+    }
+
+    fn end(&self, conn: &Conn, stream: u64, status: v1::Status, kept: f64, state: Option<v1::StateId>) {
+        let load = self.load();
+        let ended =
+            v1::Ended { status: status.into(), kept_tokens: kept as u32, load, reason: String::new(), state };
+        self.say(conn, stream, Body::Ended(ended));
+    }
+
+    fn let_go(&self, state: StateKey) {
+        let mut live = self.inner.live.borrow_mut();
+        if let Some(tokens) = live.states.remove(&state) {
+            live.memory = (live.memory - tokens).max(0.0);
+        }
+        drop(live);
+        self.inner.changed.notify_waiters();
+    }
+
+    /// Whether a launch gets in: not turned away, not failed at once.
+    fn admit(&self, profile: &str) -> Result<(), v1::Status> {
+        let live = self.inner.live.borrow();
+        let full = live.troubles.draining
+            || live.troubles.full_for.as_deref() == Some(profile)
+            || live.running + live.waiting >= self.inner.spec.slots + self.inner.spec.queue;
+        let fails = live.troubles.fails > share(&mut self.inner.rng.borrow_mut());
+        match (full, fails) {
+            (true, _) => Err(v1::Status::Full),
+            (_, true) => Err(v1::Status::Failed),
+            _ => Ok(()),
+        }
+    }
+
+    async fn read(self, conn: Rc<Conn>, stream: u64, read: v1::Read) {
+        let refused = if self.inner.spec.does == Does::Writes {
+            Err(v1::Status::Failed)
+        } else {
+            self.admit(&read.profile)
+        };
+        if let Err(status) = refused {
+            return self.end(&conn, stream, status, 0.0, None);
+        }
+        let beginnings = [(read.shared_text, read.shared_tokens), (read.session, read.prompt_tokens)];
+        let prompt = f64::from(read.prompt_tokens);
+        let found = |live: &Live| {
+            let mine =
+                live.kept.iter().filter(|(b, _)| beginnings.iter().any(|(mine, _)| mine == b && *b != 0));
+            mine.map(|(_, tokens)| *tokens).fold(0.0, f64::max).min(prompt - 1.0)
+        };
+        let kept = {
+            let _place = Place::wait(&self, prompt).await;
+            let kept = found(&self.inner.live.borrow());
+            let rate = self.inner.spec.read_per_s / self.inner.spec.slots as f64;
+            self.work(1000.0 * (prompt - kept) / rate).await;
+            kept
+        };
+        let Some(state) = read.state else { return };
+        self.keep(&beginnings, key(&state), prompt);
+        let host = self.clone();
+        let until = self.now() + self.inner.spec.hold;
+        self.spawn(async move {
+            host.inner.clock.sleep_until(until).await;
+            if host.inner.live.borrow().states.contains_key(&key(&state)) {
+                let (run, task, launch) = key(&state);
+                host.inner.transcript.note(host.now(), &host.inner.me, Note::Expired { run, task, launch });
+                host.let_go(key(&state));
+            }
+        });
+        self.unmuted().await;
+        self.end(&conn, stream, v1::Status::ReadDone, kept, Some(state));
+    }
+
+    /// What a read leaves behind: its texts, and its state.
+    fn keep(&self, beginnings: &[(u64, u32)], state: StateKey, prompt: f64) {
+        let mut live = self.inner.live.borrow_mut();
+        for (beginning, tokens) in beginnings.iter().filter(|(b, _)| *b != 0) {
+            live.kept.retain(|(b, _)| b != beginning);
+            live.kept.push_back((*beginning, f64::from(*tokens)));
+        }
+        while live.kept.iter().map(|(_, tokens)| tokens).sum::<f64>() > self.inner.spec.memory_tokens {
+            live.kept.pop_front();
+        }
+        live.states.insert(state, prompt);
+        live.memory += prompt;
+    }
+
+    async fn write(self, conn: Rc<Conn>, stream: u64, write: v1::Write) {
+        let can = match (self.inner.spec.does, write.state) {
+            (Does::Reads, _) => Err(v1::Status::Failed),
+            (Does::Writes, None) => Err(v1::Status::NoState),
+            _ => self.admit(&write.profile),
+        };
+        if let Err(status) = can {
+            return self.end(&conn, stream, status, 0.0, None);
+        }
+        let prompt = f64::from(write.prompt_tokens);
+        let _place = Place::wait(&self, prompt).await;
+        let _memory = Memory::take(&self, prompt).await;
+        match write.state {
+            None => self.work(1000.0 * prompt / self.inner.spec.read_per_s).await,
+            Some(state) => {
+                let Some(tokens) = self.fetch(&write, state).await else {
+                    return self.end(&conn, stream, v1::Status::NoState, 0.0, None);
+                };
+                self.work(1000.0 * tokens / self.inner.spec.fetch_per_s).await;
+            }
+        }
+        let ran = Note::Ran { key: write.key.clone(), profile: write.profile.clone() };
+        self.inner.transcript.note(self.now(), &self.inner.me, ran);
+        let least = self.inner.spec.answer_share;
+        let part = least + (1.0 - least) * share(&mut self.inner.rng.borrow_mut());
+        let answer = (part * f64::from(write.max_tokens)).ceil().max(1.0) as u32;
+        for position in 0..answer {
+            self.work(self.inner.spec.token_ms).await;
+            while self.inner.live.borrow().troubles.stall_after.is_some_and(|after| position >= after) {
+                self.inner.changed.notified().await;
+            }
+            self.unmuted().await;
+            while conn.credit.borrow().get(&stream) == Some(&0) {
+                conn.credited.notified().await;
+            }
+            if let Some(left) = conn.credit.borrow_mut().get_mut(&stream) {
+                *left -= 1;
+            }
+            let tokens = v1::Tokens { position, count: 1, text: text(&word(position)) };
+            self.say(&conn, stream, Body::Tokens(tokens));
+        }
+        if self.inner.live.borrow().troubles.dies_before_end {
+            // What was said goes out; the end mark never does.
+            self.inner.clock.sleep_until(self.now() + 5.0).await;
+            return self.die();
+        }
+        conn.credit.borrow_mut().remove(&stream);
+        self.end(&conn, stream, v1::Status::Fulfilled, 0.0, None);
+    }
+
+    /// The state's tokens, once its reader has handed it over; none if it cannot be had.
+    async fn fetch(&self, write: &v1::Write, state: v1::StateId) -> Option<f64> {
+        let names = (v1::Party::Host, self.name(), write.reader.as_str());
+        let (_, mut from, mut to) = call(&self.inner.transport, &write.reader_address, names).await?;
+        let fetch = frame(1, Body::Fetch(v1::Fetch { state: Some(state) }));
+        cindercleat_net::write_frame(&mut to, &fetch).await.ok()?;
+        match from.next().await.ok()?.body {
+            Some(Body::State(v1::State { found: true, tokens })) => Some(f64::from(tokens)),
+            _ => None,
+        }
+    }
+}
+
+/// A connection that is served: when it ends, for whatever reason, its jobs end and the end is noted.
+struct Seen<T: Transport, C: Clock> {
+    host: Host<T, C>,
+    conn: Rc<Conn>,
+    jobs: RefCell<Vec<AbortHandle>>,
+}
+
+impl<T: Transport, C: Clock> Seen<T, C> {
+    fn begin(&self, stream: u64, job: impl std::future::Future<Output = ()> + 'static) {
+        let cancelled = Rc::new(Notify::new());
+        self.conn.cancelled.borrow_mut().insert(stream, cancelled.clone());
+        let (host, conn) = (self.host.clone(), self.conn.clone());
+        let job = spawn_local(async move {
+            let done = tokio::select! { biased;
+                () = cancelled.notified() => false,
+                () = job => true,
+            };
+            conn.cancelled.borrow_mut().remove(&stream);
+            if !done {
+                conn.credit.borrow_mut().remove(&stream);
+                host.end(&conn, stream, v1::Status::Cancelled, 0.0, None);
+            }
+        });
+        let mut jobs = self.jobs.borrow_mut();
+        if jobs.len() >= 256 {
+            jobs.retain(|j| !j.is_finished());
+        }
+        jobs.push(job.abort_handle());
+    }
+}
+
+impl<T: Transport, C: Clock> Drop for Seen<T, C> {
+    fn drop(&mut self) {
+        for job in self.jobs.borrow().iter() {
+            job.abort();
+        }
+        let what = What::Note(Note::Closed { own: false });
+        let (host, conn) = (&self.host, &self.conn);
+        host.inner.transcript.add(host.now(), &host.inner.me, &conn.peer, conn.id, what);
+    }
+}
+
+async fn write_out<T: Transport>(mut to: Writer<T>, conn: Rc<Conn>) {
+    loop {
+        let bytes = conn.out.borrow_mut().split();
+        if bytes.is_empty() {
+            conn.more.notified().await;
+        } else if to.write_all(&bytes).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// A slot, waited for in turn.
+struct Place<T: Transport, C: Clock> {
+    host: Host<T, C>,
+    tokens: f64,
+    permit: Option<tokio::sync::OwnedSemaphorePermit>,
+}
+
+impl<T: Transport, C: Clock> Place<T, C> {
+    async fn wait(host: &Host<T, C>, tokens: f64) -> Self {
+        let slots = host.inner.slots.borrow().clone();
+        let mut place = Place { host: host.clone(), tokens, permit: None };
+        place.count(1, 0);
+        place.permit = slots.acquire_owned().await.ok();
+        place.count(-1, 1);
+        place
+    }
+
+    fn count(&self, waiting: isize, running: isize) {
+        let mut live = self.host.inner.live.borrow_mut();
+        live.waiting = live.waiting.saturating_add_signed(waiting);
+        live.running = live.running.saturating_add_signed(running);
+        live.waiting_tokens = (live.waiting_tokens + waiting as f64 * self.tokens).max(0.0);
+    }
+}
+
+impl<T: Transport, C: Clock> Drop for Place<T, C> {
+    fn drop(&mut self) {
+        if self.permit.is_some() {
+            self.count(0, -1);
+        } else {
+            self.count(-1, 0);
+        }
+    }
+}
+
+/// Memory for a prompt, waited for.
+struct Memory<T: Transport, C: Clock> {
+    host: Host<T, C>,
+    tokens: f64,
+}
+
+impl<T: Transport, C: Clock> Memory<T, C> {
+    async fn take(host: &Host<T, C>, tokens: f64) -> Self {
+        while host.inner.live.borrow().memory + tokens > host.inner.spec.memory_tokens {
+            host.inner.changed.notified().await;
+        }
+        host.inner.live.borrow_mut().memory += tokens;
+        Memory { host: host.clone(), tokens }
+    }
+}
+
+impl<T: Transport, C: Clock> Drop for Memory<T, C> {
+    fn drop(&mut self) {
+        // The process may have started anew meanwhile.
+        let mut live = self.host.inner.live.borrow_mut();
+        live.memory = (live.memory - self.tokens).max(0.0);
+        drop(live);
+        self.host.inner.changed.notify_waiters();
+    }
+}
+
+fn key(state: &v1::StateId) -> StateKey {
+    (state.run, state.task, state.launch)
+}
+
+/// A word of an answer, by its place.
+fn word(position: u32) -> String {
+    const WORDS: [&str; 12] = [
+        "the ", "class ", "of ", "this ", "year ", "kept ", "its ", "promise ", "and ", "sang ", "all ",
+        "day ",
+    ];
+    WORDS[position as usize % WORDS.len()].to_owned()
+}
--- /dev/null
+++ b/crates/standin/src/transcript.rs
@@ -0,0 +1,160 @@
+//! What stand-ins saw: each frame that crossed a socket of theirs, with its instant and both ends, and notes of
+//! what no frame shows (a host that started, a dispatcher that was killed).
+
+use cindercleat_net::Ms;
+use cindercleat_protocol::{name_of, v1, Frame};
+use prost::Message;
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::io::{self, BufRead, Write};
+use std::rc::Rc;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Way {
+    In,
+    Out,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Note {
+    /// A host's process starts with this much capacity once warm, in units a second (see `audit`).
+    Started {
+        capacity: f64,
+        start_share: f64,
+        ramp: Ms,
+    },
+    Died,
+    /// A connection of the seer is over; by its own doing, or not.
+    Closed {
+        own: bool,
+    },
+    /// A host began to answer: from here on the task has had its effect.
+    Ran {
+        key: String,
+        profile: String,
+    },
+    /// A reader's own time limit let a state go.
+    Expired {
+        run: u64,
+        task: u32,
+        launch: u32,
+    },
+    /// A dispatcher was killed outright.
+    Killed,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum What {
+    Frame(Way, Frame),
+    Note(Note),
+}
+
+/// One record: who saw it, with whom, on which of the seer's connections, when.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Record {
+    pub at: Ms,
+    pub seer: Rc<str>,
+    pub peer: Rc<str>,
+    pub conn: u64,
+    pub what: What,
+}
+
+/// A transcript that grows; clones are the same one.
+#[derive(Clone, Debug, Default)]
+pub struct Transcript {
+    records: Rc<RefCell<Vec<Record>>>,
+    conns: Rc<RefCell<u64>>,
+}
+
+impl Transcript {
+    pub fn new_conn(&self) -> u64 {
+        *self.conns.borrow_mut() += 1;
+        *self.conns.borrow()
+    }
+
+    pub fn add(&self, at: Ms, seer: &Rc<str>, peer: &Rc<str>, conn: u64, what: What) {
+        self.records.borrow_mut().push(Record { at, seer: seer.clone(), peer: peer.clone(), conn, what });
+    }
+
+    pub fn note(&self, at: Ms, seer: &Rc<str>, note: Note) {
+        self.add(at, seer, &Rc::from(""), 0, What::Note(note));
+    }
+
+    pub fn records(&self) -> Vec<Record> {
+        self.records.borrow().clone()
+    }
+}
+
+#[derive(Serialize, Deserialize)]
+struct Line {
+    at: Ms,
+    seer: String,
+    peer: String,
+    conn: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    note: Option<Note>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    way: Option<Way>,
+    /// For who reads the file; what counts is `frame`.
+    #[serde(default)]
+    message: String,
+    #[serde(default)]
+    stream: u64,
+    #[serde(default)]
+    frame: String,
+}
+
+/// One JSON object a line, a record each.
+///
+/// # Errors
+/// The writer's.
+pub fn write(records: &[Record], mut to: impl Write) -> io::Result<()> {
+    for record in records {
+        let (note, way, frame) = match &record.what {
+            What::Note(note) => (Some(note.clone()), None, None),
+            What::Frame(way, frame) => (None, Some(*way), Some(frame)),
+        };
+        let hex =
+            |frame: &Frame| frame.encode_to_vec().iter().map(|b| format!("{b:02x}")).collect::<String>();
+        let line = Line {
+            at: record.at,
+            seer: record.seer.to_string(),
+            peer: record.peer.to_string(),
+            conn: record.conn,
+            note,
+            way,
+            message: frame.map(|f| name_of(f.body.as_ref()).to_owned()).unwrap_or_default(),
+            stream: frame.map_or(0, |f| f.stream),
+            frame: frame.map(hex).unwrap_or_default(),
+        };
+        serde_json::to_writer(&mut to, &line)?;
+        to.write_all(b"\n")?;
+    }
+    Ok(())
+}
+
+/// # Errors
+/// The reader's, or a line that is no record, by its number.
+pub fn read(from: impl BufRead) -> io::Result<Vec<Record>> {
+    let bad = |number: usize, what: String| {
+        io::Error::new(io::ErrorKind::InvalidData, format!("line {number}: {what}"))
+    };
+    let mut records = Vec::new();
+    for (number, line) in from.lines().enumerate() {
+        let line: Line = serde_json::from_str(&line?).map_err(|e| bad(number + 1, e.to_string()))?;
+        let what = match (line.note, line.way) {
+            (Some(note), _) => What::Note(note),
+            (None, Some(way)) => {
+                let byte =
+                    |at: usize| line.frame.get(at..at + 2).and_then(|b| u8::from_str_radix(b, 16).ok());
+                let bytes: Option<Vec<u8>> = (0..line.frame.len()).step_by(2).map(byte).collect();
+                let frame = bytes.and_then(|b| v1::Frame::decode(&*b).ok());
+                What::Frame(way, frame.ok_or_else(|| bad(number + 1, "no frame".to_owned()))?)
+            }
+            (None, None) => return Err(bad(number + 1, "neither a note nor a frame".to_owned())),
+        };
+        let (seer, peer) = (Rc::from(line.seer), Rc::from(line.peer));
+        records.push(Record { at: line.at, seer, peer, conn: line.conn, what });
+    }
+    Ok(records)
+}
