--- /dev/null
+++ b/crates/cindercleat-cli/src/lib.rs
@@ -0,0 +1,10 @@
+//! The program: settings file, day scripts, and what its sub-commands do.
+
+pub mod bench_day;
+pub mod conf;
+pub mod day;
+pub mod price;
+pub mod script;
+pub mod serve;
+pub mod settings;
+pub mod try_it;
--- /dev/null
+++ b/crates/cindercleat-cli/src/serve.rs
@@ -0,0 +1,137 @@
+//! Runs a dispatcher on a thread of its own, and tells what it cost.
+
+use cindercleat_dispatcher::shell::{Places, Shell};
+use cindercleat_dispatcher::ProgramSettings;
+use cindercleat_net::{Listener, Tcp, TokioClock, Transport};
+use std::future::Future;
+use std::io;
+use std::thread::JoinHandle;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::LocalSet;
+
+/// Serves on TCP until a signal to end, on this thread.
+///
+/// # Errors
+/// The address cannot be had, or the runtime.
+pub fn serve(settings: ProgramSettings, places: Places, listen: &str, seed: u64) -> io::Result<()> {
+    block_on(async {
+        let stop = ends()?;
+        let listener = Tcp.listen(listen).await?;
+        tracing::info!(name = settings.name, address = listener.address(), "serving");
+        let shell = Shell::new(settings, places, Tcp, TokioClock::system(), seed);
+        shell.serve(listener, stop).await?;
+        tracing::info!("stopped");
+        Ok(())
+    })
+}
+
+/// Runs a future on a runtime of this thread alone.
+///
+/// # Errors
+/// The runtime's or the future's.
+pub fn block_on<R>(job: impl Future<Output = io::Result<R>>) -> io::Result<R> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, job)
+}
+
+/// A signal to end: SIGTERM or SIGINT.
+///
+/// # Errors
+/// The signals cannot be had.
+pub fn ends() -> io::Result<impl Future<Output = ()>> {
+    use tokio::signal::unix::{signal, SignalKind};
+    let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    Ok(async move {
+        tokio::select! { biased;
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+    })
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// At once, with all that it holds.
+    Kill,
+    /// In order.
+    Stop,
+}
+
+/// A dispatcher that runs on a thread of its own.
+pub struct Thread {
+    pub address: String,
+    end: mpsc::UnboundedSender<End>,
+    done: oneshot::Receiver<f64>,
+    thread: JoinHandle<()>,
+}
+
+impl Thread {
+    /// Waits until it listens.
+    ///
+    /// # Errors
+    /// It cannot listen.
+    pub async fn start(
+        settings: ProgramSettings,
+        places: Places,
+        listen: &str,
+        clock: TokioClock,
+        seed: u64,
+    ) -> io::Result<Thread> {
+        let (end, mut ends) = mpsc::unbounded_channel();
+        let (up, is_up) = oneshot::channel();
+        let (over, done) = oneshot::channel();
+        let listen = listen.to_owned();
+        let thread = std::thread::Builder::new().name(settings.name.clone()).spawn(move || {
+            let ran = block_on(async move {
+                let listener = match Tcp.listen(&listen).await {
+                    Ok(listener) => listener,
+                    Err(problem) => {
+                        let _ = up.send(Err(problem));
+                        return Ok(());
+                    }
+                };
+                let _ = up.send(Ok(listener.address()));
+                let shell = Shell::new(settings, places, Tcp, clock, seed);
+                let (stop, stopped) = oneshot::channel::<()>();
+                let serving = shell.serve(listener, async {
+                    let _ = stopped.await;
+                });
+                tokio::pin!(serving);
+                tokio::select! { biased;
+                    end = ends.recv() => if end == Some(End::Kill) { return Ok(()) },
+                    served = &mut serving => return served,
+                }
+                let _ = stop.send(());
+                serving.await
+            });
+            if let Err(problem) = ran {
+                tracing::error!(%problem, "dispatcher failed");
+            }
+            let _ = over.send(thread_cpu());
+        })?;
+        let address = is_up.await.map_err(|_| io::Error::other("the dispatcher's thread ended"))??;
+        Ok(Thread { address, end, done, thread })
+    }
+
+    /// Ends it and waits; gives the milliseconds of processor time that it took.
+    pub async fn end(self, how: End) -> f64 {
+        let _ = self.end.send(how);
+        let cpu = self.done.await.unwrap_or(0.0);
+        let _ = self.thread.join();
+        cpu
+    }
+}
+
+/// The processor time of this thread so far, in milliseconds, as Linux tells it; 0 elsewhere.
+fn thread_cpu() -> f64 {
+    let stat = std::fs::read_to_string("/proc/thread-self/stat").unwrap_or_default();
+    cpu_of(&stat)
+}
+
+/// The processor time in a `stat` file, in milliseconds; its ticks are hundredths of a second.
+pub fn cpu_of(stat: &str) -> f64 {
+    let after = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
+    let fields: Vec<&str> = after.split_whitespace().collect();
+    let ticks = |at: usize| fields.get(at).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+    10.0 * (ticks(11) + ticks(12))
+}
--- /dev/null
+++ b/crates/cindercleat-cli/src/settings.rs
@@ -0,0 +1,260 @@
+//! A dispatcher's settings file. Its keywords are described in `docs/operating.md`.
+
+use crate::conf::{Line, Problem, Section, Time};
+use cindercleat::interface::*;
+use cindercleat_dispatcher::shell::Places;
+use cindercleat_dispatcher::ProgramSettings;
+use std::path::PathBuf;
+
+/// The keywords that open blocks.
+pub const BLOCKS: [&str; 4] = ["profile", "tenant", "kind", "limits"];
+
+/// All that `serve` needs.
+#[derive(Clone, Debug)]
+pub struct Serve {
+    pub listen: String,
+    pub program: ProgramSettings,
+    pub places: Places,
+}
+
+/// What the dispatchers of a service have in common.
+#[derive(Clone, Debug)]
+pub struct Service {
+    pub policy: Settings,
+    pub profiles: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    pub limits: Limits,
+}
+
+/// The program's own limits; each has a default.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub most_tasks: usize,
+    pub streams_per_link: usize,
+    pub links_per_host: usize,
+    pub link_idle: Ms,
+    pub window: u32,
+    pub stall_limit: Ms,
+    pub probe_timeout: Ms,
+    pub stop_grace: Ms,
+    pub most_frame: usize,
+    pub most_clients: usize,
+    pub greet_within: Ms,
+}
+
+impl Service {
+    /// What one dispatcher of the service is told.
+    pub fn dispatcher(&self, name: &str, zone: u32, (me, of): (u32, u32), run: u64) -> ProgramSettings {
+        let l = self.limits;
+        let policy =
+            Settings { me: DispatcherId(me), dispatchers: of, zone: ZoneId(zone), ..self.policy.clone() };
+        ProgramSettings {
+            name: name.to_owned(),
+            run,
+            policy,
+            profiles: self.profiles.clone(),
+            tenants: self.tenants.clone(),
+            zones: self.zones.clone(),
+            kinds: self.kinds.clone(),
+            most_tasks: l.most_tasks,
+            streams_per_link: l.streams_per_link,
+            links_per_host: l.links_per_host,
+            link_idle: l.link_idle,
+            window: l.window,
+            stall_limit: l.stall_limit,
+            probe_timeout: l.probe_timeout,
+            stop_grace: l.stop_grace,
+            most_frame: l.most_frame,
+            most_clients: l.most_clients,
+            greet_within: l.greet_within,
+        }
+    }
+}
+
+/// # Errors
+/// The first thing wrong with the file.
+pub fn read(file: &str, text: &str, run: u64) -> Result<Serve, Problem> {
+    let section = Section::parse(file, text, &BLOCKS)?;
+    let service = read_service(&section)?;
+    let name: String = section.value("name")?;
+    let listen = section.one("listen")?;
+    let number = section.one("number")?;
+    let (me, of): (u32, u32) = (number.value(1)?, number.must_after("of")?);
+    if me >= of {
+        return Err(number.wrong("'number N of M', N counted from 0 and under M"));
+    }
+    let zone = place(section.one("zone")?, 1, &service.zones, "zone")?;
+    let feeds: Vec<String> = section.one("list-feed")?.words[1..].to_vec();
+    if feeds.is_empty() {
+        return Err(section.one("list-feed")?.wrong("an address or more"));
+    }
+    for address in listen.words[1..].iter().chain(&feeds) {
+        if address.parse::<std::net::SocketAddr>().is_err() {
+            return Err(listen.wrong(&format!("addresses such as 127.0.0.1:7400 ('{address}' is none)")));
+        }
+    }
+    let keep = section.maybe_value::<String>("keep")?.map(PathBuf::from);
+    let peer = |line: &&Line| Ok((line.value::<u32>(1)?, line.value::<String>(2)?));
+    let peers = section.all("peer").iter().map(peer).collect::<Result<_, Problem>>()?;
+    section.nothing_else()?;
+    let listen = listen.only()?;
+    let program = service.dispatcher(&name, zone, (me, of), run);
+    Ok(Serve { listen, program, places: Places { feeds, keep, peers } })
+}
+
+fn place(line: &Line, at: usize, names: &[String], what: &str) -> Result<u32, Problem> {
+    let name: String = line.value(at)?;
+    let found = names.iter().position(|n| *n == name);
+    found.map(|at| at as u32).ok_or_else(|| line.wrong(&format!("a {what} out of: {}", names.join(", "))))
+}
+
+/// Reads what a settings file and a day script have in common.
+///
+/// # Errors
+/// The first thing wrong.
+pub fn read_service(section: &Section) -> Result<Service, Problem> {
+    let zones = section.one("zones")?;
+    if zones.words.len() < 2 {
+        return Err(zones.wrong("a zone or more"));
+    }
+    let zones = zones.words[1..].to_vec();
+    let (mut profiles, mut profile_settings) = (Vec::new(), Vec::new());
+    for block in section.blocks("profile") {
+        profiles.push(new_name(block, &profiles)?);
+        profile_settings.push(profile(block)?);
+    }
+    if profiles.is_empty() {
+        return Err(section.lacks("profile"));
+    }
+    let (mut tenants, mut tenant_settings) = (Vec::new(), Vec::new());
+    for block in section.blocks("tenant") {
+        tenants.push(new_name(block, &tenants)?);
+        let allowance_per_s = block.value("allowance")?;
+        tenant_settings.push(TenantSettings { allowance_per_s, share: block.value("share")? });
+        block.nothing_else()?;
+    }
+    let (mut kinds, mut kind_settings) = (Vec::new(), Vec::new());
+    for block in section.blocks("kind") {
+        kinds.push(new_name(block, &kinds)?);
+        let does = block.one("does")?;
+        let role = match does.only::<String>()?.as_str() {
+            "reads" => Role::Reader,
+            "writes" => Role::Writer,
+            "both" => Role::Both,
+            _ => return Err(does.wrong("reads, writes or both")),
+        };
+        kind_settings.push(KindSettings { role, memory_tokens: block.value("memory")? });
+        block.nothing_else()?;
+    }
+    let can = |reading: bool| {
+        kind_settings.iter().any(|k| k.role == Role::Both || (k.role == Role::Reader) == reading)
+    };
+    if !can(true) || !can(false) {
+        return Err(section.lacks("kind"));
+    }
+    let found = section.blocks("limits");
+    let [limits] = found[..] else { return Err(section.lacks("limits")) };
+    let time = |keyword: &'static str| limits.value::<Time>(keyword).map(|t| t.0);
+    let cold = limits.one("cold")?;
+    let fall = limits.one("fall")?;
+    let policy = Settings {
+        me: DispatcherId(0),
+        dispatchers: 1,
+        zone: ZoneId(0),
+        tick: limits.value_or("tick", Time(4.0))?.0,
+        profiles: profile_settings,
+        tenants: tenant_settings,
+        over_share_worth: limits.value_or("over-share-worth", 1.0)?,
+        kinds: kind_settings,
+        discovery: Discovery::Pushed,
+        release: time("release")?,
+        writers_read: false,
+        may_hold_ahead: limits.value_or("hold-ahead", false)?,
+        may_cancel: true,
+        may_copy: false,
+        may_probe: limits.value_or("probes", true)?,
+        may_tell: limits.value_or("tell", false)?,
+        clients_hear_retry: true,
+        max_retry_after: limits.value_or("most-retry-after", Time(2000.0))?.0,
+        max_launches: limits.value("launches")?,
+        connect_timeout: time("connect")?,
+        drain_grace: time("drain-grace")?,
+        answer_grace: limits.value_or("answer-grace", Time(0.0))?.0,
+        fall_multiple: fall.value(1)?,
+        fall_window: fall.must_after::<Time>("within")?.0,
+        start_capacity: cold.value(1)?,
+        ramp: cold.must_after::<Time>("ramp")?.0,
+    };
+    if policy.start_capacity <= 0.0 || policy.start_capacity > 1.0 {
+        return Err(cold.wrong("'cold SHARE ramp TIME', SHARE being over 0 and at most 1"));
+    }
+    if policy.fall_window <= 0.0 || policy.ramp <= 0.0 {
+        return Err(fall.wrong("times over 0"));
+    }
+    let or = |keyword, absent| limits.value_or(keyword, Time(absent)).map(|t| t.0);
+    let own = Limits {
+        most_tasks: limits.value_or("most-tasks", 20_000)?,
+        streams_per_link: limits.value_or("streams-per-link", 100)?,
+        links_per_host: limits.value_or("links-per-host", 16)?,
+        link_idle: or("link-idle", 15_000.0)?,
+        window: limits.value_or("window", 32)?,
+        stall_limit: or("stall", 3_000.0)?,
+        probe_timeout: or("probe-timeout", policy.connect_timeout)?,
+        stop_grace: or("stop-grace", 10_000.0)?,
+        most_frame: limits.value_or("most-frame", 1 << 20)?,
+        most_clients: limits.value_or("most-clients", 12_000)?,
+        greet_within: or("greet-within", 5_000.0)?,
+    };
+    if own.window == 0 || own.streams_per_link == 0 || own.links_per_host == 0 {
+        return Err(limits.head.wrong("window, streams-per-link and links-per-host of at least 1"));
+    }
+    limits.nothing_else()?;
+    Ok(Service { policy, profiles, tenants, zones, kinds, limits: own })
+}
+
+fn new_name(block: &Section, names: &[String]) -> Result<String, Problem> {
+    let name: String = block.head.only()?;
+    if names.contains(&name) {
+        return Err(block.head.wrong(&format!("'{name}' once")));
+    }
+    Ok(name)
+}
+
+fn profile(block: &Section) -> Result<ProfileSettings, Problem> {
+    let effect = block.one("effect")?;
+    let kind = match effect.value::<String>(1)?.as_str() {
+        "reissuable" => Effect::Reissuable,
+        "at-most-once" => Effect::AtMostOnce,
+        "numbered" => {
+            let group = match effect.must_after::<String>("within")?.as_str() {
+                "all" => Group::All,
+                "zone" => Group::Zone,
+                "cell" => Group::Cell,
+                _ => return Err(effect.wrong("all, zone or cell after 'within'")),
+            };
+            Effect::Numbered { group, window: effect.must_after::<Time>("for")?.0 }
+        }
+        _ => {
+            let expected = "reissuable, at-most-once or 'numbered within all|zone|cell for TIME'";
+            return Err(effect.wrong(expected));
+        }
+    };
+    let quoted = block.one("quoted")?;
+    let settings = ProfileSettings {
+        effect: kind,
+        quoted: quoted.value::<Time>(1)?.0,
+        quoted_per_1000_tokens: quoted.after::<Time>("plus")?.map_or(0.0, |t| t.0),
+        patience: block.value::<Time>("patience")?.0,
+        payoff: block.value_or("payoff", 1.0)?,
+        late_share: block.value_or("late-share", 0.0)?,
+        token_pace: block.value_or("token-pace", Time(0.0))?.0,
+        streams: true,
+    };
+    if settings.quoted <= 0.0 || settings.patience < settings.quoted {
+        return Err(quoted.wrong("a quoted time over 0 and at most the patience"));
+    }
+    block.nothing_else()?;
+    Ok(settings)
+}
--- a/crates/standin/src/feed.rs
+++ b/crates/standin/src/feed.rs
@@ -61,6 +61,12 @@
         }
     }
 
+    /// Followers now.
+    pub fn followers(&self) -> usize {
+        self.inner.followers.borrow_mut().retain(|f| !f.is_closed());
+        self.inner.followers.borrow().len()
+    }
+
     /// A change of the fleet, told to all followers after the delay.
     pub fn change(&self, line: v1::HostLine) {
         let feed = self.clone();
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -66,6 +66,8 @@
     pub draining: bool,
     /// Dies after its last token of a stream, before the end mark.
     pub dies_before_end: bool,
+    /// New connections are greeted this much later.
+    pub greets_late: Ms,
 }
 
 impl Default for Troubles {
@@ -79,6 +81,7 @@
             reports_late: 0.0,
             draining: false,
             dies_before_end: false,
+            greets_late: 0.0,
         }
     }
 }
@@ -329,6 +332,8 @@
     }
 
     async fn serve(self, stream: T::Stream) {
+        let late = self.inner.live.borrow().troubles.greets_late;
+        self.inner.clock.sleep_until(self.now() + late).await;
         let Some((them, mut from, to)) = welcome::<T>(stream, v1::Party::Host, &self.inner.spec.name).await
         else {
             return;
