--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -354,8 +354,19 @@
         seen.jobs.borrow_mut().push(writing.abort_handle());
         let greeted = frame(0, Body::Hello(them));
         self.record(&conn, Way::In, &greeted);
-        while let Ok(frame) = from.next().await {
-            self.record(&conn, Way::In, &frame);
+        // What has come in is seen when it comes, also by a host that answers nothing for now.
+        let (to, mut frames) = tokio::sync::mpsc::unbounded_channel();
+        let (host, reading) = (self.clone(), conn.clone());
+        let reading = spawn_local(async move {
+            while let Ok(frame) = from.next().await {
+                host.record(&reading, Way::In, &frame);
+                if to.send(frame).is_err() {
+                    break;
+                }
+            }
+        });
+        seen.jobs.borrow_mut().push(reading.abort_handle());
+        while let Some(frame) = frames.recv().await {
             self.unmuted().await;
             let stream = frame.stream;
             match frame.body {
