A release lost with its connection is said again; the ledger against random rows of inputs

Cause: random inputs found states left pinned: a release that waited for a connection that never came up was dropped with it, though the reader was reached again later.

--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -7,6 +7,8 @@
 
 /// The whole of the credit is given back in so many parts.
 const CREDIT_PARTS: u32 = 2;
+/// How often a release that does not get through is tried again, a release time apart.
+const RELEASE_TRIES: u32 = 8;
 
 impl Ledger {
     pub(super) fn launch(&mut self, id: TaskId, host: HostId, until: Option<Ms>, out: &mut Vec<Output>) {
@@ -158,16 +160,26 @@
     /// Lets the state held for a task go.
     pub(super) fn release(&mut self, id: TaskId, out: &mut Vec<Output>) {
         let Some(held) = self.tasks.get_mut(&id).and_then(|t| t.state.take()) else { return };
-        self.release_state(held, out);
+        self.release_state(held, 0, out);
         self.forget_past(id);
     }
 
-    fn release_state(&mut self, held: Held, out: &mut Vec<Output>) {
+    fn release_state(&mut self, held: Held, tries: u32, out: &mut Vec<Output>) {
         let Some(row) = self.fleet.hosts.get(&held.host) else { return };
         let address = row.line.address.clone();
-        let body = Body::Release(v1::Release { state: Some(held.id) });
         let to = (&mut self.timers, out);
-        self.links.message(&held.host, &address, body, self.now, &self.settings, to);
+        self.links.release(&held.host, &address, (held.id, tries), self.now, &self.settings, to);
+    }
+
+    /// Guards against a state that stays pinned as its release was lost with a connection: it is said again
+    /// when the host is next reached. A process that is gone holds nothing.
+    pub(super) fn release_again(&mut self, host: &HostId, out: &mut Vec<Output>) {
+        let Some(states) = self.unreleased.remove(host) else { return };
+        if self.fleet.condition(host) != Condition::Gone {
+            for (id, tries) in states {
+                self.release_state(Held { host: host.clone(), id }, tries, out);
+            }
+        }
     }
 
     pub(super) fn hold_ahead(&mut self, id: TaskId, host: &HostId, out: &mut Vec<Output>) {
@@ -242,7 +254,7 @@
         for what in waiting {
             let stream = match &what {
                 Waiting::Stream(stream, _) => Some(*stream),
-                Waiting::Message(_) => None,
+                Waiting::Release(..) => None,
             };
             let purpose = stream.and_then(|s| self.links.get(id)?.streams.get(&s).copied());
             match (purpose, stream) {
@@ -259,6 +271,7 @@
                 _ => out.push(Output::ToHost { link: id, frame: what.into_frame() }),
             }
         }
+        self.release_again(&host, out);
         if self.links.get(id).is_some_and(|l| l.streams.is_empty()) {
             self.timers.set(self.now + self.settings.link_idle, Due::Idle(id));
         }
@@ -285,6 +298,17 @@
             let text = format!("link to {} over with {streams} streams: {reason}", link.host.0);
             out.push(Output::Log { level: Level::Warn, text });
         }
+        for what in link.waiting {
+            match what {
+                Waiting::Release(state, tries) if tries < RELEASE_TRIES => {
+                    let again = Due::Release(link.host.clone());
+                    self.timers.set(self.now + self.settings.policy.release, again);
+                    self.unreleased.entry(link.host.clone()).or_default().push((state, tries + 1));
+                }
+                // A host that cannot be reached for so long has its own time limit.
+                _ => {}
+            }
+        }
         for (_, purpose) in link.streams {
             match purpose {
                 Use::Launch(task, _) => {
@@ -351,7 +375,7 @@
     /// or it would stay pinned.
     fn take_late_end(&mut self, host: HostId, ended: &v1::Ended, out: &mut Vec<Output>) {
         if let (v1::Status::ReadDone, Some(state)) = (ended.status(), ended.state) {
-            self.release_state(Held { host, id: state }, out);
+            self.release_state(Held { host, id: state }, 0, out);
         }
     }
 
--- a/crates/dispatcher/src/ledger/links.rs
+++ b/crates/dispatcher/src/ledger/links.rs
@@ -4,7 +4,7 @@
 use super::{LinkId, Output, StreamNo};
 use crate::settings::ProgramSettings;
 use cindercleat::interface::{HostId, LaunchNo, Ms, TaskId};
-use cindercleat_protocol::{frame, Body, Frame};
+use cindercleat_protocol::{frame, v1, Body, Frame};
 use std::collections::BTreeMap;
 
 /// What a stream of a link is for.
@@ -23,7 +23,8 @@
 #[derive(Clone, Debug)]
 pub(super) enum Waiting {
     Stream(StreamNo, Body),
-    Message(Body),
+    /// A state to let go, and how often that did not get through.
+    Release(v1::StateId, u32),
 }
 
 #[derive(Debug)]
@@ -127,12 +128,12 @@
         id
     }
 
-    /// A message that belongs to no stream, over any link to the host; one is dialled if there is none.
-    pub fn message(
+    /// Lets a state go, over any link to its host; one is dialled if there is none.
+    pub fn release(
         &mut self,
         host: &HostId,
         address: &str,
-        body: Body,
+        (state, tries): (v1::StateId, u32),
         now: Ms,
         settings: &ProgramSettings,
         (timers, out): (&mut Timers, &mut Vec<Output>),
@@ -143,7 +144,7 @@
             Some(id) => id,
             None => self.dial(host, address, now, settings, (timers, out)),
         };
-        self.send(id, Waiting::Message(body), out);
+        self.send(id, Waiting::Release(state, tries), out);
     }
 
     /// Sends now, or once the link is up.
@@ -204,7 +205,7 @@
     pub fn into_frame(self) -> Frame {
         match self {
             Waiting::Stream(stream, body) => frame(stream.0, body),
-            Waiting::Message(body) => frame(0, body),
+            Waiting::Release(state, _) => frame(0, Body::Release(v1::Release { state: Some(state) })),
         }
     }
 }
--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -130,6 +130,8 @@
     fleet: Fleet,
     links: Links,
     timers: Timers,
+    /// States whose release did not get through, and how often.
+    unreleased: BTreeMap<HostId, Vec<(v1::StateId, u32)>>,
     /// What the decisions have not been told yet.
     events: Vec<Event>,
     stopping: Option<Ms>,
@@ -149,6 +151,7 @@
             fleet: Fleet::default(),
             links: Links::default(),
             timers: Timers::default(),
+            unreleased: BTreeMap::new(),
             events: Vec::new(),
             stopping: None,
             stopped: false,
@@ -251,6 +254,7 @@
             }
             Due::Probe(link, stream) => self.end_probe(link, stream, Outcome::TimedOut, Load::default()),
             Due::Past(link, stream) => self.look_at_past(link, stream, out),
+            Due::Release(host) => self.release_again(&host, out),
             Due::StopGrace => self.end_grace(out),
         }
     }
--- a/crates/dispatcher/src/ledger/timers.rs
+++ b/crates/dispatcher/src/ledger/timers.rs
@@ -1,12 +1,12 @@
 //! Timers, earliest first; those of one instant in the order in which they were set.
 
 use super::{LinkId, StreamNo};
-use cindercleat::interface::{LaunchNo, Ms, TaskId, TimerId};
+use cindercleat::interface::{HostId, LaunchNo, Ms, TaskId, TimerId};
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 /// What a timer is for. Timers are not taken back: who is called looks whether there is still cause.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Due {
     Module(TimerId),
     /// The module's time for a launch has passed.
@@ -20,6 +20,8 @@
     Probe(LinkId, StreamNo),
     /// The host should have ended what was called off.
     Past(LinkId, StreamNo),
+    /// States there whose release was lost are let go again.
+    Release(HostId),
     StopGrace,
 }
 
--- /dev/null
+++ b/crates/dispatcher/tests/common/mod.rs
@@ -0,0 +1,253 @@
+//! Drives a ledger without I/O: a small fleet, clients' and hosts' messages, and what comes out.
+#![allow(dead_code)]
+
+use cindercleat::interface::*;
+use cindercleat_dispatcher::ledger::{ConnId, Input, Ledger, LinkId, Output};
+use cindercleat_dispatcher::ProgramSettings;
+use cindercleat_protocol::{frame, v1, Body, Frame};
+use std::collections::BTreeMap;
+
+pub fn settings() -> ProgramSettings {
+    let profile = |effect| ProfileSettings {
+        effect,
+        quoted: 1000.0,
+        quoted_per_1000_tokens: 0.0,
+        patience: 4000.0,
+        payoff: 1.0,
+        late_share: 0.2,
+        token_pace: 60.0,
+        streams: true,
+    };
+    let policy = Settings {
+        me: DispatcherId(0),
+        dispatchers: 1,
+        zone: ZoneId(0),
+        tick: 4.0,
+        profiles: vec![
+            profile(Effect::Reissuable),
+            profile(Effect::AtMostOnce),
+            profile(Effect::Numbered { group: Group::Zone, window: 2000.0 }),
+        ],
+        tenants: vec![],
+        over_share_worth: 1.0,
+        kinds: [Role::Reader, Role::Writer].map(|role| KindSettings { role, memory_tokens: 2e5 }).to_vec(),
+        discovery: Discovery::Pushed,
+        release: 500.0,
+        writers_read: false,
+        may_hold_ahead: false,
+        may_cancel: true,
+        may_copy: false,
+        may_probe: false,
+        may_tell: false,
+        clients_hear_retry: true,
+        max_retry_after: 2000.0,
+        max_launches: 4,
+        connect_timeout: 250.0,
+        drain_grace: 500.0,
+        answer_grace: 16.0,
+        fall_multiple: 4.0,
+        fall_window: 1000.0,
+        start_capacity: 0.3,
+        ramp: 5000.0,
+    };
+    let names = |names: &[&str]| names.iter().map(|n| (*n).to_owned()).collect::<Vec<_>>();
+    ProgramSettings {
+        name: "d".to_owned(),
+        run: 7,
+        policy,
+        profiles: names(&["draft", "proof", "caption"]),
+        tenants: vec![],
+        zones: names(&["north", "south"]),
+        kinds: names(&["reader", "writer"]),
+        most_tasks: 1000,
+        streams_per_link: 100,
+        links_per_host: 4,
+        link_idle: 15_000.0,
+        window: 4,
+        stall_limit: 1000.0,
+        probe_timeout: 250.0,
+        stop_grace: 2000.0,
+        most_frame: 1 << 16,
+        most_clients: 100,
+        greet_within: 1000.0,
+    }
+}
+
+pub fn line(host: &str, condition: v1::HostCondition) -> v1::HostLine {
+    let kind = if host.starts_with('r') { "reader" } else { "writer" };
+    v1::HostLine {
+        host: host.to_owned(),
+        address: format!("at-{host}"),
+        zone: "north".to_owned(),
+        kind: kind.to_owned(),
+        cell: "n1".to_owned(),
+        condition: condition.into(),
+        weight: 1.0,
+        started_ms: None,
+    }
+}
+
+pub fn list(kind: v1::ListKind, hosts: &[(&str, v1::HostCondition)]) -> v1::HostList {
+    let hosts = hosts.iter().map(|(host, condition)| line(host, *condition)).collect();
+    v1::HostList { kind: kind.into(), version: 1, hosts }
+}
+
+pub fn submit(profile: &str) -> v1::Submit {
+    v1::Submit {
+        profile: profile.to_owned(),
+        session: 1,
+        prompt_tokens: 500,
+        max_tokens: 50,
+        patience_ms: 4000.0,
+        ..v1::Submit::default()
+    }
+}
+
+pub fn tokens(position: u32) -> Body {
+    Body::Tokens(v1::Tokens { position, count: 1, text: Default::default() })
+}
+
+/// A launch as it left for a host.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    pub link: LinkId,
+    pub stream: u64,
+    pub host: String,
+    pub state: Option<v1::StateId>,
+}
+
+/// A ledger with readers `r1`, `r2` and writers `w1`, `w2`, and all that came out of it.
+pub struct Bench {
+    pub ledger: Ledger,
+    pub now: Ms,
+    pub out: Vec<Output>,
+    hosts: BTreeMap<LinkId, String>,
+    pub links_come_up: bool,
+}
+
+impl Bench {
+    pub fn new() -> Self {
+        Bench::with(settings())
+    }
+
+    pub fn with(settings: ProgramSettings) -> Self {
+        let ledger = Ledger::new(settings, 1);
+        let mut bench =
+            Bench { ledger, now: 1000.0, out: Vec::new(), hosts: BTreeMap::new(), links_come_up: true };
+        let ready = v1::HostCondition::Ready;
+        let all = [("r1", ready), ("r2", ready), ("w1", ready), ("w2", ready)];
+        bench.put(Input::Listed(list(v1::ListKind::Full, &all)));
+        bench
+    }
+
+    /// Puts an input in; links that it dials come up at once, unless told otherwise.
+    pub fn put(&mut self, input: Input) -> Vec<Output> {
+        let mut all = Vec::new();
+        let mut next = vec![input];
+        while let Some(input) = next.pop() {
+            let mut out = Vec::new();
+            self.ledger.handle(self.now, input, &mut out);
+            for output in &out {
+                if let Output::Dial { link, host, .. } = output {
+                    self.hosts.insert(*link, host.0.to_string());
+                    if self.links_come_up {
+                        next.push(Input::LinkUp { link: *link });
+                    }
+                }
+            }
+            all.extend(out);
+        }
+        self.out.extend(all.clone());
+        all
+    }
+
+    /// Lets time pass, with every call that the ledger wants on the way.
+    pub fn pass(&mut self, by: Ms) -> Vec<Output> {
+        let until = self.now + by;
+        let mut all = Vec::new();
+        while let Some(at) = self.ledger.wants_call_at().filter(|at| *at <= until) {
+            self.now = self.now.max(at);
+            all.extend(self.put(Input::Tick));
+        }
+        self.now = until;
+        all.extend(self.put(Input::Tick));
+        all
+    }
+
+    pub fn client(&mut self, stream: u64, body: Body) -> Vec<Output> {
+        self.put(Input::Client { conn: ConnId(1), frame: frame(stream, body) })
+    }
+
+    pub fn host(&mut self, to: &Sent, body: Body) -> Vec<Output> {
+        self.put(Input::Host { link: to.link, frame: frame(to.stream, body) })
+    }
+
+    pub fn ended(&mut self, to: &Sent, status: v1::Status) -> Vec<Output> {
+        let state = to.state.filter(|_| status == v1::Status::ReadDone);
+        self.host(to, Body::Ended(v1::Ended { status: status.into(), state, ..v1::Ended::default() }))
+    }
+
+    pub fn told(&mut self, host: &str, condition: v1::HostCondition) -> Vec<Output> {
+        self.put(Input::Listed(list(v1::ListKind::Changes, &[(host, condition)])))
+    }
+
+    /// The launches among outputs.
+    pub fn launches(&self, out: &[Output]) -> Vec<Sent> {
+        let launch = |output: &Output| {
+            let Output::ToHost { link, frame } = output else { return None };
+            let state = match &frame.body {
+                Some(Body::Read(read)) => read.state,
+                Some(Body::Write(write)) => write.state,
+                _ => return None,
+            };
+            Some(Sent { link: *link, stream: frame.stream, host: self.hosts.get(link)?.clone(), state })
+        };
+        out.iter().filter_map(launch).collect()
+    }
+
+    /// A task up to its read, and that read.
+    pub fn reading(&mut self, stream: u64, profile: &str) -> Sent {
+        let out = self.client(stream, Body::Submit(submit(profile)));
+        self.launches(&out).pop().expect("a read goes out")
+    }
+
+    /// A task up to its writer's launch.
+    pub fn writing(&mut self, stream: u64, profile: &str) -> Sent {
+        let read = self.reading(stream, profile);
+        let out = self.ended(&read, v1::Status::ReadDone);
+        self.launches(&out).pop().expect("a write goes out")
+    }
+
+    /// A task up to its first token.
+    pub fn streaming(&mut self, stream: u64, profile: &str) -> Sent {
+        let write = self.writing(stream, profile);
+        self.host(&write, tokens(0));
+        write
+    }
+}
+
+/// Messages to the client among outputs, by stream.
+pub fn to_client(out: &[Output]) -> Vec<(u64, Body)> {
+    let said = |output: &Output| match output {
+        Output::ToClient { frame: Frame { stream, body: Some(body) }, .. } => Some((*stream, body.clone())),
+        _ => None,
+    };
+    out.iter().filter_map(said).collect()
+}
+
+pub fn finals(out: &[Output]) -> Vec<(u64, v1::Answer)> {
+    let last = |(stream, body): (u64, Body)| match body {
+        Body::Final(last) => Some((stream, last.answer())),
+        _ => None,
+    };
+    to_client(out).into_iter().filter_map(last).collect()
+}
+
+/// What was said to hosts, by name.
+pub fn to_hosts(out: &[Output]) -> Vec<&'static str> {
+    let said = |output: &Output| match output {
+        Output::ToHost { frame, .. } => Some(cindercleat_protocol::name_of(frame.body.as_ref())),
+        _ => None,
+    };
+    out.iter().filter_map(said).collect()
+}
--- /dev/null
+++ b/crates/dispatcher/tests/ledger.rs
@@ -0,0 +1,334 @@
+//! The ledger's hard cases, without sockets: each test causes the failure it is named after, and also looks
+//! at what must not come of it.
+
+mod common;
+
+use cindercleat_dispatcher::ledger::{ConnId, Input, Output, StreamNo};
+use cindercleat_protocol::v1::{Answer, HostCondition, ListKind, Status};
+use cindercleat_protocol::{frame, v1, Body};
+use common::*;
+
+#[test]
+fn a_task_is_read_written_and_answered_once() {
+    let mut bench = Bench::new();
+    let write = bench.streaming(5, "draft");
+    bench.host(&write, tokens(1));
+    bench.ended(&write, Status::Fulfilled);
+    let said: Vec<u64> = to_client(&bench.out).iter().map(|(stream, _)| *stream).collect();
+    assert_eq!(said, [5, 5, 5, 5], "accepted, two tokens, one final answer");
+    assert_eq!(finals(&bench.out), [(5, Answer::Fulfilled)]);
+    assert_eq!(bench.ledger.held().tasks, 0);
+    assert_eq!(finals(&bench.pass(60_000.0)), []);
+}
+
+#[test]
+fn a_drain_learned_while_a_launch_is_connected_keeps_it_from_going_out() {
+    let mut bench = Bench::new();
+    bench.links_come_up = false;
+    let out = bench.client(1, Body::Submit(submit("proof")));
+    let dialled = out.iter().find_map(|o| match o {
+        Output::Dial { link, host, .. } => Some((*link, host.0.to_string())),
+        _ => None,
+    });
+    let (link, host) = dialled.expect("a reader is dialled");
+    bench.told(&host, HostCondition::Draining);
+    bench.links_come_up = true;
+    let out = bench.put(Input::LinkUp { link });
+    let went: Vec<String> = bench.launches(&out).into_iter().map(|l| l.host).collect();
+    assert!(went.iter().all(|to| *to != host), "sent to {host}, which drains: {went:?}");
+    assert_eq!(went.len(), 1, "the task goes to the other reader");
+}
+
+#[test]
+fn a_writer_that_drains_while_a_state_is_held_gets_nothing() {
+    let mut bench = Bench::new();
+    let read = bench.reading(1, "draft");
+    bench.told("w1", HostCondition::Draining);
+    let out = bench.ended(&read, Status::ReadDone);
+    assert_eq!(bench.launches(&out).iter().map(|l| &*l.host).collect::<Vec<_>>(), ["w2"]);
+}
+
+#[test]
+fn a_hundred_queued_tasks_do_not_follow_a_drain() {
+    let mut bench = Bench::new();
+    for stream in 1..=100 {
+        bench.client(stream, Body::Submit(submit("draft")));
+    }
+    bench.told("r1", HostCondition::Draining);
+    bench.told("r2", HostCondition::Gone);
+    let seen = bench.out.len();
+    // Reads that are out end, which would make room for those that wait.
+    for read in bench.launches(&bench.out.clone()) {
+        bench.ended(&read, Status::Full);
+    }
+    bench.pass(10_000.0);
+    let after = bench.out[seen..].to_vec();
+    assert_eq!(bench.launches(&after).len(), 0, "nothing new goes to readers that drain or are gone");
+    assert_eq!(finals(&bench.out).len(), 100);
+    assert!(finals(&bench.out).iter().all(|(_, answer)| *answer == Answer::Bounced));
+    assert_eq!(bench.ledger.held().tasks, 0);
+}
+
+#[test]
+fn a_writer_that_dies_before_the_first_token_ends_what_may_have_run() {
+    for (profile, again) in [("draft", true), ("caption", true), ("proof", false)] {
+        let mut bench = Bench::new();
+        let write = bench.writing(1, profile);
+        let reason = "reset".to_owned();
+        let out = bench.put(Input::LinkClosed { link: write.link, reason });
+        assert_eq!(!bench.launches(&out).is_empty(), again, "{profile} goes out again");
+        let answers: Vec<Answer> = finals(&out).into_iter().map(|(_, a)| a).collect();
+        assert_eq!(answers, if again { vec![] } else { vec![Answer::WrittenOff] }, "{profile}");
+    }
+}
+
+#[test]
+fn a_writer_that_dies_in_mid_stream_or_before_its_end_mark_is_written_off_and_not_repeated() {
+    for profile in ["draft", "proof"] {
+        let mut bench = Bench::new();
+        let write = bench.streaming(1, profile);
+        for position in 1..4 {
+            bench.host(&write, tokens(position));
+        }
+        let out = bench.put(Input::LinkClosed { link: write.link, reason: "reset".to_owned() });
+        assert_eq!(finals(&out), [(1, Answer::WrittenOff)], "{profile}");
+        let later = bench.pass(10_000.0);
+        assert!(bench.launches(&out).is_empty() && bench.launches(&later).is_empty());
+        assert_eq!(to_client(&later), []);
+        assert_eq!(bench.ledger.held().tasks, 0);
+    }
+}
+
+#[test]
+fn a_writer_that_never_answers_is_given_up_before_the_clients_time_is_up() {
+    for profile in ["draft", "proof"] {
+        let mut bench = Bench::new();
+        let (begin, write) = (bench.now, bench.writing(1, profile));
+        let out = bench.pass(3999.0);
+        let answers = finals(&out);
+        assert_eq!(answers.len(), 1, "{profile} is answered in time");
+        assert!(bench.now <= begin + 4000.0);
+        assert!(profile == "draft" || answers[0].1 == Answer::WrittenOff, "proof may have run");
+        assert!(to_hosts(&out).contains(&"cancel"));
+        // Its outcome comes after its cancel, and its connection is cut after the client left.
+        let late = bench.ended(&write, Status::Fulfilled);
+        bench.client(1, Body::Cancel(v1::Cancel {}));
+        let cut = bench.put(Input::LinkClosed { link: write.link, reason: "reset".to_owned() });
+        assert_eq!(to_client(&[late, cut].concat()), []);
+        assert_eq!(bench.ledger.held().tasks, 0);
+    }
+}
+
+#[test]
+fn a_read_that_ends_after_its_cancel_is_released() {
+    let mut bench = Bench::new();
+    let read = bench.reading(1, "draft");
+    let out = bench.client(1, Body::Cancel(v1::Cancel {}));
+    assert_eq!(to_hosts(&out), ["cancel"]);
+    let out = bench.ended(&read, Status::ReadDone);
+    assert_eq!(to_hosts(&out), ["release"], "or its state would stay pinned");
+    assert_eq!(to_client(&out), []);
+}
+
+#[test]
+fn a_state_that_no_writer_takes_is_let_go_within_the_release_time() {
+    let mut bench = Bench::new();
+    let read = bench.reading(1, "draft");
+    bench.told("w1", HostCondition::Gone);
+    bench.told("w2", HostCondition::Draining);
+    let out = bench.ended(&read, Status::ReadDone);
+    assert_eq!(to_hosts(&out), Vec::<&str>::new());
+    let out = bench.pass(499.0);
+    assert!(to_hosts(&out).contains(&"release"));
+    assert_eq!(finals(&out), [(1, Answer::Bounced)]);
+}
+
+#[test]
+fn of_two_outcomes_in_one_read_of_a_socket_the_second_breaks_the_link() {
+    let mut bench = Bench::new();
+    let write = bench.streaming(1, "proof");
+    let out = bench.ended(&write, Status::Fulfilled);
+    assert_eq!(finals(&out), [(1, Answer::Fulfilled)]);
+    let out = bench.ended(&write, Status::Failed);
+    assert_eq!(to_client(&out), [], "one answer is enough");
+    assert!(out.iter().any(|o| matches!(o, Output::CloseLink { .. })));
+}
+
+#[test]
+fn a_client_that_leaves_in_the_turn_of_its_answer_changes_nothing() {
+    let mut bench = Bench::new();
+    let write = bench.streaming(1, "draft");
+    bench.ended(&write, Status::Fulfilled);
+    let out = bench.client(1, Body::Cancel(v1::Cancel {}));
+    assert_eq!(out, []);
+    let out = bench.put(Input::ClientClosed { conn: ConnId(1) });
+    assert_eq!(to_client(&out), []);
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_stream_at_the_writer() {
+    let mut bench = Bench::new();
+    let write = bench.streaming(1, "proof");
+    let out = bench.put(Input::ClientClosed { conn: ConnId(1) });
+    assert_eq!(to_hosts(&out), ["cancel"]);
+    let out = bench.host(&write, tokens(1));
+    assert_eq!(out, [], "what was under way is passed over");
+    bench.ended(&write, Status::Cancelled);
+    assert_eq!(bench.ledger.held().tasks, 0);
+}
+
+#[test]
+fn a_host_that_breaks_the_protocol_loses_its_link_and_what_is_there() {
+    // Tokens out of turn, tokens beyond the credit, an end that a writer cannot give.
+    let gap = |bench: &mut Bench, write: &Sent| bench.host(write, tokens(7));
+    let over = |bench: &mut Bench, write: &Sent| {
+        (1..=4).map(|at| bench.host(write, tokens(at))).last().unwrap_or_default()
+    };
+    let end = |bench: &mut Bench, write: &Sent| bench.ended(write, Status::ReadDone);
+    for breach in [gap, over, end] as [fn(&mut Bench, &Sent) -> Vec<Output>; 3] {
+        let mut bench = Bench::new();
+        let write = bench.streaming(1, "draft");
+        let other = bench.streaming(2, "draft");
+        let out = breach(&mut bench, &write);
+        assert!(out.iter().any(|o| matches!(o, Output::CloseLink { link, .. } if *link == write.link)));
+        let lost = finals(&out);
+        assert!(lost.contains(&(1, Answer::WrittenOff)));
+        assert_eq!(lost.len(), if other.link == write.link { 2 } else { 1 }, "the rest is served on");
+    }
+}
+
+#[test]
+fn a_client_that_reads_slowly_holds_back_its_own_writer_only() {
+    let mut bench = Bench::new();
+    let slow = bench.streaming(1, "draft");
+    let quick = bench.streaming(2, "draft");
+    for position in 1..4 {
+        assert!(!to_hosts(&bench.host(&slow, tokens(position))).contains(&"credit"));
+        bench.host(&quick, tokens(position));
+    }
+    let flushed = Input::Flushed { conn: ConnId(1), stream: StreamNo(2), messages: 4 };
+    let out = bench.put(flushed);
+    let credited = out.iter().find_map(|o| match o {
+        Output::ToHost { link, frame } => Some((*link, frame.stream, frame.body.clone())),
+        _ => None,
+    });
+    assert_eq!(credited, Some((quick.link, quick.stream, Some(Body::Credit(v1::Credit { messages: 4 })))));
+    // The one that takes nothing at all has left, after the stall limit; the other goes on.
+    for position in 4..8 {
+        bench.pass(300.0);
+        bench.host(&quick, tokens(position));
+        bench.put(Input::Flushed { conn: ConnId(1), stream: StreamNo(2), messages: 1 });
+    }
+    assert!(bench.out.iter().any(|o| matches!(o, Output::CloseClient { .. })));
+    assert_eq!(bench.ledger.held().tasks, 1);
+}
+
+#[test]
+fn a_stream_that_stalls_at_its_writer_is_written_off_after_the_stall_limit() {
+    let mut bench = Bench::new();
+    let write = bench.streaming(1, "draft");
+    bench.put(Input::Flushed { conn: ConnId(1), stream: StreamNo(1), messages: 1 });
+    assert_eq!(finals(&bench.pass(999.0)), [], "not yet");
+    assert_eq!(finals(&bench.pass(2.0)), [(1, Answer::WrittenOff)]);
+    assert_eq!(to_client(&bench.host(&write, tokens(1))), []);
+}
+
+#[test]
+fn a_host_that_ends_nothing_and_says_nothing_loses_its_link() {
+    let mut bench = Bench::new();
+    let write = bench.streaming(1, "draft");
+    bench.client(1, Body::Cancel(v1::Cancel {}));
+    let out = bench.pass(1001.0);
+    assert!(out.iter().any(|o| matches!(o, Output::CloseLink { link, .. } if *link == write.link)));
+}
+
+#[test]
+fn beyond_the_most_open_tasks_comes_an_honest_bounce() {
+    let mut bench = Bench::with(cindercleat_dispatcher::ProgramSettings { most_tasks: 2, ..settings() });
+    for stream in 1..=3 {
+        bench.client(stream, Body::Submit(submit("proof")));
+    }
+    assert_eq!(finals(&bench.out), [(3, Answer::Bounced)]);
+    assert_eq!(bench.ledger.held().tasks, 2);
+}
+
+#[test]
+fn a_submission_that_cannot_be_right_is_rejected_by_field_and_others_go_on() {
+    let mut bench = Bench::new();
+    let bad = [
+        ("profile", v1::Submit { profile: "none".to_owned(), ..submit("draft") }),
+        ("tenant", v1::Submit { tenant: "none".to_owned(), ..submit("draft") }),
+        ("patience_ms", v1::Submit { patience_ms: f64::NAN, ..submit("draft") }),
+        ("prompt_tokens", v1::Submit { prompt_tokens: 0, ..submit("draft") }),
+        ("max_tokens", v1::Submit { max_tokens: 0, ..submit("draft") }),
+        ("shared_tokens", v1::Submit { shared_tokens: 501, ..submit("draft") }),
+    ];
+    for (stream, (field, submit)) in bad.into_iter().enumerate() {
+        let out = bench.client(stream as u64 + 1, Body::Submit(submit));
+        let said = to_client(&out);
+        assert!(matches!(&said[..], [(_, Body::Rejected(r))] if r.field == field), "{field}: {said:?}");
+    }
+    assert_eq!(bench.ledger.held().tasks, 0);
+    bench.streaming(9, "draft");
+    let out = bench.client(9, Body::Submit(submit("draft")));
+    assert!(out.iter().any(|o| matches!(o, Output::CloseClient { .. })), "a stream twice");
+    let out = bench.put(Input::Client { conn: ConnId(2), frame: frame(1, tokens(0)) });
+    assert!(out.iter().any(|o| matches!(o, Output::CloseClient { conn: ConnId(2), .. })));
+}
+
+#[test]
+fn a_stop_takes_nothing_new_and_answers_all_within_its_grace() {
+    let mut bench = Bench::new();
+    let finishes = bench.streaming(1, "draft");
+    let hangs = bench.streaming(2, "proof");
+    bench.links_come_up = false;
+    bench.client(3, Body::Submit(submit("proof")));
+    let out = bench.put(Input::Stop);
+    assert!(!out.contains(&Output::Stopped));
+    let out = bench.client(4, Body::Submit(submit("draft")));
+    assert_eq!(finals(&out), [(4, Answer::Bounced)]);
+    let mut out = bench.ended(&finishes, Status::Fulfilled);
+    assert_eq!(finals(&out), [(1, Answer::Fulfilled)]);
+    for position in 1..4 {
+        out.extend(bench.pass(500.0));
+        bench.host(&hangs, tokens(position));
+        bench.put(Input::Flushed { conn: ConnId(1), stream: StreamNo(2), messages: 1 });
+    }
+    out.extend(bench.pass(600.0));
+    assert!(finals(&bench.out).contains(&(2, Answer::WrittenOff)));
+    assert_eq!(finals(&bench.out).len(), 4, "one answer each");
+    assert_eq!(bench.out.iter().filter(|o| **o == Output::Stopped).count(), 1);
+}
+
+#[test]
+fn a_remembered_list_serves_until_the_feed_speaks() {
+    let ready = HostCondition::Ready;
+    let mut ledger = cindercleat_dispatcher::ledger::Ledger::new(settings(), 1);
+    let mut out = Vec::new();
+    ledger.handle(1.0, Input::Remembered(list(ListKind::Full, &[("r1", ready), ("w1", ready)])), &mut out);
+    ledger.handle(
+        2.0,
+        Input::Client { conn: ConnId(1), frame: frame(1, Body::Submit(submit("draft"))) },
+        &mut out,
+    );
+    assert!(out.iter().any(|o| matches!(o, Output::Dial { host, .. } if &*host.0 == "r1")));
+    assert!(!out.iter().any(|o| matches!(o, Output::KeepList(_))), "it is kept already");
+    out.clear();
+    ledger.handle(3.0, Input::Listed(list(ListKind::Full, &[("w1", ready)])), &mut out);
+    let kept = out.iter().find_map(|o| match o {
+        Output::KeepList(list) => Some(list.hosts.iter().map(|l| l.host.clone()).collect::<Vec<_>>()),
+        _ => None,
+    });
+    assert_eq!(kept, Some(vec!["w1".to_owned()]), "a host that a whole list does not name is gone");
+}
+
+#[test]
+fn a_line_of_the_list_that_cannot_be_right_is_passed_over_and_the_rest_used() {
+    let mut bench = Bench::new();
+    let mut list = list(ListKind::Changes, &[("w3", HostCondition::Ready), ("w4", HostCondition::Ready)]);
+    list.hosts[0].zone = "nowhere".to_owned();
+    list.hosts[1].weight = f64::NAN;
+    let out = bench.put(Input::Listed(list));
+    let warned = out.iter().filter(|o| matches!(o, Output::Log { text, .. } if text.contains("w3"))).count();
+    assert_eq!(warned, 1);
+}
--- /dev/null
+++ b/crates/dispatcher/tests/random.rs
@@ -0,0 +1,380 @@
+//! Random rows of inputs to the ledger, and what must hold after each: one final answer a task and nothing
+//! after it, one launch out a task, nothing to hosts that are not ready, no second write of an at-most-once
+//! task that may have run, no state left pinned, and a ledger that empties at the end.
+
+mod common;
+
+use cindercleat::interface::Ms;
+use cindercleat_dispatcher::ledger::{ConnId, Input, Ledger, LinkId, Output, StreamNo};
+use cindercleat_protocol::v1::{Answer, HostCondition, ListKind, Status};
+use cindercleat_protocol::{frame, v1, Body};
+use common::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::BTreeMap;
+
+const HOSTS: [&str; 5] = ["r1", "r2", "w1", "w2", "w3"];
+const PROFILES: [&str; 3] = ["draft", "proof", "caption"];
+/// The release time after the read and after each launch that may follow, and those launches' connect
+/// timeouts: one that is being connected is out, but does not show here.
+const RELEASE: Ms = 4.0 * 500.0 + 3.0 * 250.0;
+
+const GIVEN_UP: Ms = 5000.0;
+
+/// What happens, to whom, and how many half milliseconds after the last.
+type Draw = (u8, u16, u16);
+
+#[derive(Clone, Debug)]
+struct Launch {
+    task: u32,
+    link: LinkId,
+    stream: u64,
+    write: bool,
+    state: v1::StateId,
+    position: u32,
+    credit: u32,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Task {
+    stream: u64,
+    profile: usize,
+    answered: bool,
+    left: bool,
+    /// A write of it went out and was not proven not to have run.
+    may_have_run: bool,
+}
+
+struct World {
+    ledger: Ledger,
+    now: Ms,
+    conditions: BTreeMap<&'static str, HostCondition>,
+    dialled: Vec<(LinkId, String)>,
+    links: BTreeMap<LinkId, String>,
+    launches: Vec<Launch>,
+    /// Launches that the ledger has cancelled, which the host has yet to end.
+    past: Vec<Launch>,
+    tasks: BTreeMap<u32, Task>,
+    by_stream: BTreeMap<u64, u32>,
+    /// States at readers, and since when nothing is out for them.
+    held: BTreeMap<(u32, u32), Ms>,
+    at: BTreeMap<(u32, u32), String>,
+    next_stream: u64,
+    answers: [usize; 3],
+    probes: Vec<(LinkId, u64)>,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut settings = settings();
+        settings.policy.may_probe = seed.is_multiple_of(2);
+        World {
+            ledger: Ledger::new(settings, seed),
+            now: 1000.0,
+            conditions: HOSTS.map(|h| (h, HostCondition::Ready)).into(),
+            dialled: Vec::new(),
+            links: BTreeMap::new(),
+            launches: Vec::new(),
+            past: Vec::new(),
+            tasks: BTreeMap::new(),
+            by_stream: BTreeMap::new(),
+            held: BTreeMap::new(),
+            at: BTreeMap::new(),
+            next_stream: 1,
+            answers: [0; 3],
+            probes: Vec::new(),
+        }
+    }
+
+    fn put(&mut self, input: Input) -> Result<(), TestCaseError> {
+        let mut out = Vec::new();
+        self.ledger.handle(self.now, input, &mut out);
+        for output in out {
+            self.check(output)?;
+        }
+        // A release waits for a connection where there is none; it cannot be said sooner.
+        // After some tries in vain it is left to the host's own time limit.
+        let now = self.now;
+        self.held.retain(|_, since| since.is_infinite() || now < *since + GIVEN_UP);
+        let deaf = |host: &String| !self.links.values().any(|h| h == host);
+        let lies =
+            |key: &(u32, u32), since: Ms| self.now > since + RELEASE && !self.at.get(key).is_some_and(deaf);
+        let lying = self.held.iter().find(|(key, since)| lies(key, **since));
+        prop_assert!(lying.is_none(), "state {:?} lies there, now {}", lying, self.now);
+        Ok(())
+    }
+
+    fn check(&mut self, output: Output) -> Result<(), TestCaseError> {
+        match output {
+            Output::Dial { link, host, .. } => self.dialled.push((link, host.0.to_string())),
+            Output::CloseLink { link, .. } => self.cut(link),
+            Output::ToClient { frame, .. } => {
+                let stream = frame.stream;
+                if let Some(Body::Accepted(accepted)) = &frame.body {
+                    self.by_stream.insert(stream, accepted.task);
+                    let task = self.tasks.entry(accepted.task).or_default();
+                    (task.stream, task.profile) = (stream, stream as usize % PROFILES.len());
+                    return Ok(());
+                }
+                let Some(task) = self.by_stream.get(&stream).and_then(|t| self.tasks.get_mut(t)) else {
+                    return Ok(());
+                };
+                prop_assert!(!task.answered, "something after the final answer of stream {}", stream);
+                prop_assert!(!task.left, "something after the client of stream {} left", stream);
+                if let Some(Body::Final(last)) = &frame.body {
+                    task.answered = true;
+                    let answer = last.answer();
+                    self.answers[answer as usize - 1] += 1;
+                    let once = PROFILES[task.profile] == "proof";
+                    let harmful = once && task.may_have_run && answer == Answer::Bounced;
+                    prop_assert!(!harmful, "a bounce of an at-most-once task that may have run");
+                }
+            }
+            Output::ToHost { link, frame } => self.check_host(link, frame)?,
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn check_host(&mut self, link: LinkId, frame: cindercleat_protocol::Frame) -> Result<(), TestCaseError> {
+        let host = self.links.get(&link).cloned().unwrap_or_default();
+        let stream = frame.stream;
+        let (state, write) = match &frame.body {
+            Some(Body::Read(read)) => (read.state, false),
+            Some(Body::Write(write)) => (write.state, true),
+            Some(Body::Release(release)) => {
+                let state = release.state.unwrap_or_default();
+                self.held.remove(&(state.task, state.launch));
+                return Ok(());
+            }
+            Some(Body::Cancel(_)) => {
+                if let Some(at) = self.launches.iter().position(|l| l.link == link && l.stream == stream) {
+                    let launch = self.launches.remove(at);
+                    self.end_held(&launch, true);
+                    self.past.push(launch);
+                }
+                return Ok(());
+            }
+            Some(Body::Credit(credit)) => {
+                let found = self.launches.iter_mut().find(|l| l.link == link && l.stream == stream);
+                found.into_iter().for_each(|l| l.credit += credit.messages);
+                return Ok(());
+            }
+            Some(Body::Probe(_)) => {
+                self.probes.push((link, stream));
+                return Ok(());
+            }
+            _ => return Ok(()),
+        };
+        let state = state.unwrap_or_default();
+        let condition = self.conditions.get(host.as_str()).copied();
+        prop_assert_eq!(condition, Some(HostCondition::Ready), "sent to {}", host);
+        let out = self.launches.iter().filter(|l| l.task == state.task).count();
+        prop_assert_eq!(out, 0, "two launches of task {} out", state.task);
+        let task = self.tasks.entry(state.task).or_default();
+        if write {
+            let twice = PROFILES[task.profile] == "proof" && task.may_have_run;
+            prop_assert!(!twice, "an at-most-once task that may have run goes out again");
+            task.may_have_run = true;
+            self.held.insert((state.task, state.launch), f64::INFINITY);
+        }
+        if !write {
+            self.at.insert((state.task, state.launch), host);
+        }
+        let launch = Launch { task: state.task, link, stream, write, state, position: 0, credit: 4 };
+        self.launches.push(launch);
+        Ok(())
+    }
+
+    /// The state of a write that is over lies there again, if it was not taken.
+    fn end_held(&mut self, launch: &Launch, still_there: bool) {
+        let key = (launch.state.task, launch.state.launch);
+        if launch.write {
+            if !still_there || launch.position > 0 {
+                self.held.remove(&key);
+            } else if let Some(since) = self.held.get_mut(&key) {
+                *since = self.now;
+            }
+        }
+    }
+
+    fn cut(&mut self, link: LinkId) {
+        self.links.remove(&link);
+        self.dialled.retain(|(l, _)| *l != link);
+        self.past.retain(|l| l.link != link);
+        self.probes.retain(|(l, _)| *l != link);
+        let (cut, rest) = std::mem::take(&mut self.launches).into_iter().partition(|l| l.link == link);
+        self.launches = rest;
+        for launch in &cut as &Vec<Launch> {
+            self.end_held(launch, true);
+        }
+    }
+
+    fn end(&mut self, launch: Launch, status: Status) -> Result<(), TestCaseError> {
+        let proven = matches!(status, Status::Full | Status::NoState);
+        if launch.write && proven {
+            self.tasks.entry(launch.task).or_default().may_have_run = false;
+        }
+        self.end_held(&launch, !matches!(status, Status::NoState | Status::Fulfilled));
+        let mut state = None;
+        if status == Status::ReadDone {
+            state = Some(launch.state);
+            self.held.insert((launch.state.task, launch.state.launch), self.now);
+        }
+        let ended = v1::Ended { status: status.into(), state, ..v1::Ended::default() };
+        self.put(Input::Host { link: launch.link, frame: frame(launch.stream, Body::Ended(ended)) })
+    }
+
+    fn draw(&mut self, (what, whom, after): Draw) -> Result<(), TestCaseError> {
+        let until = self.now + f64::from(after % 400) / 2.0;
+        while let Some(at) = self.ledger.wants_call_at().filter(|at| *at <= until) {
+            self.now = self.now.max(at);
+            self.put(Input::Tick)?;
+        }
+        self.now = until;
+        let pick = |n: usize| usize::from(whom) % n.max(1);
+        match what % 20 {
+            0..=4 => {
+                let stream = self.next_stream;
+                self.next_stream += 1;
+                let profile = PROFILES[stream as usize % PROFILES.len()];
+                let patience_ms = 200.0 + f64::from(whom % 4000);
+                let session = u64::from(whom % 7);
+                let submit = v1::Submit { patience_ms, session, ..submit(profile) };
+                self.put(Input::Client { conn: ConnId(1), frame: frame(stream, Body::Submit(submit)) })
+            }
+            5 => {
+                let stream = 1 + u64::from(whom) % self.next_stream;
+                if let Some(task) = self.by_stream.get(&stream).and_then(|t| self.tasks.get_mut(t)) {
+                    task.left = !task.answered;
+                }
+                self.put(Input::Client { conn: ConnId(1), frame: frame(stream, Body::Cancel(v1::Cancel {})) })
+            }
+            6 => {
+                let host = HOSTS[pick(HOSTS.len())];
+                let condition = [
+                    HostCondition::Ready,
+                    HostCondition::Ready,
+                    HostCondition::Draining,
+                    HostCondition::Gone,
+                ][usize::from(whom >> 5) % 4];
+                self.conditions.insert(host, condition);
+                if condition == HostCondition::Gone {
+                    // With its process its states are gone.
+                    let at = &self.at;
+                    self.held.retain(|key, _| at.get(key).is_none_or(|h| h != host));
+                }
+                self.put(Input::Listed(list(ListKind::Changes, &[(host, condition)])))
+            }
+            7 if !self.links.is_empty() => {
+                let link = *self.links.keys().nth(pick(self.links.len())).unwrap_or(&LinkId(0));
+                self.cut(link);
+                self.put(Input::LinkClosed { link, reason: "drawn".to_owned() })
+            }
+            8..=11 if !self.dialled.is_empty() => {
+                let (link, host) = self.dialled.remove(pick(self.dialled.len()));
+                if whom.is_multiple_of(5) {
+                    return self.put(Input::LinkClosed { link, reason: "drawn".to_owned() });
+                }
+                self.links.insert(link, host);
+                self.put(Input::LinkUp { link })
+            }
+            12 if !self.past.is_empty() => {
+                let launch = self.past.remove(pick(self.past.len()));
+                let late = !launch.write && whom.is_multiple_of(2);
+                // Its write had ended for the ledger with the cancel.
+                let state = late.then_some(launch.state);
+                if late {
+                    self.held.insert((launch.state.task, launch.state.launch), self.now);
+                }
+                let status = if late { Status::ReadDone } else { Status::Cancelled };
+                let ended = v1::Ended { status: status.into(), state, ..v1::Ended::default() };
+                self.put(Input::Host { link: launch.link, frame: frame(launch.stream, Body::Ended(ended)) })
+            }
+            13 if !self.probes.is_empty() => {
+                let (link, stream) = self.probes.remove(pick(self.probes.len()));
+                self.put(Input::Host { link, frame: frame(stream, Body::Load(v1::Load::default())) })
+            }
+            _ if !self.launches.is_empty() => {
+                let at = pick(self.launches.len());
+                let launch = &mut self.launches[at];
+                let kind = (whom >> 6) % 8;
+                if launch.write && kind < 5 && launch.credit > 0 {
+                    launch.credit -= 1;
+                    let body = tokens(launch.position);
+                    launch.position += 1;
+                    let (link, stream, task) = (launch.link, launch.stream, launch.task);
+                    self.held.remove(&(launch.state.task, launch.state.launch));
+                    self.put(Input::Host { link, frame: frame(stream, body) })?;
+                    let stream = StreamNo(self.tasks[&task].stream);
+                    return self.put(Input::Flushed { conn: ConnId(1), stream, messages: 1 });
+                }
+                let launch = self.launches.remove(at);
+                let status = match (launch.write, kind, launch.position) {
+                    (_, 5, 0) => Status::Full,
+                    (true, 6, 0) => Status::NoState,
+                    (_, 7, _) => Status::Failed,
+                    (true, ..) => Status::Fulfilled,
+                    (false, ..) => Status::ReadDone,
+                };
+                self.end(launch, status)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Everything ends: links, clients, time.
+    fn end_all(&mut self) -> Result<(), TestCaseError> {
+        for link in self.links.keys().copied().collect::<Vec<_>>() {
+            self.cut(link);
+            self.put(Input::LinkClosed { link, reason: "the end".to_owned() })?;
+        }
+        self.tasks.values_mut().for_each(|task| task.left = !task.answered);
+        self.put(Input::ClientClosed { conn: ConnId(1) })?;
+        // Whom the ledger still dials, to let states go, cannot be had; then the states are not its to keep.
+        self.held.clear();
+        for _ in 0..200 {
+            let Some(at) = self.ledger.wants_call_at() else { break };
+            self.now = self.now.max(at);
+            self.put(Input::Tick)?;
+        }
+        let held = self.ledger.held();
+        prop_assert_eq!((held.tasks, held.links, held.timers), (0, 0, 0), "{:?}", held);
+        Ok(())
+    }
+}
+
+fn play(draws: &[Draw], seed: u64) -> Result<World, TestCaseError> {
+    let mut world = World::new(seed);
+    let ready = HOSTS.map(|h| (h, HostCondition::Ready));
+    world.put(Input::Listed(list(ListKind::Full, &ready)))?;
+    for draw in draws {
+        world.draw(*draw)?;
+    }
+    world.end_all()?;
+    Ok(world)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(11), failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn whatever_happens_the_ledger_keeps_the_rules(
+        draws in prop::collection::vec(any::<Draw>(), 1..500),
+        seed in any::<u64>(),
+    ) {
+        play(&draws, seed)?;
+    }
+}
+
+/// The property meets every kind of answer often enough to mean something.
+#[test]
+fn long_rows_meet_every_answer() {
+    let draws: Vec<Draw> = (0..30_000u32)
+        .map(|i| {
+            let mixed = i.wrapping_mul(0x9e37_79b9) ^ (i >> 3).wrapping_mul(0x85eb_ca6b);
+            ((mixed >> 24) as u8, (mixed >> 7) as u16, (mixed % 61) as u16)
+        })
+        .collect();
+    let world = play(&draws, 3).unwrap_or_else(|e| panic!("{e}"));
+    assert!(world.answers.iter().all(|n| *n > 100), "{:?}", world.answers);
+}
--- a/tests/lean.rs
+++ b/tests/lean.rs
@@ -4,6 +4,7 @@
 use cindercleat::control::Control;
 use cindercleat::interface::*;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use std::sync::Arc;
 
 fn settings() -> Settings {
@@ -213,7 +214,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 256, rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
     #[test]
     fn the_lean_step_acts_as_the_plain_one(
         draws in prop::collection::vec(any::<Draw>(), 1..400),
