States to let go are kept as wanted until their host is reached

A release could wait on a connection that did not come up while another to the same host was there. Change: what is to be let go is kept by host, apart from connections, and goes out over whichever is up first.

--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -1,14 +1,14 @@
 //! The side of the ledger that faces the model hosts: launches out, read states held, probes, and what hosts
 //! and links have to say of them.
 
-use super::links::{Use, Waiting};
+use super::links::Use;
 use super::*;
 use crate::ledger::tasks::Launch;
 
 /// The whole of the credit is given back in so many parts.
 const CREDIT_PARTS: u32 = 2;
-/// How often a release that does not get through is tried again, a release time apart.
-const RELEASE_TRIES: u32 = 8;
+/// For how many release times a release that does not get through is tried again.
+const RELEASE_TIMES: f64 = 10.0;
 
 impl Ledger {
     pub(super) fn launch(&mut self, id: TaskId, host: HostId, until: Option<Ms>, out: &mut Vec<Output>) {
@@ -54,7 +54,7 @@
         task.sent |= self.links.get(link).is_some_and(|l| l.up);
         let until = until.unwrap_or(task.ends).min(task.ends);
         self.timers.set(until, Due::Launch(id, no));
-        self.links.send(link, Waiting::Stream(stream, body), out);
+        self.links.send(link, stream, body, out);
     }
 
     /// The wire's end of the launch that is out: what has not gone out is taken back, else the host is told.
@@ -68,7 +68,7 @@
         }
         // The stream stays taken until the host ends it: what the host still works on takes room there.
         self.make_past(link, stream);
-        self.links.send(link, Waiting::Stream(stream, Body::Cancel(v1::Cancel {})), out);
+        self.links.send(link, stream, Body::Cancel(v1::Cancel {}), out);
         false
     }
 
@@ -160,24 +160,37 @@
     /// Lets the state held for a task go.
     pub(super) fn release(&mut self, id: TaskId, out: &mut Vec<Output>) {
         let Some(held) = self.tasks.get_mut(&id).and_then(|t| t.state.take()) else { return };
-        self.release_state(held, 0, out);
+        self.release_state(held, out);
         self.forget_past(id);
     }
 
-    fn release_state(&mut self, held: Held, tries: u32, out: &mut Vec<Output>) {
-        let Some(row) = self.fleet.hosts.get(&held.host) else { return };
-        let address = row.line.address.clone();
-        let to = (&mut self.timers, out);
-        self.links.release(&held.host, &address, (held.id, tries), self.now, &self.settings, to);
+    fn release_state(&mut self, held: Held, out: &mut Vec<Output>) {
+        self.unreleased.entry(held.host.clone()).or_default().push((held.id, self.now));
+        self.flush_releases(&held.host, out);
     }
 
-    /// Guards against a state that stays pinned as its release was lost with a connection: it is said again
-    /// when the host is next reached. A process that is gone holds nothing.
-    pub(super) fn release_again(&mut self, host: &HostId, out: &mut Vec<Output>) {
-        let Some(states) = self.unreleased.remove(host) else { return };
-        if self.fleet.condition(host) != Condition::Gone {
-            for (id, tries) in states {
-                self.release_state(Held { host: host.clone(), id }, tries, out);
+    /// Lets go what is to be let go at a host, over any link that is up; else one is had. What is wanted is
+    /// kept until it is said: a release lost with its connection would leave a state pinned. A process that
+    /// is gone holds nothing, and a host that cannot be reached for long has its own time limit.
+    pub(super) fn flush_releases(&mut self, host: &HostId, out: &mut Vec<Output>) {
+        let Some(states) = self.unreleased.get_mut(host) else { return };
+        let oldest = self.now - RELEASE_TIMES * self.settings.policy.release;
+        states.retain(|(_, since)| *since >= oldest);
+        let row = self.fleet.hosts.get(host).filter(|row| row.condition != Condition::Gone);
+        match (self.links.up(host), row) {
+            (Some(link), _) => {
+                for (state, _) in self.unreleased.remove(host).unwrap_or_default() {
+                    let body = Body::Release(v1::Release { state: Some(state) });
+                    self.links.send(link, StreamNo(0), body, out);
+                }
+            }
+            (None, Some(row)) if !states.is_empty() => {
+                let address = row.line.address.clone();
+                let to = (&mut self.timers, out);
+                self.links.want(host, &address, self.now, &self.settings, to);
+            }
+            (None, _) => {
+                self.unreleased.remove(host);
             }
         }
     }
@@ -194,7 +207,7 @@
         let opened = self.links.open(host, &address, purpose, self.now, &self.settings, to);
         if let Ok((link, stream)) = opened {
             let body = Body::Hold(v1::Hold { state: Some(state) });
-            self.links.send(link, Waiting::Stream(stream, body), out);
+            self.links.send(link, stream, body, out);
         }
     }
 
@@ -218,7 +231,7 @@
             return self.events.push(Event::Probed { host, outcome, latency: 0.0, load });
         };
         self.timers.set(self.now + self.settings.probe_timeout, Due::Probe(link, stream));
-        self.links.send(link, Waiting::Stream(stream, Body::Probe(v1::Probe {})), out);
+        self.links.send(link, stream, Body::Probe(v1::Probe {}), out);
     }
 
     pub(super) fn end_probe(&mut self, id: LinkId, stream: StreamNo, outcome: Outcome, load: Load) {
@@ -251,27 +264,24 @@
         // Guards against a drain that was learned while the link came up: a launch that has not gone out does
         // not go out any more, and is known not to have run.
         let ready = self.fleet.condition(&host) == Condition::Ready;
-        for what in waiting {
-            let stream = match &what {
-                Waiting::Stream(stream, _) => Some(*stream),
-                Waiting::Release(..) => None,
-            };
-            let purpose = stream.and_then(|s| self.links.get(id)?.streams.get(&s).copied());
-            match (purpose, stream) {
-                (Some(Use::Launch(task, _)), Some(stream)) if !ready => {
+        self.flush_releases(&host, out);
+        for (stream, body) in waiting {
+            let purpose = self.links.get(id).and_then(|l| l.streams.get(&stream).copied());
+            let frame = frame(stream.0, body);
+            match purpose {
+                Some(Use::Launch(task, _)) if !ready => {
                     self.close_stream(id, stream);
                     self.end_launch(task, Outcome::Void, 0.0, Load::default());
                 }
-                (Some(Use::Launch(task, _)), _) => {
+                Some(Use::Launch(task, _)) => {
                     if let Some(task) = self.tasks.get_mut(&task) {
                         task.sent = true;
                     }
-                    out.push(Output::ToHost { link: id, frame: what.into_frame() });
+                    out.push(Output::ToHost { link: id, frame });
                 }
-                _ => out.push(Output::ToHost { link: id, frame: what.into_frame() }),
+                _ => out.push(Output::ToHost { link: id, frame }),
             }
         }
-        self.release_again(&host, out);
         if self.links.get(id).is_some_and(|l| l.streams.is_empty()) {
             self.timers.set(self.now + self.settings.link_idle, Due::Idle(id));
         }
@@ -298,16 +308,8 @@
             let text = format!("link to {} over with {streams} streams: {reason}", link.host.0);
             out.push(Output::Log { level: Level::Warn, text });
         }
-        for what in link.waiting {
-            match what {
-                Waiting::Release(state, tries) if tries < RELEASE_TRIES => {
-                    let again = Due::Release(link.host.clone());
-                    self.timers.set(self.now + self.settings.policy.release, again);
-                    self.unreleased.entry(link.host.clone()).or_default().push((state, tries + 1));
-                }
-                // A host that cannot be reached for so long has its own time limit.
-                _ => {}
-            }
+        if self.unreleased.contains_key(&link.host) {
+            self.timers.set(self.now + self.settings.policy.release, Due::Release(link.host.clone()));
         }
         for (_, purpose) in link.streams {
             match purpose {
@@ -375,7 +377,7 @@
     /// or it would stay pinned.
     fn take_late_end(&mut self, host: HostId, ended: &v1::Ended, out: &mut Vec<Output>) {
         if let (v1::Status::ReadDone, Some(state)) = (ended.status(), ended.state) {
-            self.release_state(Held { host, id: state }, 0, out);
+            self.release_state(Held { host, id: state }, out);
         }
     }
 
@@ -441,7 +443,7 @@
             launch.credited += room;
             let (link, stream) = (launch.link, launch.stream);
             let body = Body::Credit(v1::Credit { messages: room });
-            self.links.send(link, Waiting::Stream(stream, body), out);
+            self.links.send(link, stream, body, out);
         }
     }
 
--- a/crates/dispatcher/src/ledger/links.rs
+++ b/crates/dispatcher/src/ledger/links.rs
@@ -4,7 +4,7 @@
 use super::{LinkId, Output, StreamNo};
 use crate::settings::ProgramSettings;
 use cindercleat::interface::{HostId, LaunchNo, Ms, TaskId};
-use cindercleat_protocol::{frame, v1, Body, Frame};
+use cindercleat_protocol::{frame, Body};
 use std::collections::BTreeMap;
 
 /// What a stream of a link is for.
@@ -19,21 +19,14 @@
     Past,
 }
 
-/// What waits for a link to come up.
-#[derive(Clone, Debug)]
-pub(super) enum Waiting {
-    Stream(StreamNo, Body),
-    /// A state to let go, and how often that did not get through.
-    Release(v1::StateId, u32),
-}
-
 #[derive(Debug)]
 pub(super) struct Link {
     pub host: HostId,
     pub address: String,
     pub up: bool,
     pub streams: BTreeMap<StreamNo, Use>,
-    pub waiting: Vec<Waiting>,
+    /// What goes out once it is up.
+    pub waiting: Vec<(StreamNo, Body)>,
     /// When it last sent anything.
     pub heard: Ms,
     next_stream: u64,
@@ -128,32 +121,33 @@
         id
     }
 
-    /// Lets a state go, over any link to its host; one is dialled if there is none.
-    pub fn release(
+    /// A link to the host that is up.
+    pub fn up(&self, host: &HostId) -> Option<LinkId> {
+        let ids = self.of.get(host)?;
+        ids.iter().copied().find(|id| self.all.get(id).is_some_and(|l| l.up))
+    }
+
+    /// Sees to it that a link to the host is up or coming up.
+    pub fn want(
         &mut self,
         host: &HostId,
         address: &str,
-        (state, tries): (v1::StateId, u32),
         now: Ms,
         settings: &ProgramSettings,
-        (timers, out): (&mut Timers, &mut Vec<Output>),
+        to: (&mut Timers, &mut Vec<Output>),
     ) {
-        let ids = self.ids_of(host);
-        let up = ids.iter().copied().find(|id| self.all.get(id).is_some_and(|l| l.up));
-        let id = match up.or(ids.first().copied()) {
-            Some(id) => id,
-            None => self.dial(host, address, now, settings, (timers, out)),
-        };
-        self.send(id, Waiting::Release(state, tries), out);
+        if !self.of.contains_key(host) {
+            self.dial(host, address, now, settings, to);
+        }
     }
 
     /// Sends now, or once the link is up.
-    pub fn send(&mut self, id: LinkId, what: Waiting, out: &mut Vec<Output>) {
+    pub fn send(&mut self, id: LinkId, stream: StreamNo, body: Body, out: &mut Vec<Output>) {
         let Some(link) = self.all.get_mut(&id) else { return };
         if link.up {
-            out.push(Output::ToHost { link: id, frame: what.into_frame() });
+            out.push(Output::ToHost { link: id, frame: frame(stream.0, body) });
         } else {
-            link.waiting.push(what);
+            link.waiting.push((stream, body));
         }
     }
 
@@ -161,7 +155,7 @@
     pub fn unsend(&mut self, id: LinkId, stream: StreamNo) -> bool {
         let Some(link) = self.all.get_mut(&id) else { return true };
         let before = link.waiting.len();
-        link.waiting.retain(|w| !matches!(w, Waiting::Stream(s, _) if *s == stream));
+        link.waiting.retain(|(waiting, _)| *waiting != stream);
         link.waiting.len() < before
     }
 
@@ -200,12 +194,3 @@
         Some(link)
     }
 }
-
-impl Waiting {
-    pub fn into_frame(self) -> Frame {
-        match self {
-            Waiting::Stream(stream, body) => frame(stream.0, body),
-            Waiting::Release(state, _) => frame(0, Body::Release(v1::Release { state: Some(state) })),
-        }
-    }
-}
--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -130,8 +130,8 @@
     fleet: Fleet,
     links: Links,
     timers: Timers,
-    /// States whose release did not get through, and how often.
-    unreleased: BTreeMap<HostId, Vec<(v1::StateId, u32)>>,
+    /// States to let go as soon as their hosts are reached, and since when.
+    unreleased: BTreeMap<HostId, Vec<(v1::StateId, Ms)>>,
     /// What the decisions have not been told yet.
     events: Vec<Event>,
     stopping: Option<Ms>,
@@ -254,7 +254,7 @@
             }
             Due::Probe(link, stream) => self.end_probe(link, stream, Outcome::TimedOut, Load::default()),
             Due::Past(link, stream) => self.look_at_past(link, stream, out),
-            Due::Release(host) => self.release_again(&host, out),
+            Due::Release(host) => self.flush_releases(&host, out),
             Due::StopGrace => self.end_grace(out),
         }
     }
