--- /dev/null
+++ b/crates/standin/tests/audit.rs
@@ -0,0 +1,233 @@
+//! The audit finds a planted breach of each rule, and finds none in the same day without it. Were one of
+//! these not found, a day's "rules: kept" would prove nothing.
+
+use cindercleat_protocol::{frame, v1, Body};
+use cindercleat_standin::audit::{audit, Rule, Rules};
+use cindercleat_standin::transcript::{self, Note, Record, Way, What};
+use std::rc::Rc;
+
+fn rules() -> Rules {
+    Rules {
+        at_most_once: ["proof".to_owned()].into(),
+        answer_grace: 20.0,
+        drain_grace: 500.0,
+        release: 500.0,
+        fall_multiple: 4.0,
+        fall_window: 1000.0,
+        slack: 100.0,
+        token_ms: 10.0,
+    }
+}
+
+#[derive(Default)]
+struct Story {
+    records: Vec<Record>,
+}
+
+impl Story {
+    fn frame(&mut self, at: f64, (seer, peer, conn): (&str, &str, u64), way: Way, stream: u64, body: Body) {
+        let what = What::Frame(way, frame(stream, body));
+        self.records.push(Record { at, seer: Rc::from(seer), peer: Rc::from(peer), conn, what });
+    }
+
+    fn note(&mut self, at: f64, (seer, conn): (&str, u64), note: Note) {
+        let (seer, peer) = (Rc::from(seer), Rc::from(""));
+        self.records.push(Record { at, seer, peer, conn, what: What::Note(note) });
+    }
+
+    fn found(mut self) -> Vec<Rule> {
+        self.records.sort_by(|a, b| a.at.total_cmp(&b.at));
+        audit(&self.records, &rules()).breaches.into_iter().map(|b| b.rule).collect()
+    }
+}
+
+const CLIENT: (&str, &str, u64) = ("client", "d", 1);
+const READER: (&str, &str, u64) = ("r", "d", 2);
+const WRITER: (&str, &str, u64) = ("w", "d", 3);
+const FEED: (&str, &str, u64) = ("list", "d", 4);
+
+fn state(task: u32) -> Option<v1::StateId> {
+    Some(v1::StateId { run: 1, task, launch: 0 })
+}
+
+fn last(answer: v1::Answer) -> Body {
+    Body::Final(v1::Final { answer: answer.into(), ..v1::Final::default() })
+}
+
+fn listed(condition: v1::HostCondition) -> Body {
+    let line = v1::HostLine { host: "w".to_owned(), condition: condition.into(), ..v1::HostLine::default() };
+    Body::List(v1::HostList { kind: v1::ListKind::Changes.into(), version: 1, hosts: vec![line] })
+}
+
+/// One task served as it should be, and a cold writer's start.
+fn good() -> Story {
+    let mut story = Story::default();
+    let submit = v1::Submit {
+        profile: "proof".to_owned(),
+        key: "k1".to_owned(),
+        patience_ms: 1000.0,
+        ..v1::Submit::default()
+    };
+    story.frame(0.0, FEED, Way::Out, 1, listed(v1::HostCondition::Ready));
+    let started = Note::Started { capacity: 2.0, start_share: 0.25, ramp: 5000.0 };
+    story.note(0.0, ("w", 0), started);
+    story.frame(10.0, CLIENT, Way::Out, 1, Body::Submit(submit));
+    story.frame(11.0, CLIENT, Way::In, 1, Body::Accepted(v1::Accepted { task: 1 }));
+    let read = v1::Read { state: state(1), prompt_tokens: 100, ..v1::Read::default() };
+    story.frame(12.0, READER, Way::In, 1, Body::Read(read));
+    let ended = v1::Ended { status: v1::Status::ReadDone.into(), state: state(1), ..v1::Ended::default() };
+    story.frame(30.0, READER, Way::Out, 1, Body::Ended(ended));
+    story.frame(32.0, WRITER, Way::In, 1, write(1));
+    story.frame(33.0, READER, Way::In, 2, Body::Fetch(v1::Fetch { state: state(1) }));
+    story.note(35.0, ("w", 3), ran());
+    story.frame(40.0, CLIENT, Way::In, 1, Body::Tokens(v1::Tokens::default()));
+    let ended = v1::Ended { status: v1::Status::Fulfilled.into(), ..v1::Ended::default() };
+    story.frame(90.0, WRITER, Way::Out, 1, Body::Ended(ended));
+    story.frame(91.0, CLIENT, Way::In, 1, last(v1::Answer::Fulfilled));
+    story.note(9000.0, ("list", 0), Note::Expired { run: 9, task: 9, launch: 9 });
+    story
+}
+
+fn write(task: u32) -> Body {
+    Body::Write(v1::Write { state: state(task), max_tokens: 20, ..v1::Write::default() })
+}
+
+fn ran() -> Note {
+    Note::Ran { key: "k1".to_owned(), profile: "proof".to_owned() }
+}
+
+#[test]
+fn a_good_day_has_no_breach() {
+    assert_eq!(good().found(), []);
+}
+
+#[test]
+fn a_second_final_answer_is_found() {
+    let mut story = good();
+    story.frame(95.0, CLIENT, Way::In, 1, last(v1::Answer::WrittenOff));
+    assert_eq!(story.found(), [Rule::TaskLost]);
+}
+
+#[test]
+fn tokens_after_the_final_answer_are_found() {
+    let mut story = good();
+    story.frame(95.0, CLIENT, Way::In, 1, Body::Tokens(v1::Tokens::default()));
+    assert_eq!(story.found(), [Rule::TaskLost]);
+}
+
+#[test]
+fn a_task_without_an_answer_is_found_unless_its_dispatcher_was_killed() {
+    let lose = |story: &mut Story| {
+        story.records.retain(
+            |r| !matches!(&r.what, What::Frame(Way::In, f) if matches!(f.body, Some(Body::Final(_)))),
+        );
+    };
+    let mut story = good();
+    lose(&mut story);
+    assert_eq!(story.found(), [Rule::TaskLost]);
+    let mut story = good();
+    lose(&mut story);
+    story.note(90.5, ("d", 0), Note::Killed);
+    story.note(91.0, ("client", 1), Note::Closed { own: false });
+    assert_eq!(story.found(), []);
+}
+
+#[test]
+fn an_answer_after_the_clients_time_is_found() {
+    let mut story = good();
+    story.records.retain(|r| !(&*r.seer == "client" && r.at > 11.0));
+    story.frame(1200.0, CLIENT, Way::In, 1, last(v1::Answer::WrittenOff));
+    assert_eq!(story.found(), [Rule::TaskLost]);
+}
+
+#[test]
+fn a_second_run_of_an_at_most_once_task_is_found() {
+    let mut story = good();
+    story.note(300.0, ("w2", 5), ran());
+    assert_eq!(story.found(), [Rule::EffectTwice]);
+}
+
+#[test]
+fn a_bounce_of_what_ran_is_found_before_and_after_the_run() {
+    for at in [34.0, 91.0] {
+        let mut story = good();
+        story.records.retain(|r| !(&*r.seer == "client" && r.at > 11.0));
+        story.frame(at, CLIENT, Way::In, 1, last(v1::Answer::Bounced));
+        assert_eq!(story.found(), [Rule::EffectTwice], "bounced at {at}");
+    }
+}
+
+#[test]
+fn a_launch_after_a_drain_is_found_and_one_within_the_grace_is_not() {
+    for (at, found) in [(500.0, vec![]), (900.0, vec![Rule::DrainBroken])] {
+        let mut story = good();
+        story.frame(100.0, FEED, Way::Out, 1, listed(v1::HostCondition::Draining));
+        story.frame(at, WRITER, Way::In, 7, write(2));
+        assert_eq!(story.found(), found, "sent at {at}");
+    }
+    // Ready again in between.
+    let mut story = good();
+    story.frame(100.0, FEED, Way::Out, 1, listed(v1::HostCondition::Draining));
+    story.frame(800.0, FEED, Way::Out, 1, listed(v1::HostCondition::Ready));
+    story.frame(900.0, WRITER, Way::In, 7, write(2));
+    assert_eq!(story.found(), []);
+}
+
+#[test]
+fn a_cold_host_that_is_sent_too_much_by_all_together_is_found() {
+    // Bears 2 x 0.25 x 4 slot seconds in a second at its start: ten launches of 0.2; one more is slack.
+    for (launches, found) in [(9, vec![]), (14, vec![Rule::ColdHostPushed])] {
+        let mut story = good();
+        for n in 0..launches {
+            let from = if n % 2 == 0 { ("w", "d", 3) } else { ("w", "e", 6) };
+            story.frame(100.0 + f64::from(n), from, Way::In, 100 + u64::from(n), write(100 + n));
+        }
+        assert_eq!(story.found(), found, "{launches} launches");
+    }
+}
+
+#[test]
+fn a_state_that_lies_too_long_is_found_and_one_that_is_let_go_is_not() {
+    for (released, found) in [(500.0, vec![]), (800.0, vec![Rule::LeftPinned])] {
+        let mut story = good();
+        let ended =
+            v1::Ended { status: v1::Status::ReadDone.into(), state: state(2), ..v1::Ended::default() };
+        story.frame(100.0, READER, Way::Out, 9, Body::Ended(ended));
+        story.frame(100.0 + released, READER, Way::In, 0, Body::Release(v1::Release { state: state(2) }));
+        assert_eq!(story.found(), found, "released after {released}");
+    }
+    // Never let go, by a dispatcher that lives, and by one that is killed at once.
+    for (killed, found) in [(false, vec![Rule::LeftPinned]), (true, vec![])] {
+        let mut story = good();
+        let ended =
+            v1::Ended { status: v1::Status::ReadDone.into(), state: state(2), ..v1::Ended::default() };
+        story.frame(100.0, READER, Way::Out, 9, Body::Ended(ended));
+        if killed {
+            story.note(150.0, ("d", 0), Note::Killed);
+        }
+        assert_eq!(story.found(), found, "killed: {killed}");
+    }
+}
+
+#[test]
+fn a_state_is_not_idle_while_a_launch_is_out_for_it() {
+    let mut story = good();
+    let ended = v1::Ended { status: v1::Status::ReadDone.into(), state: state(2), ..v1::Ended::default() };
+    story.frame(100.0, READER, Way::Out, 9, Body::Ended(ended));
+    story.frame(300.0, WRITER, Way::In, 9, write(2));
+    let full = v1::Ended { status: v1::Status::Full.into(), ..v1::Ended::default() };
+    story.frame(3000.0, WRITER, Way::Out, 9, Body::Ended(full));
+    story.frame(3400.0, READER, Way::In, 0, Body::Release(v1::Release { state: state(2) }));
+    assert_eq!(story.found(), []);
+}
+
+#[test]
+fn a_transcript_is_read_back_as_it_was_written() {
+    let records = good().records;
+    let mut file = Vec::new();
+    transcript::write(&records, &mut file).expect("memory takes it");
+    assert_eq!(transcript::read(&file[..]).expect("it is one"), records);
+    let cut = &file[..file.len() / 2];
+    let problem = transcript::read(cut).expect_err("a line is cut");
+    assert!(problem.to_string().starts_with("line "), "{problem}");
+}
