--- a/crates/cindercleat-cli/src/day.rs
+++ b/crates/cindercleat-cli/src/day.rs
@@ -158,7 +158,7 @@
     }
 }
 
-type TcpHost = Host<Tcp, TokioClock>;
+pub type TcpHost = Host<Tcp, TokioClock>;
 
 /// Stand-ins of a fleet on loopback ports of the system's choice.
 pub struct Fleet {
