--- a/crates/cindercleat-cli/src/script.rs
+++ b/crates/cindercleat-cli/src/script.rs
@@ -120,12 +120,14 @@
     let [traffic] = section.blocks("traffic")[..] else { return Err(section.lacks("traffic")) };
     let length = section.value::<Time>("length")?.0;
     let habits = habits(traffic, &service, length)?;
-    let faults = section.all("at").into_iter().map(|line| fault(line, &hosts)).collect::<Result<_, _>>()?;
+    let dispatchers = section.value("dispatchers")?;
+    let faults = section.all("at").into_iter().map(|line| fault(line, &hosts, dispatchers));
+    let faults = faults.collect::<Result<_, _>>()?;
     let day = Day {
         name: section.value("day")?,
         seed: section.value("seed")?,
         service,
-        dispatchers: section.value("dispatchers")?,
+        dispatchers,
         hosts,
         habits,
         list_delay: section.value_or("list-delay", Time(0.0))?.0,
@@ -214,7 +216,7 @@
     Ok(habits)
 }
 
-fn fault(line: &Line, hosts: &[HostSpec]) -> Result<Fault, Problem> {
+fn fault(line: &Line, hosts: &[HostSpec], count: u32) -> Result<Fault, Problem> {
     let at = line.value::<Time>(1)?.0;
     let word: String = line.value(2)?;
     let length = line.after::<Time>("for")?.map_or(0.0, |t| t.0);
@@ -256,8 +258,10 @@
                 "readers" if !dispatchers => whom.extend(role(Does::Reads)),
                 "writers" if !dispatchers => whom.extend(role(Does::Writes)),
                 "all" if !dispatchers => whom.extend(hosts.iter().map(|h| h.name.clone())),
-                name if dispatchers && name.parse::<u32>().is_ok() => whom.push(name.to_owned()),
-                name if hosts.iter().any(|h| h.name == name) => whom.push(name.to_owned()),
+                name if dispatchers && name.parse::<u32>().is_ok_and(|n| n < count) => {
+                    whom.push(name.to_owned())
+                }
+                name if !dispatchers && hosts.iter().any(|h| h.name == name) => whom.push(name.to_owned()),
                 _ if dispatchers => return Err(line.wrong("dispatchers' numbers, counted from 0")),
                 _ => return Err(line.wrong("hosts' names, readers, writers or all")),
             }
--- /dev/null
+++ b/crates/cindercleat-cli/tests/program.rs
@@ -0,0 +1,108 @@
+//! The program as its users start it, on loopback ports of the system's choice.
+
+use std::io::{BufRead, BufReader};
+use std::process::{Command, Output, Stdio};
+
+fn program(args: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cindercleat"));
+    command.args(args).current_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/../.."));
+    command
+}
+
+fn run(args: &[&str]) -> (Option<i32>, String, String) {
+    let Output { status, stdout, stderr } = program(args).output().expect("it starts");
+    let text = |bytes| String::from_utf8_lossy(bytes).into_owned();
+    (status.code(), text(&stdout), text(&stderr))
+}
+
+/// A file of its own for each test.
+fn file(name: &str, text: &str) -> String {
+    let path = std::env::temp_dir().join(format!("cindercleat-test-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).expect("the folder for passing files takes it");
+    path.display().to_string()
+}
+
+#[test]
+fn a_short_bad_day_keeps_the_rules() {
+    let report = file("report.json", "");
+    let (code, out, err) = run(&["day", "days/short-day.conf", "--report", &report]);
+    assert_eq!(code, Some(0), "{out}{err}");
+    assert!(out.contains("rules: kept"), "{out}");
+    let report: serde_json::Value =
+        serde_json::from_str(&std::fs::read_to_string(&report).expect("it is there")).expect("it is JSON");
+    // A day that met nothing proves nothing.
+    let case = |name: &str| report["cases"][name].as_u64().unwrap_or(0);
+    for (name, least) in [("tries", 800), ("at_most_once_runs", 200), ("drains", 4), ("cold_launches", 20)] {
+        assert!(case(name) >= least, "{name}: {} of {least}", case(name));
+    }
+    assert!(report["payoff_in_time"].as_f64().is_some_and(|p| p > 0.7), "{report}");
+}
+
+#[test]
+fn a_first_look_streams_a_task() {
+    let (code, out, err) = run(&["try"]);
+    assert_eq!(code, Some(0), "{out}{err}");
+    assert!(out.contains("the class of this year") && out.contains("Fulfilled"), "{out}");
+}
+
+#[test]
+fn bad_input_ends_with_2_and_names_the_place() {
+    let bad = file("bad.conf", "name d\nzones a\nprofile p\n");
+    for args in [["check", &bad], ["serve", &bad], ["day", &bad]] {
+        let (code, out, err) = run(&args);
+        assert_eq!(code, Some(2), "{args:?}: {err}");
+        assert!(err.contains(&format!("{bad}:3: expected 'end'")), "{err}");
+        assert_eq!(out, "");
+    }
+    assert_eq!(run(&["check", "/nowhere"]).0, Some(2));
+    assert_eq!(run(&["day", "--from-bench", &bad]).0, Some(2));
+    assert_eq!(run(&["dance"]).0, Some(2));
+}
+
+#[test]
+fn a_day_drawn_by_the_bench_is_translated() {
+    let trouble = |kind: &str| {
+        format!(
+            r#"{{"kind":"{kind}","at":1000000,"len":2000000,"size":2.0,"extra":0.1,"on":[0,1],"which":0}}"#
+        )
+    };
+    let kinds =
+        "crash mass_restart slow neighbour ageing pauses fast_errors flush report_late throttle burst \
+                 hot_key heavy_tail retry_abuse handshake_slow balancer_roll";
+    let troubles: Vec<String> = kinds.split_whitespace().map(trouble).collect();
+    let day = |troubles: &str| {
+        format!(
+            r#"{{"length":40000000,"site":"x","fam":{{"roles":["read","write"]}},"balancers":[1,2],
+                "servers":[{{"kind":0}},{{"kind":1}},{{"kind":1}}],"troubles":[{troubles}]}}"#
+        )
+    };
+    let read = |text: &str| cindercleat_cli::bench_day::read("day.json", text);
+    let read_all = read(&day(&troubles.join(","))).expect("all kinds are known");
+    assert!(read_all.faults.len() >= 16);
+    assert!(read_all.faults.iter().all(|f| f.trouble.is_service_wide() || !f.whom.is_empty()));
+    let unknown = read(&day(&trouble("plague"))).expect_err("it is not known");
+    assert!(unknown.contains("plague"), "{unknown}");
+}
+
+#[test]
+fn serve_starts_says_where_and_stops_in_order() {
+    let conf = file(
+        "serve.conf",
+        "name d\nnumber 0 of 1\nlisten 127.0.0.1:0\nlist-feed 127.0.0.1:1\nzones z\nzone z\n\
+         profile p\n effect at-most-once\n quoted 1s\n patience 2s\nend\n\
+         kind r\n does reads\n memory 1\nend\nkind w\n does writes\n memory 1\nend\n\
+         limits\n release 500ms\n launches 4\n connect 250ms\n drain-grace 1s\n fall 4 within 1s\n \
+         cold 0.3 ramp 4s\n stop-grace 1s\nend\n",
+    );
+    assert_eq!(run(&["check", &conf]).0, Some(0));
+    let mut child =
+        program(&["serve", &conf, "--log-form", "json"]).stderr(Stdio::piped()).spawn().expect("it starts");
+    let mut lines = BufReader::new(child.stderr.take().expect("it logs")).lines().map_while(Result::ok);
+    let serving = lines.find(|line| line.contains("\"serving\"")).expect("it says that it serves");
+    let line: serde_json::Value = serde_json::from_str(&serving).expect("a log line is JSON");
+    assert!(line["fields"]["address"].as_str().is_some_and(|a| a.starts_with("127.0.0.1:")), "{line}");
+    let id = child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill is there").success());
+    assert!(lines.any(|line| line.contains("\"stopped\"")));
+    assert_eq!(child.wait().expect("it ends").code(), Some(0));
+}
