--- a/crates/cindercleat-cli/tests/program.rs
+++ b/crates/cindercleat-cli/tests/program.rs
@@ -106,3 +106,22 @@
     assert!(lines.any(|line| line.contains("\"stopped\"")));
     assert_eq!(child.wait().expect("it ends").code(), Some(0));
 }
+
+#[test]
+fn dispatchers_killed_with_everything_out_leave_nothing_run_twice() {
+    let base = include_str!("../src/base.conf");
+    let script = base.replace("length 40s", "length 6s").replace("dispatchers 1", "dispatchers 2");
+    let faults =
+        "at 1s kill 0 for 300ms\nat 2s kill 1 for 300ms\nat 3s kill 0,1 for 500ms\nat 4500ms kill 0 for 1s\n";
+    let (report, script) = (file("kills.json", ""), file("kills.conf", &format!("{script}\n{faults}")));
+    let (code, out, err) = run(&["day", &script, "--report", &report]);
+    assert_eq!(code, Some(0), "{out}{err}");
+    let report: serde_json::Value =
+        serde_json::from_str(&std::fs::read_to_string(&report).expect("it is there")).expect("it is JSON");
+    let sum = |name: &str| -> u64 {
+        let profiles = report["profiles"].as_object().expect("profiles");
+        profiles.values().filter_map(|p| p[name].as_u64()).sum()
+    };
+    assert!(sum("cut") >= 10, "streams and reads were out: {out}");
+    assert!(sum("tries") > sum("tasks"), "clients came again: {out}");
+}
--- a/crates/dispatcher/tests/ledger.rs
+++ b/crates/dispatcher/tests/ledger.rs
@@ -332,3 +332,36 @@
     let warned = out.iter().filter(|o| matches!(o, Output::Log { text, .. } if text.contains("w3"))).count();
     assert_eq!(warned, 1);
 }
+
+#[test]
+fn two_hundred_states_held_at_once_are_taken_or_let_go_within_the_release_time() {
+    let mut bench = Bench::new();
+    // Room for all: each reader bears more as more comes back in time.
+    let mut held = Vec::new();
+    for stream in 1..=400 {
+        let out = bench.client(stream, Body::Submit(submit("draft")));
+        held.extend(bench.launches(&out));
+        if held.len() >= 8 {
+            break;
+        }
+    }
+    bench.told("w1", HostCondition::Gone);
+    bench.told("w2", HostCondition::Gone);
+    let mut ended = 0;
+    let mut out = Vec::new();
+    let begin = bench.now;
+    while let Some(read) = held.pop() {
+        ended += 1;
+        let now = bench.ended(&read, Status::ReadDone);
+        held.extend(bench.launches(&now));
+        out.extend(now);
+        if ended == 200 {
+            break;
+        }
+    }
+    assert!(ended >= 8, "{ended} states held");
+    assert_eq!(bench.now, begin, "all in one instant");
+    out.extend(bench.pass(499.0));
+    let released = to_hosts(&out).iter().filter(|said| **said == "release").count();
+    assert_eq!(released, ended);
+}
--- a/crates/standin/src/audit.rs
+++ b/crates/standin/src/audit.rs
@@ -360,6 +360,8 @@
     let mut held: BTreeMap<Key, (Ms, &Record)> = BTreeMap::new();
     let mut over: BTreeMap<Key, Ms> = BTreeMap::new();
     let mut died: BTreeMap<&str, Vec<Ms>> = BTreeMap::new();
+    // When each process of a dispatcher was first met.
+    let mut met: BTreeMap<u64, Ms> = BTreeMap::new();
     for record in records {
         match &record.what {
             What::Frame(Way::Out, frame) => {
@@ -368,6 +370,9 @@
                 }
             }
             What::Frame(Way::In, frame) => {
+                if let Some(Body::Hello(hello)) = &frame.body {
+                    met.entry(hello.run).or_insert(record.at);
+                }
                 let state = match &frame.body {
                     Some(Body::Release(release)) => release.state,
                     Some(Body::Fetch(fetch)) => fetch.state,
@@ -392,8 +397,10 @@
     }
     for (state, (since, record)) in held {
         let first = |times: Option<&Vec<Ms>>| times.into_iter().flatten().copied().find(|at| *at >= since);
-        let ends =
-            [over.get(&state).copied(), first(died.get(&*record.seer)), first(kills.get(&*record.peer))];
+        // A read may end at its host just after its dispatcher was killed, and before the connection is cut.
+        let since_met = met.get(&state.0).copied().unwrap_or(since);
+        let killed = kills.get(&*record.peer).into_iter().flatten().copied().find(|at| *at >= since_met);
+        let ends = [over.get(&state).copied(), first(died.get(&*record.seer)), killed];
         let until = ends.into_iter().flatten().fold(end, f64::min);
         let mut idle_since = since;
         let mut outs = out.remove(&state).unwrap_or_default();
--- a/crates/standin/tests/audit.rs
+++ b/crates/standin/tests/audit.rs
@@ -209,6 +209,21 @@
     }
 }
 
+#[test]
+fn a_read_that_ends_just_after_its_dispatcher_was_killed_is_nobodys_breach() {
+    for (run, found) in [(1, vec![]), (2, vec![Rule::LeftPinned])] {
+        let mut story = good();
+        for (at, run) in [(1.0, 1), (300.0, 2)] {
+            story.frame(at, READER, Way::In, 0, Body::Hello(v1::Hello { run, ..v1::Hello::default() }));
+        }
+        story.note(200.0, ("d", 0), Note::Killed);
+        let state = Some(v1::StateId { run, task: 2, launch: 0 });
+        let ended = v1::Ended { status: v1::Status::ReadDone.into(), state, ..v1::Ended::default() };
+        story.frame(if run == 1 { 201.0 } else { 400.0 }, READER, Way::Out, 9, Body::Ended(ended));
+        assert_eq!(story.found(), found, "run {run}");
+    }
+}
+
 #[test]
 fn a_state_is_not_idle_while_a_launch_is_out_for_it() {
     let mut story = good();
