Channels to a host decided in a module without I/O: room ahead, keep-alive, backoff

Need: a peer that is gone without a word was found only by each task's own time, a host that was down was dialled by every task chosen for it, and the gRPC path wants these decisions apart from its code. Change: src/channels.rs decides where a stream goes, when one more channel is connected, pinged or closed; the ledger's links ask it. Pings on the wire. Ten tests on tables and 500 random sequences; the ledger's random rows answer pings or do not.

--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -4,6 +4,7 @@
 use super::links::Use;
 use super::*;
 use crate::ledger::tasks::Launch;
+use cindercleat::channels::{Do, Refusal, Why};
 
 /// The whole of the credit is given back in so many parts.
 const CREDIT_PARTS: u32 = 2;
@@ -33,8 +34,16 @@
         let purpose = Use::Launch(id, no);
         let opened =
             self.links.open(&host, &address, purpose, self.now, &self.settings, (&mut self.timers, out));
-        let Ok((link, stream)) = opened else {
-            return self.events.push(never_sent(id, no, host, Outcome::Full, task.answered));
+        let (link, stream) = match opened {
+            Ok(place) => place,
+            // The next choice is to pass the host by for a moment, or to judge it: it could not be reached.
+            Err(refusal) => {
+                let outcome = match refusal {
+                    Refusal::AllTaken => Outcome::Full,
+                    Refusal::NotYet => Outcome::Unreachable,
+                };
+                return self.events.push(never_sent(id, no, host, outcome, task.answered));
+            }
         };
         task.out = Some(Launch {
             no,
@@ -63,7 +72,7 @@
         let Some(launch) = self.tasks.get(&id).and_then(|t| t.out.as_ref()) else { return true };
         let (link, stream) = (launch.link, launch.stream);
         if self.links.unsend(link, stream) {
-            self.links.close_stream(link, stream, self.now, self.settings.link_idle, &mut self.timers);
+            self.links.close_stream(link, stream, self.now, &mut self.timers);
             return true;
         }
         // The stream stays taken until the host ends it: what the host still works on takes room there.
@@ -187,7 +196,10 @@
             (None, Some(row)) if !states.is_empty() => {
                 let address = row.line.address.clone();
                 let to = (&mut self.timers, out);
-                self.links.want(host, &address, self.now, &self.settings, to);
+                if !self.links.want(host, &address, self.now, &self.settings, to) {
+                    let again = Due::Release(host.clone());
+                    self.timers.set(self.now + self.settings.policy.release, again);
+                }
             }
             (None, _) => {
                 self.unreleased.remove(host);
@@ -242,13 +254,13 @@
         if outcome == Outcome::TimedOut && !self.links.unsend(id, stream) {
             self.make_past(id, stream);
         } else {
-            self.links.close_stream(id, stream, self.now, self.settings.link_idle, &mut self.timers);
+            self.links.close_stream(id, stream, self.now, &mut self.timers);
         }
     }
 
     pub(super) fn close_idle(&mut self, host: &HostId, out: &mut Vec<Output>) {
         for id in self.links.ids_of(host) {
-            if self.links.is_idle(id, self.now, 0.0) {
+            if self.links.is_idle(id) {
                 self.drop_link(id, "idle", out);
             }
         }
@@ -259,8 +271,8 @@
             let reason = "not wanted any more".to_owned();
             return out.push(Output::CloseLink { link: id, reason });
         };
-        link.up = true;
         let (host, waiting) = (link.host.clone(), std::mem::take(&mut link.waiting));
+        self.links.come_up(id, self.now, &mut self.timers);
         // Guards against a drain that was learned while the link came up: a launch that has not gone out does
         // not go out any more, and is known not to have run.
         let ready = self.fleet.condition(&host) == Condition::Ready;
@@ -282,13 +294,38 @@
                 _ => out.push(Output::ToHost { link: id, frame }),
             }
         }
-        if self.links.get(id).is_some_and(|l| l.streams.is_empty()) {
-            self.timers.set(self.now + self.settings.link_idle, Due::Idle(id));
-        }
     }
 
     fn close_stream(&mut self, id: LinkId, stream: StreamNo) -> Option<Use> {
-        self.links.close_stream(id, stream, self.now, self.settings.link_idle, &mut self.timers)
+        self.links.close_stream(id, stream, self.now, &mut self.timers)
+    }
+
+    /// What has fallen due for the links to a host.
+    pub(super) fn look_at_links(&mut self, host: &HostId, out: &mut Vec<Output>) {
+        let row = self.fleet.hosts.get(host);
+        let ready = row.is_some_and(|r| r.condition == Condition::Ready);
+        let address = row.map(|r| r.line.address.clone()).unwrap_or_default();
+        for act in self.links.wanted(host, self.now, ready) {
+            match act {
+                Do::Connect => {
+                    let to = (&mut self.timers, &mut *out);
+                    self.links.dial(host, &address, self.now, &self.settings, to);
+                }
+                Do::Ping(id) => {
+                    self.links.send(LinkId(id.0), StreamNo(0), Body::Ping(v1::Ping {}), out);
+                }
+                Do::Close(id, why) => {
+                    let reason = match why {
+                        Why::ConnectTimeout => "no connection in time",
+                        Why::Idle => "idle",
+                        Why::Dead => "it does not answer",
+                        Why::Left => "it goes away",
+                    };
+                    self.drop_link(LinkId(id.0), reason, out);
+                }
+            }
+        }
+        self.links.arm_again(host, &mut self.timers);
     }
 
     /// Closes a link from this side.
@@ -301,7 +338,7 @@
 
     /// Whatever was out on a link that came up may have run; on one that did not, nothing was sent.
     pub(super) fn take_link_closed(&mut self, id: LinkId, reason: &str, out: &mut Vec<Output>) {
-        let Some(link) = self.links.remove(id) else { return };
+        let Some(link) = self.links.remove(id, self.now) else { return };
         let outcome = if link.up { Outcome::Broken } else { Outcome::Unreachable };
         if !link.streams.is_empty() {
             let streams = link.streams.len();
@@ -328,8 +365,8 @@
     pub(super) fn take_host(&mut self, id: LinkId, frame: Frame, out: &mut Vec<Output>) {
         let stream = StreamNo(frame.stream);
         // What comes after a link was given up here is old.
-        let Some(link) = self.links.get_mut(id) else { return };
-        link.heard = self.now;
+        self.links.heard(id, self.now);
+        let Some(link) = self.links.get(id) else { return };
         let host = link.host.clone();
         let purpose = link.streams.get(&stream).copied();
         let name = name_of(frame.body.as_ref());
@@ -358,6 +395,7 @@
                 true
             }
             (Some(Use::Past), Some(Body::Tokens(_))) => true,
+            (None, Some(Body::Pong(_))) if stream.0 == 0 => true,
             (None, Some(Body::Goodbye(bye))) if stream.0 == 0 => {
                 self.drop_link(id, &format!("it said goodbye: {}", bye.reason), out);
                 true
--- a/crates/dispatcher/src/ledger/links.rs
+++ b/crates/dispatcher/src/ledger/links.rs
@@ -1,8 +1,10 @@
-//! Links: connections to model hosts. Which one a stream takes, when one more is dialled, when one is closed.
+//! Links: connections to model hosts, and what is out on each. Which one a stream takes, when one more is
+//! dialled, asked whether it lives or closed, [`Channels`] decides.
 
 use super::timers::{Due, Timers};
 use super::{LinkId, Output, StreamNo};
 use crate::settings::ProgramSettings;
+use cindercleat::channels::{ChannelId, Channels, Do, Placement, Refusal};
 use cindercleat::interface::{HostId, LaunchNo, Ms, TaskId};
 use cindercleat_protocol::{frame, Body};
 use std::collections::BTreeMap;
@@ -30,14 +32,6 @@
     /// When it last sent anything.
     pub heard: Ms,
     next_stream: u64,
-    idle_since: Ms,
-}
-
-/// Why no stream could be had.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum NoStream {
-    /// Every link that we may have to it carries all that it may.
-    AllTaken,
 }
 
 #[derive(Debug, Default)]
@@ -45,9 +39,18 @@
     all: BTreeMap<LinkId, Link>,
     of: BTreeMap<HostId, Vec<LinkId>>,
     made: u64,
+    decide: BTreeMap<HostId, Channels>,
+    /// When the timer of a host's links is due.
+    armed: BTreeMap<HostId, Ms>,
+    seed: u64,
 }
 
 impl Links {
+    /// `seed` starts the chance in when a connect is tried again.
+    pub fn new(seed: u64) -> Self {
+        Links { seed, ..Links::default() }
+    }
+
     pub fn get(&self, id: LinkId) -> Option<&Link> {
         self.all.get(&id)
     }
@@ -64,8 +67,10 @@
         self.of.get(host).cloned().unwrap_or_default()
     }
 
-    /// A stream at `host`: on the fullest link that is up and has room, else on one that is coming up, else
-    /// on a new one. Full links stay few, so that the idle ones can close.
+    /// A stream at `host`, on a link that is dialled if need be.
+    ///
+    /// # Errors
+    /// No link may carry it now; it has not run.
     pub fn open(
         &mut self,
         host: &HostId,
@@ -74,26 +79,96 @@
         now: Ms,
         settings: &ProgramSettings,
         (timers, out): (&mut Timers, &mut Vec<Output>),
-    ) -> Result<(LinkId, StreamNo), NoStream> {
-        let ids = self.ids_of(host);
-        let room = |id: &&LinkId| {
-            let link = self.all.get(id);
-            link.is_some_and(|l| l.streams.len() < settings.streams_per_link && l.address == address)
-        };
-        let rank = |id: &&LinkId| self.all.get(id).map(|l| (l.up, l.streams.len()));
-        let chosen = match ids.iter().filter(room).max_by_key(rank).copied() {
-            Some(id) => id,
-            None if ids.len() >= settings.links_per_host => return Err(NoStream::AllTaken),
-            None => self.dial(host, address, now, settings, (timers, out)),
-        };
-        let link = self.all.get_mut(&chosen).ok_or(NoStream::AllTaken)?;
+    ) -> Result<(LinkId, StreamNo), Refusal> {
+        let chosen = self.place(host, address, now, settings, (timers, out))?;
+        let link = self.all.get_mut(&chosen).ok_or(Refusal::AllTaken)?;
         let stream = StreamNo(link.next_stream);
         link.next_stream += 1;
         link.streams.insert(stream, purpose);
+        let channels = self.decide.get_mut(host);
+        let more = channels.is_some_and(|channels| {
+            channels.opened(ChannelId(chosen.0), now);
+            channels.wants_more(now)
+        });
+        if more {
+            self.dial(host, address, now, settings, (timers, out));
+        }
+        self.arm(host, timers);
         Ok((chosen, stream))
     }
 
-    fn dial(
+    fn place(
+        &mut self,
+        host: &HostId,
+        address: &str,
+        now: Ms,
+        settings: &ProgramSettings,
+        to: (&mut Timers, &mut Vec<Output>),
+    ) -> Result<LinkId, Refusal> {
+        let new = || Channels::new(settings.channels(), self.seed ^ self.decide.len() as u64);
+        let ids = self.of.get(host).into_iter().flatten();
+        let moved: Vec<LinkId> = ids.copied().filter(|id| self.all[id].address != address).collect();
+        if !self.decide.contains_key(host) {
+            let channels = new();
+            self.decide.insert(host.clone(), channels);
+        }
+        let Some(channels) = self.decide.get_mut(host) else { return Err(Refusal::NotYet) };
+        // The host has another address now: what is out there ends there.
+        moved.iter().for_each(|id| channels.going_away(ChannelId(id.0)));
+        match channels.place(now) {
+            Placement::On(id) => Ok(LinkId(id.0)),
+            Placement::Connect => Ok(self.dial(host, address, now, settings, to)),
+            Placement::Nowhere(refusal) => Err(refusal),
+        }
+    }
+
+    /// Sets the timer for what falls due next at a host's links, unless an earlier one is set: it looks again.
+    fn arm(&mut self, host: &HostId, timers: &mut Timers) {
+        let Some(at) = self.decide.get(host).and_then(Channels::next_at) else { return };
+        if self.armed.get(host).is_none_or(|armed| at < *armed) {
+            self.armed.insert(host.clone(), at);
+            timers.set(at, Due::Links(host.clone()));
+        }
+    }
+
+    /// What is to be done by now about a host's links.
+    pub fn wanted(&mut self, host: &HostId, now: Ms, ready: bool) -> Vec<Do> {
+        self.armed.remove(host);
+        self.decide.get_mut(host).map(|channels| channels.wanted(now, ready)).unwrap_or_default()
+    }
+
+    pub fn arm_again(&mut self, host: &HostId, timers: &mut Timers) {
+        self.arm(host, timers);
+    }
+
+    /// The link is up.
+    pub fn come_up(&mut self, id: LinkId, now: Ms, timers: &mut Timers) {
+        let Some(link) = self.all.get_mut(&id) else { return };
+        link.up = true;
+        let host = link.host.clone();
+        if let Some(channels) = self.decide.get_mut(&host) {
+            channels.up(ChannelId(id.0), None, now);
+        }
+        self.arm(&host, timers);
+    }
+
+    /// Something came over it.
+    pub fn heard(&mut self, id: LinkId, now: Ms) {
+        let Some(link) = self.all.get_mut(&id) else { return };
+        link.heard = now;
+        if let Some(channels) = self.decide.get_mut(&link.host) {
+            channels.heard(ChannelId(id.0), now);
+        }
+    }
+
+    /// The list tells of a new process there: what failed with the old one says nothing of it.
+    pub fn renewed(&mut self, host: &HostId) {
+        if let Some(channels) = self.decide.get_mut(host) {
+            channels.renewed();
+        }
+    }
+
+    pub fn dial(
         &mut self,
         host: &HostId,
         address: &str,
@@ -105,19 +180,20 @@
         let id = LinkId(self.made);
         let (host, address) = (host.clone(), address.to_owned());
         out.push(Output::Dial { link: id, host: host.clone(), address: address.clone() });
-        timers.set(now + settings.policy.connect_timeout, Due::Connect(id));
+        let new = || Channels::new(settings.channels(), self.seed ^ id.0);
+        self.decide.entry(host.clone()).or_insert_with(new).connecting(ChannelId(id.0), now);
         self.of.entry(host.clone()).or_default().push(id);
         let link = Link {
-            host,
+            host: host.clone(),
             address,
             up: false,
             streams: BTreeMap::new(),
             waiting: Vec::new(),
             heard: now,
             next_stream: 1,
-            idle_since: now,
         };
         self.all.insert(id, link);
+        self.arm(&host, timers);
         id
     }
 
@@ -127,7 +203,7 @@
         ids.iter().copied().find(|id| self.all.get(id).is_some_and(|l| l.up))
     }
 
-    /// Sees to it that a link to the host is up or coming up.
+    /// Sees to it that a link to the host is up or coming up; tells whether it could.
     pub fn want(
         &mut self,
         host: &HostId,
@@ -135,10 +211,8 @@
         now: Ms,
         settings: &ProgramSettings,
         to: (&mut Timers, &mut Vec<Output>),
-    ) {
-        if !self.of.contains_key(host) {
-            self.dial(host, address, now, settings, to);
-        }
+    ) -> bool {
+        self.of.contains_key(host) || self.place(host, address, now, settings, to).is_ok()
     }
 
     /// Sends now, or once the link is up.
@@ -165,26 +239,28 @@
         id: LinkId,
         stream: StreamNo,
         now: Ms,
-        idle: Ms,
         timers: &mut Timers,
     ) -> Option<Use> {
         let link = self.all.get_mut(&id)?;
-        let purpose = link.streams.remove(&stream);
-        if link.streams.is_empty() {
-            link.idle_since = now;
-            timers.set(now + idle, Due::Idle(id));
+        let purpose = link.streams.remove(&stream)?;
+        let host = link.host.clone();
+        if let Some(channels) = self.decide.get_mut(&host) {
+            channels.ended(ChannelId(id.0), now);
         }
-        purpose
+        self.arm(&host, timers);
+        Some(purpose)
     }
 
-    /// Whether the link has been without streams for so long.
-    pub fn is_idle(&self, id: LinkId, now: Ms, idle: Ms) -> bool {
-        let link = self.all.get(&id);
-        link.is_some_and(|l| l.up && l.streams.is_empty() && now >= l.idle_since + idle)
+    /// Whether the link is up and carries nothing.
+    pub fn is_idle(&self, id: LinkId) -> bool {
+        self.all.get(&id).is_some_and(|l| l.up && l.streams.is_empty())
     }
 
-    pub fn remove(&mut self, id: LinkId) -> Option<Link> {
+    pub fn remove(&mut self, id: LinkId, now: Ms) -> Option<Link> {
         let link = self.all.remove(&id)?;
+        if let Some(channels) = self.decide.get_mut(&link.host) {
+            channels.closed(ChannelId(id.0), now);
+        }
         if let Some(ids) = self.of.get_mut(&link.host) {
             ids.retain(|other| *other != id);
             if ids.is_empty() {
--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -149,7 +149,7 @@
             tickets: BTreeMap::new(),
             next_task: 0,
             fleet: Fleet::default(),
-            links: Links::default(),
+            links: Links::new(seed),
             timers: Timers::default(),
             unreleased: BTreeMap::new(),
             events: Vec::new(),
@@ -242,16 +242,7 @@
             Due::Launch(task, launch) => self.time_out(task, launch, out),
             Due::Patience(id) => self.end_patience(id, out),
             Due::Stall(task, launch) => self.look_at_stream(task, launch, out),
-            Due::Connect(link) => {
-                if self.links.get(link).is_some_and(|l| !l.up) {
-                    self.drop_link(link, "no connection in time", out);
-                }
-            }
-            Due::Idle(link) => {
-                if self.links.is_idle(link, self.now, self.settings.link_idle) {
-                    self.drop_link(link, "idle", out);
-                }
-            }
+            Due::Links(host) => self.look_at_links(&host, out),
             Due::Probe(link, stream) => self.end_probe(link, stream, Outcome::TimedOut, Load::default()),
             Due::Past(link, stream) => self.look_at_past(link, stream, out),
             Due::Release(host) => self.flush_releases(&host, out),
@@ -415,6 +406,9 @@
         for entry in entries.iter().filter(|e| e.condition != Condition::Ready) {
             self.close_idle(&entry.host, out);
         }
+        for entry in entries.iter().filter(|e| e.started.is_some()) {
+            self.links.renewed(&entry.host);
+        }
         self.events.push(Event::Listed { kind: remembered.unwrap_or(kind), entries });
     }
 
--- a/crates/dispatcher/src/ledger/timers.rs
+++ b/crates/dispatcher/src/ledger/timers.rs
@@ -15,8 +15,8 @@
     Patience(TaskId),
     /// A stream may have stalled.
     Stall(TaskId, LaunchNo),
-    Connect(LinkId),
-    Idle(LinkId),
+    /// Something falls due for the links to this host.
+    Links(HostId),
     Probe(LinkId, StreamNo),
     /// The host should have ended what was called off.
     Past(LinkId, StreamNo),
--- a/crates/dispatcher/src/settings.rs
+++ b/crates/dispatcher/src/settings.rs
@@ -1,5 +1,6 @@
 //! What a dispatcher's program is told at its start, besides what its decisions are told.
 
+use cindercleat::channels::ChannelSettings;
 use cindercleat::interface::{Ms, Settings};
 
 /// A dispatcher's settings. Counts are upper limits; times are milliseconds.
@@ -26,6 +27,12 @@
     /// A stream whose writer sends nothing, or whose client takes nothing, for this long is over.
     pub stall_limit: Ms,
     pub probe_timeout: Ms,
+    /// A link with streams that says nothing for this long is asked, and given up if it does not answer.
+    pub quiet: Ms,
+    pub ping_timeout: Ms,
+    /// The wait after a failed connect, doubled each time up to the most.
+    pub again_first: Ms,
+    pub again_most: Ms,
     /// After a stop: how long what is open may still run.
     pub stop_grace: Ms,
     /// The largest frame taken from anybody, in bytes.
@@ -34,3 +41,18 @@
     pub most_clients: usize,
     pub greet_within: Ms,
 }
+
+impl ProgramSettings {
+    pub fn channels(&self) -> ChannelSettings {
+        ChannelSettings {
+            streams: self.streams_per_link,
+            most: self.links_per_host,
+            connect_timeout: self.policy.connect_timeout,
+            idle: self.link_idle,
+            quiet: self.quiet,
+            ping_timeout: self.ping_timeout,
+            again_first: self.again_first,
+            again_most: self.again_most,
+        }
+    }
+}
--- a/crates/dispatcher/tests/common/mod.rs
+++ b/crates/dispatcher/tests/common/mod.rs
@@ -66,6 +66,10 @@
         window: 4,
         stall_limit: 1000.0,
         probe_timeout: 250.0,
+        quiet: 2000.0,
+        ping_timeout: 1000.0,
+        again_first: 100.0,
+        again_most: 1000.0,
         stop_grace: 2000.0,
         most_frame: 1 << 16,
         most_clients: 100,
@@ -123,6 +127,7 @@
     pub out: Vec<Output>,
     hosts: BTreeMap<LinkId, String>,
     pub links_come_up: bool,
+    pub hosts_answer_pings: bool,
 }
 
 impl Bench {
@@ -132,8 +137,14 @@
 
     pub fn with(settings: ProgramSettings) -> Self {
         let ledger = Ledger::new(settings, 1);
-        let mut bench =
-            Bench { ledger, now: 1000.0, out: Vec::new(), hosts: BTreeMap::new(), links_come_up: true };
+        let mut bench = Bench {
+            ledger,
+            now: 1000.0,
+            out: Vec::new(),
+            hosts: BTreeMap::new(),
+            links_come_up: true,
+            hosts_answer_pings: true,
+        };
         let ready = v1::HostCondition::Ready;
         let all = [("r1", ready), ("r2", ready), ("w1", ready), ("w2", ready)];
         bench.put(Input::Listed(list(v1::ListKind::Full, &all)));
@@ -148,11 +159,20 @@
             let mut out = Vec::new();
             self.ledger.handle(self.now, input, &mut out);
             for output in &out {
-                if let Output::Dial { link, host, .. } = output {
-                    self.hosts.insert(*link, host.0.to_string());
-                    if self.links_come_up {
-                        next.push(Input::LinkUp { link: *link });
+                match output {
+                    Output::Dial { link, host, .. } => {
+                        self.hosts.insert(*link, host.0.to_string());
+                        if self.links_come_up {
+                            next.push(Input::LinkUp { link: *link });
+                        }
+                    }
+                    Output::ToHost { link, frame: Frame { body: Some(Body::Ping(_)), .. } }
+                        if self.hosts_answer_pings =>
+                    {
+                        let frame = frame(0, Body::Pong(v1::Pong {}));
+                        next.push(Input::Host { link: *link, frame });
                     }
+                    _ => {}
                 }
             }
             all.extend(out);
--- a/crates/dispatcher/tests/ledger.rs
+++ b/crates/dispatcher/tests/ledger.rs
@@ -403,3 +403,45 @@
     bench.pass(15_100.0);
     assert_eq!(bench.ledger.held().links, 0, "idle links close");
 }
+
+#[test]
+fn a_host_that_is_gone_without_a_word_is_found_by_its_silence() {
+    for (profile, expected) in [("draft", vec![]), ("proof", vec![(1, Answer::WrittenOff)])] {
+        let mut bench = Bench::new();
+        bench.hosts_answer_pings = false;
+        let write = bench.writing(1, profile);
+        let out = bench.pass(1999.0);
+        assert!(!to_hosts(&out).contains(&"ping"), "it is not asked yet");
+        let out = bench.pass(2.0);
+        assert!(to_hosts(&out).contains(&"ping"));
+        let out = bench.pass(1000.0);
+        assert!(out.iter().any(|o| matches!(o, Output::CloseLink { link, .. } if *link == write.link)));
+        assert_eq!(finals(&out), expected, "{profile}");
+    }
+}
+
+#[test]
+fn a_host_that_cannot_be_reached_is_not_dialled_by_every_task() {
+    let mut bench = Bench::new();
+    bench.links_come_up = false;
+    let dial = |out: &[Output]| {
+        out.iter().find_map(|o| match o {
+            Output::Dial { link, .. } => Some(*link),
+            _ => None,
+        })
+    };
+    let mut dials = 0;
+    for stream in 1..=50 {
+        let out = bench.client(stream, Body::Submit(submit("draft")));
+        if let Some(link) = dial(&out) {
+            dials += 1;
+            bench.put(Input::LinkClosed { link, reason: "refused".to_owned() });
+        }
+        bench.pass(10.0);
+    }
+    assert!((1..=10).contains(&dials), "{dials} dials in half a second");
+    // Later it is tried again.
+    bench.pass(5000.0);
+    let out = bench.client(99, Body::Submit(submit("draft")));
+    assert!(dial(&out).is_some());
+}
--- a/crates/dispatcher/tests/random.rs
+++ b/crates/dispatcher/tests/random.rs
@@ -62,6 +62,7 @@
     next_stream: u64,
     answers: [usize; 3],
     probes: Vec<(LinkId, u64)>,
+    pings: Vec<LinkId>,
 }
 
 impl World {
@@ -83,6 +84,7 @@
             next_stream: 1,
             answers: [0; 3],
             probes: Vec::new(),
+            pings: Vec::new(),
         }
     }
 
@@ -160,6 +162,10 @@
                 found.into_iter().for_each(|l| l.credit += credit.messages);
                 return Ok(());
             }
+            Some(Body::Ping(_)) => {
+                self.pings.push(link);
+                return Ok(());
+            }
             Some(Body::Probe(_)) => {
                 self.probes.push((link, stream));
                 return Ok(());
@@ -235,6 +241,11 @@
             self.put(Input::Tick)?;
         }
         self.now = until;
+        for link in std::mem::take(&mut self.pings) {
+            if whom % 4 > 0 && self.links.contains_key(&link) {
+                self.put(Input::Host { link, frame: frame(0, Body::Pong(v1::Pong {})) })?;
+            }
+        }
         let pick = |n: usize| usize::from(whom) % n.max(1);
         match what % 20 {
             0..=4 => {
@@ -336,7 +347,7 @@
         self.put(Input::ClientClosed { conn: ConnId(1) })?;
         // Whom the ledger still dials, to let states go, cannot be had; then the states are not its to keep.
         self.held.clear();
-        for _ in 0..200 {
+        for _ in 0..400 {
             let Some(at) = self.ledger.wants_call_at() else { break };
             self.now = self.now.max(at);
             self.put(Input::Tick)?;
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -147,6 +147,8 @@
         Some(Body::List(_)) => "list",
         Some(Body::Peer(_)) => "peer",
         Some(Body::Rejected(_)) => "rejected",
+        Some(Body::Ping(_)) => "ping",
+        Some(Body::Pong(_)) => "pong",
     }
 }
 
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -388,6 +388,7 @@
                 }
                 Some(Body::Release(v1::Release { state: Some(state) })) => self.let_go(key(&state)),
                 Some(Body::Probe(_)) => self.say(&conn, stream, Body::Load(self.load().unwrap_or_default())),
+                Some(Body::Ping(_)) => self.say(&conn, stream, Body::Pong(v1::Pong {})),
                 Some(Body::Hold(_)) => self.say(&conn, stream, Body::Place(v1::Place { held: false })),
                 Some(Body::Fetch(v1::Fetch { state: Some(state) })) => {
                     let tokens = self.inner.live.borrow().states.get(&key(&state)).copied();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,9 @@
 //! cindercleat: routing decisions for language-model servers that read and write in two stages.
 //!
-//! [`control::Control`] decides; [`interface`] holds the plain types that callers exchange with it.
+//! [`control::Control`] decides about tasks, [`channels::Channels`] about the connections to a host; [`interface`]
+//! holds the plain types that callers exchange with the first.
 #![forbid(unsafe_code)]
 
+pub mod channels;
 pub mod control;
 pub mod interface;
--- /dev/null
+++ b/tests/channels.rs
@@ -0,0 +1,252 @@
+//! Channels to a host: tables of what is decided, and random sequences held against what must always be so.
+
+use cindercleat::channels::*;
+use cindercleat::interface::Ms;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::BTreeMap;
+
+fn settings() -> ChannelSettings {
+    ChannelSettings {
+        streams: 10,
+        most: 3,
+        connect_timeout: 250.0,
+        idle: 5000.0,
+        quiet: 2000.0,
+        ping_timeout: 500.0,
+        again_first: 100.0,
+        again_most: 1000.0,
+    }
+}
+
+const A: ChannelId = ChannelId(1);
+const B: ChannelId = ChannelId(2);
+
+/// One channel that is up and carries so many streams.
+fn carrying(streams: usize) -> Channels {
+    let mut channels = Channels::new(settings(), 1);
+    channels.connecting(A, 0.0);
+    channels.up(A, None, 10.0);
+    (0..streams).for_each(|_| channels.opened(A, 10.0));
+    channels
+}
+
+#[test]
+fn a_stream_takes_the_fullest_channel_with_room_and_waits_for_none_that_is_up() {
+    let mut channels = carrying(3);
+    channels.connecting(B, 10.0);
+    channels.opened(B, 10.0);
+    assert_eq!(channels.place(11.0), Placement::On(A));
+    channels.up(B, None, 12.0);
+    (0..4).for_each(|_| channels.opened(B, 12.0));
+    assert_eq!(channels.place(13.0), Placement::On(B));
+}
+
+#[test]
+fn the_hosts_own_limit_counts_if_it_is_lower() {
+    let mut channels = Channels::new(settings(), 1);
+    channels.connecting(A, 0.0);
+    channels.up(A, Some(2), 1.0);
+    (0..2).for_each(|_| channels.opened(A, 1.0));
+    assert_eq!(channels.place(2.0), Placement::Connect);
+}
+
+#[test]
+fn beyond_the_most_channels_there_is_no_place() {
+    let mut channels = Channels::new(settings(), 1);
+    for id in 1..=3 {
+        assert_eq!(channels.place(1.0), Placement::Connect);
+        channels.connecting(ChannelId(id), 1.0);
+        channels.up(ChannelId(id), None, 1.0);
+        (0..10).for_each(|_| channels.opened(ChannelId(id), 1.0));
+    }
+    assert_eq!(channels.place(1.0), Placement::Nowhere(Refusal::AllTaken));
+    assert_eq!(channels.wanted(1.0, true), [], "nor is one connected ahead");
+}
+
+#[test]
+fn one_is_connected_ahead_when_little_room_is_left_and_not_to_a_host_that_drains() {
+    let mut channels = carrying(8);
+    assert_eq!(channels.wanted(11.0, true), [], "two of ten are room enough");
+    channels.opened(A, 11.0);
+    assert_eq!(channels.wanted(11.0, false), []);
+    assert_eq!(channels.wanted(11.0, true), [Do::Connect]);
+    channels.connecting(B, 11.0);
+    assert_eq!(channels.wanted(11.0, true), [], "one is coming");
+}
+
+#[test]
+fn a_channel_that_goes_away_carries_what_it_has_and_nothing_new() {
+    let mut channels = carrying(1);
+    channels.going_away(A);
+    assert_eq!(channels.place(20.0), Placement::Connect);
+    assert_eq!(channels.wanted(20.0, true), [Do::Connect], "what is in use is replaced ahead of need");
+    channels.ended(A, 30.0);
+    assert_eq!(channels.wanted(30.0, true), [Do::Close(A, Why::Left)]);
+}
+
+#[test]
+fn failed_connects_are_tried_again_later_each_time_and_at_once_when_there_is_reason() {
+    let mut channels = Channels::new(settings(), 7);
+    let (mut now, mut waits) = (0.0, Vec::new());
+    for id in 0..8 {
+        assert_eq!(channels.place(now), Placement::Connect);
+        channels.connecting(ChannelId(id), now);
+        assert_eq!(channels.wanted(now + 249.0, true), []);
+        assert_eq!(channels.wanted(now + 250.0, true), [Do::Close(ChannelId(id), Why::ConnectTimeout)]);
+        channels.closed(ChannelId(id), now + 250.0);
+        let begin = now + 250.0;
+        now = begin;
+        while channels.place(now) == Placement::Nowhere(Refusal::NotYet) {
+            now += 1.0;
+        }
+        waits.push(now - begin);
+    }
+    // 100 ms doubled up to 1 s, half of it or half as much again by chance.
+    for (at, wait) in waits.iter().enumerate() {
+        let base = (100.0 * f64::from(at as u32).exp2()).min(1000.0);
+        assert!(*wait >= 0.5 * base && *wait <= 1.5 * base + 1.0, "{at}: {waits:?}");
+    }
+    channels.connecting(A, now);
+    channels.closed(A, now);
+    assert_eq!(channels.place(now), Placement::Nowhere(Refusal::NotYet));
+    channels.renewed();
+    assert_eq!(channels.place(now), Placement::Connect);
+}
+
+#[test]
+fn a_quiet_channel_with_streams_is_asked_and_given_up_if_it_does_not_answer() {
+    let mut channels = carrying(1);
+    assert_eq!(channels.next_at(), Some(2010.0));
+    assert_eq!(channels.wanted(2009.0, true), []);
+    assert_eq!(channels.wanted(2010.0, true), [Do::Ping(A)]);
+    assert_eq!(channels.wanted(2011.0, true), [], "it is asked once");
+    channels.heard(A, 2400.0);
+    assert_eq!(channels.wanted(2510.0, true), [], "it answered");
+    assert_eq!(channels.wanted(4400.0, true), [Do::Ping(A)]);
+    assert_eq!(channels.wanted(4899.0, true), []);
+    assert_eq!(channels.wanted(4900.0, true), [Do::Close(A, Why::Dead)]);
+}
+
+#[test]
+fn a_channel_without_streams_is_not_asked_but_closed_when_idle() {
+    let mut channels = carrying(1);
+    channels.ended(A, 100.0);
+    assert_eq!(channels.wanted(5099.0, true), []);
+    assert_eq!(channels.wanted(5100.0, true), [Do::Close(A, Why::Idle)]);
+}
+
+/// What happens, to which channel, and how many milliseconds after the last.
+type Draw = (u8, u8, u16);
+
+fn play(draws: &[Draw], seed: u64) -> Result<[usize; 3], TestCaseError> {
+    let settings = settings();
+    let mut channels = Channels::new(settings, seed);
+    // What is up or connecting, with its streams; whether it goes away; when it last spoke or began.
+    let mut mine: BTreeMap<ChannelId, (bool, usize, bool)> = BTreeMap::new();
+    let (mut now, mut next, mut met): (Ms, u64, [usize; 3]) = (0.0, 0, [0; 3]);
+    for &(what, whom, after) in draws {
+        let until = now + f64::from(after % 1500);
+        while let Some(at) = channels.next_at().filter(|at| *at <= until) {
+            now = now.max(at);
+            for act in channels.wanted(now, !whom.is_multiple_of(7)) {
+                match act {
+                    Do::Connect => {
+                        next += 1;
+                        channels.connecting(ChannelId(next), now);
+                        mine.insert(ChannelId(next), (false, 0, false));
+                    }
+                    Do::Ping(id) => {
+                        prop_assert!(mine[&id].0 && mine[&id].1 > 0, "asked without need");
+                        met[0] += 1;
+                    }
+                    Do::Close(id, why) => {
+                        let (up, streams, leaving) = mine.remove(&id).unwrap_or_default();
+                        let fits = match why {
+                            Why::ConnectTimeout => !up,
+                            Why::Idle => up && streams == 0,
+                            Why::Dead => up && streams > 0,
+                            Why::Left => leaving && streams == 0,
+                        };
+                        prop_assert!(fits, "closed for {why:?} while up {up} with {streams}");
+                        channels.closed(id, now);
+                        met[1] += 1;
+                    }
+                }
+            }
+        }
+        prop_assert!(channels.next_at().is_none_or(|at| at > until), "it wants nothing over and over");
+        now = until;
+        let pick = mine.keys().copied().nth(usize::from(whom) % mine.len().max(1));
+        match (what % 8, pick) {
+            (0..=3, _) => match channels.place(now) {
+                Placement::On(id) => {
+                    let (_, streams, leaving) =
+                        mine.get_mut(&id).map(|m| (m.0, &mut m.1, m.2)).expect("known");
+                    prop_assert!(*streams < settings.streams && !leaving);
+                    *streams += 1;
+                    channels.opened(id, now);
+                }
+                Placement::Connect => {
+                    next += 1;
+                    channels.connecting(ChannelId(next), now);
+                    mine.insert(ChannelId(next), (false, 1, false));
+                    channels.opened(ChannelId(next), now);
+                }
+                Placement::Nowhere(_) => met[2] += 1,
+            },
+            (4, Some(id)) => {
+                if let Some(m) = mine.get_mut(&id).filter(|m| !m.0 && !m.2) {
+                    m.0 = true;
+                    channels.up(id, None, now);
+                }
+            }
+            (5, Some(id)) => {
+                if let Some(m) = mine.get_mut(&id).filter(|m| m.1 > 0) {
+                    m.1 -= 1;
+                    channels.ended(id, now);
+                }
+            }
+            (6, Some(id)) => {
+                mine.remove(&id);
+                channels.closed(id, now);
+            }
+            (7, Some(id)) if mine[&id].0 => {
+                channels.heard(id, now);
+                if whom.is_multiple_of(3) {
+                    mine.entry(id).and_modify(|m| m.2 = true);
+                    channels.going_away(id);
+                }
+            }
+            _ => {}
+        }
+        let taking = mine.values().filter(|m| !m.2).count();
+        prop_assert!(taking <= settings.most, "{taking} channels");
+    }
+    Ok(met)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(3),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+    #[test]
+    fn whatever_happens_channels_stay_few_and_are_closed_for_a_reason(
+        draws in prop::collection::vec(any::<Draw>(), 1..300),
+        seed in any::<u64>(),
+    ) {
+        play(&draws, seed)?;
+    }
+}
+
+#[test]
+fn long_sequences_meet_pings_closes_and_refusals() {
+    let mix = |i: u32| i.wrapping_mul(0x9e37_79b9) ^ (i >> 2).wrapping_mul(0x85eb_ca6b);
+    let draws: Vec<Draw> =
+        (0..20_000).map(mix).map(|m| ((m >> 24) as u8, (m >> 9) as u8, ((m >> 3) % 1400) as u16)).collect();
+    let met = play(&draws, 2).unwrap_or_else(|e| panic!("{e}"));
+    assert!(met.iter().all(|n| *n > 10), "{met:?}");
+}
