gRPC sessions on any byte stream, and what statuses and resets prove

Need: the whole path over gRPC, on a transport and a clock that are parameters and on one thread. Change: services in the schema; src/status.rs decides which status stands for which answer and what an end of a call proves; crates/grpc carries frames as calls on h2, with resets, credit by holding back reads, pings, greetings and trailers. tonic was looked at and left for the path itself: its channels want threads and hide resets and the last stream id. Not wired into the program yet. A connection's window of the default size let it hold the neighbour back.

--- /dev/null
+++ b/crates/grpc/src/call.rs
@@ -0,0 +1,117 @@
+//! Which call each message belongs to: paths of services, messages as bodies of frames, the end of a call.
+
+use bytes::Bytes;
+use cindercleat::status::{to_client, Code, Told};
+use cindercleat_protocol::{v1, Body};
+use prost::Message;
+
+/// What is to go out on a call.
+pub enum Say {
+    Body(Body),
+}
+
+/// The path of the call that a body begins.
+pub fn path(body: &Body) -> Option<&'static str> {
+    Some(match body {
+        Body::Submit(_) => "/cindercleat.v1.Router/Run",
+        Body::Read(_) => "/cindercleat.v1.Host/Read",
+        Body::Write(_) => "/cindercleat.v1.Host/Write",
+        Body::Release(_) => "/cindercleat.v1.Host/Release",
+        Body::Probe(_) => "/cindercleat.v1.Host/Probe",
+        Body::Hold(_) => "/cindercleat.v1.Host/Hold",
+        Body::Fetch(_) => "/cindercleat.v1.Host/Fetch",
+        Body::Follow(_) => "/cindercleat.v1.List/Follow",
+        _ => return None,
+    })
+}
+
+/// The service that a caller greets.
+pub fn greet_path(party: v1::Party) -> &'static str {
+    match party {
+        v1::Party::Host => "/cindercleat.v1.Host/Greet",
+        v1::Party::Feed => "/cindercleat.v1.List/Greet",
+        _ => "/cindercleat.v1.Router/Greet",
+    }
+}
+
+/// A request's message as a body; nothing if there is no such call.
+pub fn request(path: &str, bytes: Bytes) -> Option<Result<Body, prost::DecodeError>> {
+    let method = path.strip_prefix("/cindercleat.v1.")?;
+    Some(match method {
+        "Router/Run" => v1::Submit::decode(bytes).map(Body::Submit),
+        "Host/Read" => v1::Read::decode(bytes).map(Body::Read),
+        "Host/Write" => v1::Write::decode(bytes).map(Body::Write),
+        "Host/Release" => v1::Release::decode(bytes).map(Body::Release),
+        "Host/Probe" => v1::Probe::decode(bytes).map(Body::Probe),
+        "Host/Hold" => v1::Hold::decode(bytes).map(Body::Hold),
+        "Host/Fetch" => v1::Fetch::decode(bytes).map(Body::Fetch),
+        "List/Follow" => v1::Follow::decode(bytes).map(Body::Follow),
+        "Router/Greet" | "Host/Greet" | "List/Greet" => v1::Hello::decode(bytes).map(Body::Hello),
+        _ => return None,
+    })
+}
+
+/// A reply's message as a body, by the call's path.
+pub fn reply(path: &str, bytes: Bytes) -> Result<Option<Body>, prost::DecodeError> {
+    use v1::{run_reply, write_reply};
+    Ok(match path.strip_prefix("/cindercleat.v1.").unwrap_or("") {
+        "Router/Run" => v1::RunReply::decode(bytes)?.part.map(|part| match part {
+            run_reply::Part::Accepted(m) => Body::Accepted(m),
+            run_reply::Part::Tokens(m) => Body::Tokens(m),
+            run_reply::Part::Final(m) => Body::Final(m),
+        }),
+        "Host/Read" => Some(Body::Ended(v1::Ended::decode(bytes)?)),
+        "Host/Write" => v1::WriteReply::decode(bytes)?.part.map(|part| match part {
+            write_reply::Part::Tokens(m) => Body::Tokens(m),
+            write_reply::Part::Ended(m) => Body::Ended(m),
+        }),
+        "Host/Probe" => Some(Body::Load(v1::Load::decode(bytes)?)),
+        "Host/Hold" => Some(Body::Place(v1::Place::decode(bytes)?)),
+        "Host/Fetch" => Some(Body::State(v1::State::decode(bytes)?)),
+        "List/Follow" => Some(Body::List(v1::HostList::decode(bytes)?)),
+        "Router/Greet" | "Host/Greet" | "List/Greet" => Some(Body::Hello(v1::Hello::decode(bytes)?)),
+        _ => None,
+    })
+}
+
+/// What a body is on the way back: its message, and the status that ends the call after it.
+pub struct Back {
+    pub message: Option<Bytes>,
+    pub end: Option<(Code, String)>,
+}
+
+/// A body as an answer to the call of a path; nothing if it does not belong there.
+pub fn back(path: &str, body: Body) -> Option<Back> {
+    use crate::message::encode;
+    use v1::{run_reply, write_reply};
+    let run = |part| Some(encode(&v1::RunReply { part: Some(part) }));
+    let write = |part| Some(encode(&v1::WriteReply { part: Some(part) }));
+    let ok = || Some((Code::Ok, String::new()));
+    let (message, end) = match (path.strip_prefix("/cindercleat.v1.")?, body) {
+        ("Router/Run", Body::Accepted(m)) => (run(run_reply::Part::Accepted(m)), None),
+        ("Router/Run", Body::Tokens(m)) => (run(run_reply::Part::Tokens(m)), None),
+        ("Router/Run", Body::Final(m)) => {
+            let told = match m.answer() {
+                v1::Answer::Fulfilled => Told::Fulfilled,
+                v1::Answer::Bounced => Told::Bounced { full: false },
+                v1::Answer::WrittenOff | v1::Answer::Unspecified => Told::WrittenOff,
+            };
+            let end = Some((to_client(told), m.reason.clone()));
+            (run(run_reply::Part::Final(m)), end)
+        }
+        ("Router/Run", Body::Rejected(m)) => {
+            (None, Some((to_client(Told::Rejected), format!("{}: {}", m.field, m.reason))))
+        }
+        ("Host/Write", Body::Tokens(m)) => (write(write_reply::Part::Tokens(m)), None),
+        ("Host/Write", Body::Ended(m)) => (write(write_reply::Part::Ended(m)), ok()),
+        ("Host/Read", Body::Ended(m)) => (Some(encode(&m)), ok()),
+        ("Host/Probe", Body::Load(m)) => (Some(encode(&m)), ok()),
+        ("Host/Hold", Body::Place(m)) => (Some(encode(&m)), ok()),
+        ("Host/Fetch", Body::State(m)) => (Some(encode(&m)), ok()),
+        ("List/Follow", Body::List(m)) => (Some(encode(&m)), None),
+        (_, Body::Hello(m)) => (Some(encode(&m)), ok()),
+        (_, Body::Goodbye(m)) => (None, Some((Code::Unavailable, m.reason))),
+        _ => return None,
+    };
+    Some(Back { message, end })
+}
--- /dev/null
+++ b/crates/grpc/src/lib.rs
@@ -0,0 +1,142 @@
+//! gRPC (HTTP/2 by the crate h2, messages by prost) on any byte stream, on one thread.
+//!
+//! A connection is a [`Session`]: [`Frame`]s of the schema go out by [`Out::send`] and come in as [`Event`]s. A
+//! frame that begins something (a task, a read, a probe) is a call of one of the schema's services, and frames
+//! of the same stream number are its messages; a [`Body::Cancel`] is a reset. Whoever drives sessions needs to
+//! know nothing of HTTP/2, and peers of any language need to know nothing of frames.
+#![forbid(unsafe_code)]
+
+mod call;
+mod client;
+mod message;
+mod server;
+
+pub use client::connect;
+pub use server::serve;
+
+use cindercleat_protocol::{v1, Frame};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::sync::{mpsc, Notify};
+
+/// What a connection is given at its start.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    pub party: v1::Party,
+    pub name: String,
+    /// Whom a caller means to reach; empty if it does not matter.
+    pub expects: String,
+    pub run: u64,
+    /// The largest message taken, in bytes.
+    pub most_message: usize,
+    /// Calls that the other side may have open at once.
+    pub most_calls: u32,
+}
+
+/// Bytes under way on one stream.
+const STREAM_WINDOW: u32 = 16 << 10;
+
+/// The connection's window holds every stream's, so that one that is not read holds back no other.
+fn connection_window(setup: &Setup) -> u32 {
+    const MOST: u32 = (1 << 31) - 1;
+    setup.most_calls.saturating_add(1).saturating_mul(STREAM_WINDOW).min(MOST)
+}
+
+/// What comes of a connection; nearly all of it is frames.
+#[allow(clippy::large_enum_variant)]
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    Frame(Frame),
+    /// So many token messages of a stream have left for the other side, which takes them.
+    Flushed {
+        stream: u64,
+        messages: u32,
+    },
+}
+
+/// One connection. Its events end when it does.
+pub struct Session {
+    /// The other side's greeting.
+    pub them: v1::Hello,
+    pub events: mpsc::UnboundedReceiver<Event>,
+    pub out: Out,
+}
+
+/// The sending side of a session; clones are the same one.
+#[derive(Clone)]
+pub struct Out {
+    shared: Rc<Shared>,
+}
+
+/// What the tasks of a connection share.
+struct Shared {
+    setup: Setup,
+    events: RefCell<Option<mpsc::UnboundedSender<Event>>>,
+    /// Calls that are open: what is to go out on each.
+    calls: RefCell<BTreeMap<u64, mpsc::UnboundedSender<call::Say>>>,
+    /// How to begin a call; none on a side that only answers.
+    begin: RefCell<Option<client::Begin>>,
+    closing: Cell<bool>,
+    close: Notify,
+}
+
+impl Shared {
+    fn new(setup: Setup) -> (Rc<Self>, mpsc::UnboundedReceiver<Event>) {
+        let (to, events) = mpsc::unbounded_channel();
+        let shared = Shared {
+            setup,
+            events: RefCell::new(Some(to)),
+            calls: RefCell::default(),
+            begin: RefCell::default(),
+            closing: Cell::new(false),
+            close: Notify::new(),
+        };
+        (Rc::new(shared), events)
+    }
+
+    fn tell(&self, event: Event) {
+        if let Some(events) = &*self.events.borrow() {
+            // Whoever dropped the session wants to hear no more.
+            let _ = events.send(event);
+        }
+    }
+
+    /// The connection is over: events end, and calls with them.
+    fn end(&self) {
+        self.events.borrow_mut().take();
+        self.calls.borrow_mut().clear();
+        self.begin.borrow_mut().take();
+        self.close();
+    }
+
+    fn close(&self) {
+        self.closing.set(true);
+        self.close.notify_waiters();
+    }
+
+    async fn closed(&self) {
+        while !self.closing.get() {
+            self.close.notified().await;
+        }
+    }
+}
+
+impl Out {
+    /// Sends a frame; one that belongs to no call any more is passed over.
+    pub fn send(&self, frame: Frame) {
+        let open = self.shared.calls.borrow().get(&frame.stream).cloned();
+        match (open, frame.body) {
+            (Some(call), Some(body)) => {
+                let _ = call.send(call::Say::Body(body));
+            }
+            (None, Some(body)) => client::begin(&self.shared, frame.stream, body),
+            (_, None) => {}
+        }
+    }
+
+    /// Ends the connection: calls that are open are cut off.
+    pub fn close(&self) {
+        self.shared.close();
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod channels;
 pub mod control;
 pub mod interface;
+pub mod status;
