The whole path over gRPC: sessions in the shell and the stand-ins in place of frames

Need: one client speaking gRPC through the dispatcher's decisions to hosts and back, over gRPC on every leg, and not two ways of doing the same. Change: shell, hosts, list feed and clients use crates/grpc; the framed link is gone. A release follows the cancel of each read, whose end may be lost with the reset. Found on the way: a release reset by its own side, an answer that comes before its request is sent whole, connections that greet half and were never let go.

--- a/crates/cindercleat-cli/src/price.rs
+++ b/crates/cindercleat-cli/src/price.rs
@@ -268,7 +268,8 @@
     let ports = |kind: &str| -> Vec<(TcpPort, String, String)> {
         let hosts = fleet.hosts.iter().filter(|(name, _)| name.starts_with(kind));
         let port = |(name, host): (&String, &crate::day::TcpHost)| {
-            let port = Port::new("direct", &host.address(), Tcp, fleet.clock, fleet.transcript.clone());
+            let to = (&*host.address(), v1::Party::Host);
+            let port = Port::to("direct", to, Tcp, fleet.clock, fleet.transcript.clone());
             (port, name.clone(), host.address())
         };
         hosts.map(port).collect()
--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -76,8 +76,16 @@
             return true;
         }
         // The stream stays taken until the host ends it: what the host still works on takes room there.
+        let read = launch.reading.then(|| {
+            let id = v1::StateId { run: self.settings.run, task: id.0, launch: launch.no.0 };
+            Held { host: launch.host.clone(), id }
+        });
         self.make_past(link, stream);
         self.links.send(link, stream, Body::Cancel(v1::Cancel {}), out);
+        // The read may have ended at the host before the cancel comes, with nobody left to hear of it.
+        if let Some(held) = read {
+            self.release_state(held, out);
+        }
         false
     }
 
--- a/crates/dispatcher/src/shell.rs
+++ b/crates/dispatcher/src/shell.rs
@@ -1,22 +1,21 @@
 //! Moves bytes between a transport and the [`Ledger`], and tells it the time. Nothing is chosen here.
 //!
 //! All runs on one thread. Each connection has a task that reads and one that writes; what is to be written
-//! waits in an [`Outbox`]. The ledger is called in turn for each message, and its outputs go to the outboxes
+//! goes to the connection's session. The ledger is called in turn for each message, and its outputs go to the outboxes
 //! at once, so what is said to one peer keeps its order.
 
 use crate::ledger::{ConnId, Input, Ledger, Level, LinkId, Output, StreamNo};
 use crate::{keep, ProgramSettings};
-use bytes::BytesMut;
 use cindercleat::interface::{DispatcherId, HostId, Ms};
-use cindercleat_net::{write_frame, Clock, Cut, FrameReader, Listener, Transport};
-use cindercleat_protocol::{encode, frame, goodbye, greeting, hello, v1, Body, Frame, Malformed};
+use cindercleat_grpc::{connect, serve, Event, Out, Session, Setup};
+use cindercleat_net::{Clock, Listener, Transport};
+use cindercleat_protocol::{frame, v1, Body, Frame};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
 use std::path::PathBuf;
 use std::rc::Rc;
-use tokio::io::{AsyncWrite, AsyncWriteExt};
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, yield_now};
 
@@ -34,47 +33,30 @@
 /// How long to wait before the list feed is called again: at first, and at most.
 const FEED_AGAIN: Ms = 100.0;
 const FEED_AGAIN_MOST: Ms = 2000.0;
-/// Frames' worth of bytes that may wait for one client; a window a stream is far less.
-const WAITING_FRAMES: usize = 4;
+/// Streams that one client may have open on a connection.
+const MOST_CALLS: u32 = 1024;
 
-/// What waits to be written on one connection.
+/// A connection to a model host, from its dialling on.
 #[derive(Default)]
-struct Outbox {
-    bytes: RefCell<BytesMut>,
-    /// The streams whose token messages are among the bytes, in order.
-    tokens: RefCell<Vec<StreamNo>>,
-    more: Notify,
-    /// Nothing follows what is here.
-    closing: Cell<bool>,
-    /// The connection is over.
-    over: Notify,
-    is_over: Cell<bool>,
+struct LinkEnd {
+    /// Once it is up.
+    out: RefCell<Option<Out>>,
+    given_up: Cell<bool>,
+    give_up: Notify,
 }
 
-impl Outbox {
-    fn push(&self, frame: &Frame) {
-        if matches!(frame.body, Some(Body::Tokens(_))) {
-            self.tokens.borrow_mut().push(StreamNo(frame.stream));
+impl LinkEnd {
+    fn close(&self) {
+        self.given_up.set(true);
+        self.give_up.notify_waiters();
+        if let Some(out) = &*self.out.borrow() {
+            out.close();
         }
-        encode(frame, &mut self.bytes.borrow_mut());
-        self.more.notify_one();
     }
 
-    fn close(&self, reason: &str) {
-        if !self.closing.replace(true) {
-            encode(&goodbye(reason), &mut self.bytes.borrow_mut());
-        }
-        self.more.notify_one();
-    }
-
-    fn end(&self) {
-        self.is_over.set(true);
-        self.over.notify_waiters();
-    }
-
-    async fn ended(&self) {
-        while !self.is_over.get() {
-            self.over.notified().await;
+    async fn closed(&self) {
+        while !self.given_up.get() {
+            self.give_up.notified().await;
         }
     }
 }
@@ -85,9 +67,9 @@
     transport: T,
     clock: C,
     ledger: RefCell<Ledger>,
-    clients: RefCell<BTreeMap<ConnId, Rc<Outbox>>>,
-    links: RefCell<BTreeMap<LinkId, Rc<Outbox>>>,
-    peers: RefCell<BTreeMap<u32, Rc<Outbox>>>,
+    clients: RefCell<BTreeMap<ConnId, Out>>,
+    links: RefCell<BTreeMap<LinkId, Rc<LinkEnd>>>,
+    peers: RefCell<BTreeMap<u32, Out>>,
     connections: Cell<u64>,
     greeting: Cell<usize>,
     armed: Cell<Option<Ms>>,
@@ -192,33 +174,32 @@
         match output {
             Output::ToClient { conn, frame } => {
                 let clients = self.inner.clients.borrow();
-                let Some(outbox) = clients.get(&conn) else { return };
-                outbox.push(&frame);
-                // Guards against a client that asks for much and reads nothing.
-                if outbox.bytes.borrow().len() > WAITING_FRAMES * self.inner.settings.most_frame {
-                    outbox.end();
+                if let Some(out) = clients.get(&conn) {
+                    out.send(frame);
                 }
             }
             Output::CloseClient { conn, reason } => {
                 tracing::warn!(conn = conn.0, reason, "client closed");
-                if let Some(outbox) = self.inner.clients.borrow().get(&conn) {
-                    outbox.close(&reason);
+                if let Some(out) = self.inner.clients.borrow().get(&conn) {
+                    out.close();
                 }
             }
             Output::Dial { link, host, address } => {
-                let outbox = Rc::new(Outbox::default());
-                self.inner.links.borrow_mut().insert(link, outbox.clone());
-                spawn_local(self.clone().link(link, host, address, outbox));
+                let end = Rc::new(LinkEnd::default());
+                self.inner.links.borrow_mut().insert(link, end.clone());
+                spawn_local(self.clone().link(link, host, address, end));
             }
             Output::ToHost { link, frame } => {
-                if let Some(outbox) = self.inner.links.borrow().get(&link) {
-                    outbox.push(&frame);
+                let links = self.inner.links.borrow();
+                let end = links.get(&link).map(|end| end.out.borrow());
+                if let Some(out) = end.as_deref().and_then(Option::as_ref) {
+                    out.send(frame);
                 }
             }
             Output::CloseLink { link, reason } => {
                 tracing::debug!(link = link.0, reason, "link closed");
-                if let Some(outbox) = self.inner.links.borrow_mut().remove(&link) {
-                    outbox.close(&reason);
+                if let Some(end) = self.inner.links.borrow_mut().remove(&link) {
+                    end.close();
                 }
             }
             Output::KeepList(list) => {
@@ -252,18 +233,28 @@
     /// What has been said goes out before the end, as far as the peers take it within a moment.
     async fn flush(&self) {
         let until = self.inner.clock.now() + self.inner.settings.greet_within;
-        let boxes = |inner: &Inner<T, C>| -> Vec<Rc<Outbox>> {
-            inner.clients.borrow().values().chain(inner.links.borrow().values()).cloned().collect()
-        };
-        for outbox in boxes(&self.inner) {
-            outbox.close("stopping");
-        }
-        for outbox in boxes(&self.inner) {
+        let outs: Vec<Out> = self.inner.clients.borrow().values().cloned().collect();
+        outs.iter().for_each(Out::close);
+        for out in outs {
             tokio::select! { biased;
-                () = outbox.ended() => {}
+                () = out.over() => {}
                 () = self.inner.clock.sleep_until(until) => {}
             }
         }
+        self.inner.links.borrow().values().for_each(|end| end.close());
+        yield_now().await;
+    }
+
+    fn setup(&self, expects: &str, most_calls: u32) -> Setup {
+        let settings = &self.inner.settings;
+        Setup {
+            party: v1::Party::Dispatcher,
+            name: settings.name.clone(),
+            expects: expects.to_owned(),
+            run: settings.run,
+            most_message: settings.most_frame,
+            most_calls,
+        }
     }
 
     async fn accept(self, mut listener: T::Listener) {
@@ -290,120 +281,74 @@
 
     /// One connection that was taken in: greets, then serves a client or hears a peer.
     async fn client(self, stream: T::Stream) {
-        let (from, mut to) = tokio::io::split(stream);
-        let mut from = FrameReader::new(from, self.inner.settings.most_frame);
-        let until = self.inner.clock.now() + self.inner.settings.greet_within;
+        let settings = &self.inner.settings;
+        let until = self.inner.clock.now() + settings.greet_within;
         let greeted = tokio::select! { biased;
-            greeted = greet(&mut from) => greeted,
-            () = self.inner.clock.sleep_until(until) => Err("no greeting in time".to_owned()),
+            greeted = serve(stream, self.setup("", MOST_CALLS)) => greeted,
+            () = self.inner.clock.sleep_until(until) => Err("nothing was asked in time".to_owned()),
         };
         self.inner.greeting.set(self.inner.greeting.get() - 1);
-        let settings = &self.inner.settings;
-        let greeted = greeted.and_then(|hello| match hello.expects.as_str() {
-            "" => Ok(hello),
-            name if name == settings.name => Ok(hello),
-            name => Err(format!("this is {}, not {name}", settings.name)),
-        });
-        let them = match greeted {
-            Ok(them) => them,
-            Err(reason) => {
-                tracing::debug!(reason, "connection refused");
-                let _ = write_frame(&mut to, &goodbye(reason)).await;
-                return;
-            }
+        let Session { mut events, out, .. } = match greeted {
+            Ok(session) => session,
+            Err(reason) => return tracing::debug!(reason, "connection refused"),
         };
         let conn = ConnId(self.inner.connections.get() + 1);
         self.inner.connections.set(conn.0);
-        let outbox = Rc::new(Outbox::default());
-        outbox.push(&hello(v1::Party::Dispatcher, &settings.name, "", settings.run));
-        self.inner.clients.borrow_mut().insert(conn, outbox.clone());
-        let shell = self.clone();
-        let flushed = move |stream, messages| shell.input(Input::Flushed { conn, stream, messages });
-        spawn_local(write_out(to, outbox.clone(), flushed, self.inner.clock.clone(), settings.greet_within));
-        let peer = them.party() == v1::Party::Dispatcher;
-        loop {
-            let next = tokio::select! { biased;
-                () = outbox.ended() => break,
-                next = from.next() => next,
-            };
-            match next {
-                Ok(Frame { body: Some(Body::Peer(said)), .. }) if peer => {
+        self.inner.clients.borrow_mut().insert(conn, out);
+        while let Some(event) = events.recv().await {
+            match event {
+                Event::Frame(Frame { body: Some(Body::Peer(said)), .. }) => {
                     let (from, bytes) = (DispatcherId(said.from), said.bytes.to_vec());
                     self.input(Input::Heard { from, bytes });
                 }
-                Ok(frame) => self.input(Input::Client { conn, frame }),
-                Err(Cut::Malformed(problem)) => {
-                    tracing::warn!(conn = conn.0, %problem, "client refused");
-                    outbox.close(&problem.to_string());
-                    outbox.ended().await;
-                    break;
+                Event::Frame(frame) => self.input(Input::Client { conn, frame }),
+                Event::Flushed { stream, messages } => {
+                    self.input(Input::Flushed { conn, stream: StreamNo(stream), messages });
                 }
-                Err(Cut::Closed | Cut::Broken(_)) => break,
             }
         }
-        outbox.end();
-        outbox.more.notify_one();
         self.inner.clients.borrow_mut().remove(&conn);
         self.input(Input::ClientClosed { conn });
     }
 
     /// One connection to a model host, from the dialling to its end.
-    async fn link(self, link: LinkId, host: HostId, address: String, outbox: Rc<Outbox>) {
-        let reason = self.run_link(link, &host, &address, &outbox).await;
-        outbox.end();
-        outbox.more.notify_one();
+    async fn link(self, link: LinkId, host: HostId, address: String, end: Rc<LinkEnd>) {
+        let reason = self.run_link(link, &host, &address, &end).await;
         self.inner.links.borrow_mut().remove(&link);
         self.input(Input::LinkClosed { link, reason });
     }
 
-    async fn run_link(&self, link: LinkId, host: &HostId, address: &str, outbox: &Rc<Outbox>) -> String {
-        let settings = &self.inner.settings;
+    async fn run_link(&self, link: LinkId, host: &HostId, address: &str, end: &LinkEnd) -> String {
         let dialled = async {
             let stream = self.inner.transport.connect(address).await.map_err(|e| e.to_string())?;
-            let (from, mut to) = tokio::io::split(stream);
-            let mut from = FrameReader::new(from, settings.most_frame);
-            let us = hello(v1::Party::Dispatcher, &settings.name, &host.0, settings.run);
-            write_frame(&mut to, &us).await.map_err(|e| e.to_string())?;
-            let them = greet(&mut from).await?;
-            // Guards against a host that took another's address: it would run what was not meant for it.
-            if them.name != *host.0 || them.party() != v1::Party::Host {
-                return Err(format!("{:?} answers in place of {:?}", them.name, host.0));
+            // A host that took another's address refuses: it would run what was not meant for it.
+            let session = connect(stream, v1::Party::Host, self.setup(&host.0, 1)).await?;
+            // Guards against one that does not refuse.
+            if session.them.name != *host.0 || session.them.party() != v1::Party::Host {
+                session.out.close();
+                return Err(format!("{:?} answers in place of {:?}", session.them.name, host.0));
             }
-            Ok((from, to))
+            Ok(session)
         };
         // Closed while it is dialled: by the ledger, whose time for it has passed.
-        let given_up = async {
-            while !outbox.closing.get() {
-                outbox.more.notified().await;
-            }
-        };
-        let (mut from, to) = tokio::select! { biased;
-            () = given_up => return "given up".to_owned(),
+        let Session { mut events, out, .. } = tokio::select! { biased;
+            () = end.closed() => return "given up".to_owned(),
             dialled = dialled => match dialled {
-                Ok(both) => both,
+                Ok(session) => session,
                 Err(reason) => {
                     tracing::warn!(host = %host.0, address, reason, "host not reached");
                     return reason;
                 }
             },
         };
-        let clock = self.inner.clock.clone();
-        spawn_local(write_out(to, outbox.clone(), |_, _| {}, clock, settings.greet_within));
+        *end.out.borrow_mut() = Some(out);
         self.input(Input::LinkUp { link });
-        loop {
-            let next = tokio::select! { biased;
-                () = outbox.ended() => return "closed".to_owned(),
-                next = from.next() => next,
-            };
-            match next {
-                Ok(frame) => self.input(Input::Host { link, frame }),
-                Err(cut) => {
-                    let reason = reason_of(cut);
-                    outbox.close(&reason);
-                    return reason;
-                }
+        while let Some(event) = events.recv().await {
+            if let Event::Frame(frame) = event {
+                self.input(Input::Host { link, frame });
             }
         }
+        "the connection ended".to_owned()
     }
 
     /// Follows the list feed, one address after another, for as long as the dispatcher serves.
@@ -423,46 +368,43 @@
     }
 
     async fn read_feed(&self, address: &str, wait: &mut Ms) -> String {
-        let settings = &self.inner.settings;
-        let until = self.inner.clock.now() + settings.greet_within;
+        let until = self.inner.clock.now() + self.inner.settings.greet_within;
         let called = async {
             let stream = self.inner.transport.connect(address).await.map_err(|e| e.to_string())?;
-            let (from, mut to) = tokio::io::split(stream);
-            let mut from = FrameReader::new(from, settings.most_frame);
-            let us = hello(v1::Party::Dispatcher, &settings.name, "", settings.run);
-            write_frame(&mut to, &us).await.map_err(|e| e.to_string())?;
-            greet(&mut from).await?;
-            let follow = frame(1, Body::Follow(v1::Follow { changes: true }));
-            write_frame(&mut to, &follow).await.map_err(|e| e.to_string())?;
-            Ok::<_, String>((from, to))
+            connect(stream, v1::Party::Feed, self.setup("", 1)).await
         };
         let called = tokio::select! { biased;
             called = called => called,
             () = self.inner.clock.sleep_until(until) => Err("no greeting in time".to_owned()),
         };
-        let (mut from, mut to) = match called {
-            Ok(both) => both,
+        let Session { mut events, out, .. } = match called {
+            Ok(session) => session,
             Err(reason) => return reason,
         };
+        let follow = |number| out.send(frame(number, Body::Follow(v1::Follow { changes: true })));
+        let mut number = 1;
+        follow(number);
         loop {
             let next = tokio::select! { biased;
-                () = self.inner.follow.notified() => None,
-                next = from.next() => Some(next),
+                () = self.inner.follow.notified() => {
+                    number += 1;
+                    follow(number);
+                    continue;
+                }
+                next = events.recv() => next,
             };
             match next {
-                None => {
-                    let follow = frame(1, Body::Follow(v1::Follow { changes: true }));
-                    if let Err(problem) = write_frame(&mut to, &follow).await {
-                        return problem.to_string();
-                    }
-                }
-                Some(Ok(Frame { body: Some(Body::List(list)), .. })) => {
+                Some(Event::Frame(Frame { body: Some(Body::List(list)), .. })) => {
                     *wait = FEED_AGAIN;
                     tracing::debug!(version = list.version, hosts = list.hosts.len(), "list");
                     self.input(Input::Listed(list));
                 }
-                Some(Ok(_)) => return "it sent what a list feed does not".to_owned(),
-                Some(Err(cut)) => return reason_of(cut),
+                Some(Event::Frame(Frame { body: Some(Body::Goodbye(bye)), .. })) => {
+                    out.close();
+                    return bye.reason;
+                }
+                Some(_) => {}
+                None => return "the connection ended".to_owned(),
             }
         }
     }
@@ -474,88 +416,22 @@
         let peers = self.inner.places.peers.iter();
         for (&peer, address) in peers.filter(|(p, _)| to.map_or(**p != from, |to| to.0 == **p)) {
             let known = self.inner.peers.borrow().get(&peer).cloned();
-            let outbox = known.unwrap_or_else(|| {
-                let outbox = Rc::new(Outbox::default());
-                self.inner.peers.borrow_mut().insert(peer, outbox.clone());
-                spawn_local(self.clone().peer(peer, address.clone(), outbox.clone()));
-                outbox
-            });
-            if outbox.bytes.borrow().len() <= self.inner.settings.most_frame {
-                outbox.push(&frame(0, body.clone()));
+            match known {
+                Some(out) => out.send(frame(0, body.clone())),
+                None => {
+                    spawn_local(self.clone().peer(peer, address.clone(), body.clone()));
+                }
             }
         }
     }
 
-    async fn peer(self, peer: u32, address: String, outbox: Rc<Outbox>) {
-        let settings = &self.inner.settings;
-        if let Ok(stream) = self.inner.transport.connect(&address).await {
-            let (from, mut to) = tokio::io::split(stream);
-            let mut from = FrameReader::new(from, settings.most_frame);
-            let us = hello(v1::Party::Dispatcher, &settings.name, "", settings.run);
-            if write_frame(&mut to, &us).await.is_ok() {
-                let clock = self.inner.clock.clone();
-                spawn_local(write_out(to, outbox.clone(), |_, _| {}, clock, settings.greet_within));
-                while from.next().await.is_ok() {}
-            }
-        }
-        outbox.end();
-        outbox.more.notify_one();
+    async fn peer(self, peer: u32, address: String, first: Body) {
+        let Ok(stream) = self.inner.transport.connect(&address).await else { return };
+        let session = connect(stream, v1::Party::Dispatcher, self.setup("", 1)).await;
+        let Ok(Session { mut events, out, .. }) = session else { return };
+        out.send(frame(0, first));
+        self.inner.peers.borrow_mut().insert(peer, out);
+        while events.recv().await.is_some() {}
         self.inner.peers.borrow_mut().remove(&peer);
     }
 }
-
-/// The other side's greeting, or why there is none.
-async fn greet<R: tokio::io::AsyncRead + Unpin>(from: &mut FrameReader<R>) -> Result<v1::Hello, String> {
-    let first = from.next().await.map_err(reason_of)?;
-    greeting(first).map_err(|problem: Malformed| problem.to_string())
-}
-
-fn reason_of(cut: Cut) -> String {
-    match cut {
-        Cut::Closed => "closed by the other side".to_owned(),
-        Cut::Broken(problem) => problem.to_string(),
-        Cut::Malformed(problem) => problem.to_string(),
-    }
-}
-
-/// Writes what waits in an outbox, and says which token messages have gone, until the connection is over.
-async fn write_out<W: AsyncWrite + Unpin>(
-    mut to: W,
-    outbox: Rc<Outbox>,
-    flushed: impl Fn(StreamNo, u32),
-    clock: impl Clock,
-    last_words: Ms,
-) {
-    loop {
-        // What is said in one turn of the thread goes out in one write.
-        yield_now().await;
-        let bytes = outbox.bytes.borrow_mut().split();
-        let tokens = std::mem::take(&mut *outbox.tokens.borrow_mut());
-        if bytes.is_empty() {
-            if outbox.closing.get() || outbox.is_over.get() {
-                break;
-            }
-            outbox.more.notified().await;
-            continue;
-        }
-        let until = clock.now() + last_words;
-        let wrote = tokio::select! { biased;
-            wrote = to.write_all(&bytes) => wrote,
-            () = outbox.ended() => break,
-            // A closing connection is not waited for without end.
-            () = async { clock.sleep_until(until).await; while !outbox.closing.get() { outbox.more.notified().await } } => break,
-        };
-        if wrote.is_err() {
-            break;
-        }
-        let mut gone: BTreeMap<StreamNo, u32> = BTreeMap::new();
-        for stream in tokens {
-            *gone.entry(stream).or_default() += 1;
-        }
-        for (stream, messages) in gone {
-            flushed(stream, messages);
-        }
-    }
-    let _ = to.shutdown().await;
-    outbox.end();
-}
--- a/crates/grpc/src/call.rs
+++ b/crates/grpc/src/call.rs
@@ -21,6 +21,7 @@
         Body::Hold(_) => "/cindercleat.v1.Host/Hold",
         Body::Fetch(_) => "/cindercleat.v1.Host/Fetch",
         Body::Follow(_) => "/cindercleat.v1.List/Follow",
+        Body::Peer(_) => "/cindercleat.v1.Peers/Tell",
         _ => return None,
     })
 }
@@ -46,6 +47,7 @@
         "Host/Hold" => v1::Hold::decode(bytes).map(Body::Hold),
         "Host/Fetch" => v1::Fetch::decode(bytes).map(Body::Fetch),
         "List/Follow" => v1::Follow::decode(bytes).map(Body::Follow),
+        "Peers/Tell" => v1::PeerMessage::decode(bytes).map(Body::Peer),
         "Router/Greet" | "Host/Greet" | "List/Greet" => v1::Hello::decode(bytes).map(Body::Hello),
         _ => return None,
     })
--- a/crates/grpc/src/client.rs
+++ b/crates/grpc/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::call::{self, Say};
 use crate::message::{encode, send, Messages, Stop};
-use crate::{connection_window, Event, Out, Session, Setup, Shared, STREAM_WINDOW};
+use crate::{connection_window, Event, Out, Session, Setup, Shared, Unmet, STREAM_WINDOW};
 use bytes::Bytes;
 use cindercleat::interface::Outcome;
 use cindercleat::status::{of_host, CallEnd, Code};
@@ -48,6 +48,7 @@
         }
         driving.end();
     });
+    let mut unmet = Unmet(Some(shared.clone()));
     let us = &shared.setup;
     let (name, expects) = (us.name.clone(), us.expects.clone());
     let hello = v1::Hello { version: VERSION, party: us.party.into(), name, expects, run: us.run };
@@ -73,11 +74,11 @@
         }
     };
     match greeted.await {
-        Ok(them) => Ok(Session { them, events, out: Out { shared } }),
-        Err(why) => {
-            shared.close();
-            Err(why)
+        Ok(them) => {
+            unmet.0.take();
+            Ok(Session { them, events, out: Out { shared } })
         }
+        Err(why) => Err(why),
     }
 }
 
@@ -105,13 +106,16 @@
     }
     let Some(path) = call::path(&body) else { return };
     let (to, queue) = mpsc::unbounded_channel();
-    let quiet = matches!(body, Body::Release(_));
+    let quiet = matches!(body, Body::Release(_) | Body::Peer(_));
+    // A call that nobody waits for is open until it is over, too: its sender must not be dropped before.
+    let held = quiet.then(|| to.clone());
     if !quiet {
         shared.calls.borrow_mut().insert(stream, to);
     }
     let (shared, requests) = (shared.clone(), begin.requests.clone());
     spawn_local(async move {
         let last = run(&shared, stream, path, body, requests, queue).await;
+        drop(held);
         if !quiet {
             shared.calls.borrow_mut().remove(&stream);
             if let Some(body) = last.and_then(|end| word(path, end)) {
@@ -147,20 +151,28 @@
         Body::Hold(m) => encode(m),
         Body::Fetch(m) => encode(m),
         Body::Follow(m) => encode(m),
+        Body::Peer(m) => encode(m),
         _ => return Some(CallEnd::NotSent),
     };
-    if let Err(problem) = send(&mut to, bytes, true).await {
-        return Some(end_of(&problem));
-    }
-    let response = tokio::select! { biased;
+    tokio::pin!(response);
+    // An answer may come before all is sent: a message that is too large.
+    let early = tokio::select! { biased;
+        response = &mut response => Some(response),
+        _ = send(&mut to, bytes, true) => None,
+    };
+    let response = match early {
+        Some(Ok(response)) => response,
+        Some(Err(problem)) => return Some(end_of(&problem)),
+        None => tokio::select! { biased;
         end = cancelled(&mut queue, &mut credit) => {
             to.send_reset(h2::Reason::CANCEL);
             return end;
         }
-        response = response => match response {
+        response = &mut response => match response {
             Ok(response) => response,
             Err(problem) => return Some(end_of(&problem)),
         },
+        },
     };
     let headers = response.headers().clone();
     let mut messages = Messages::new(response.into_body(), shared.setup.most_message);
--- a/crates/grpc/src/lib.rs
+++ b/crates/grpc/src/lib.rs
@@ -79,6 +79,7 @@
     begin: RefCell<Option<client::Begin>>,
     closing: Cell<bool>,
     close: Notify,
+    over: Notify,
 }
 
 impl Shared {
@@ -91,6 +92,7 @@
             begin: RefCell::default(),
             closing: Cell::new(false),
             close: Notify::new(),
+            over: Notify::new(),
         };
         (Rc::new(shared), events)
     }
@@ -105,6 +107,7 @@
     /// The connection is over: events end, and calls with them.
     fn end(&self) {
         self.events.borrow_mut().take();
+        self.over.notify_waiters();
         self.calls.borrow_mut().clear();
         self.begin.borrow_mut().take();
         self.close();
@@ -122,6 +125,17 @@
     }
 }
 
+/// Ends a connection whose session is given up before it began.
+struct Unmet(Option<Rc<Shared>>);
+
+impl Drop for Unmet {
+    fn drop(&mut self) {
+        if let Some(shared) = &self.0 {
+            shared.close();
+        }
+    }
+}
+
 impl Out {
     /// Sends a frame; one that belongs to no call any more is passed over.
     pub fn send(&self, frame: Frame) {
@@ -135,6 +149,13 @@
         }
     }
 
+    /// Waits until the connection is over.
+    pub async fn over(&self) {
+        while self.shared.events.borrow().is_some() {
+            self.shared.over.notified().await;
+        }
+    }
+
     /// Ends the connection: calls that are open are cut off.
     pub fn close(&self) {
         self.shared.close();
--- a/crates/grpc/src/server.rs
+++ b/crates/grpc/src/server.rs
@@ -2,7 +2,7 @@
 
 use crate::call::{self, Say};
 use crate::message::{encode, send, Messages, Stop};
-use crate::{connection_window, Event, Out, Session, Setup, Shared, STREAM_WINDOW};
+use crate::{connection_window, Event, Out, Session, Setup, Shared, Unmet, STREAM_WINDOW};
 use bytes::Bytes;
 use cindercleat::status::Code;
 use cindercleat_protocol::{frame, v1, Body, VERSION};
@@ -14,7 +14,10 @@
 use std::rc::Rc;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::{mpsc, Notify};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
+
+/// Turns of the thread that a connection's last words get.
+const LAST_TURNS: usize = 16;
 
 /// Serves a connection. Gives the session once the other side has greeted or made its first call; a peer that
 /// does not greet is a client without a name.
@@ -40,10 +43,23 @@
                 accepted = connection.accept() => accepted,
                 () = shared.closed() => {
                     connection.graceful_shutdown();
-                    // What was answered goes out; what is open is cut off.
+                    // What was answered goes out, as far as the peer takes it at once; what is open is cut off.
                     shared.calls.borrow_mut().clear();
-                    while let Some(Ok((_, mut respond))) = connection.accept().await {
-                        respond.send_reset(h2::Reason::REFUSED_STREAM);
+                    for _ in 0..LAST_TURNS {
+                        tokio::select! { biased;
+                            accepted = connection.accept() => match accepted {
+                                Some(Ok((_, mut respond))) => respond.send_reset(h2::Reason::REFUSED_STREAM),
+                                _ => break,
+                            },
+                            () = yield_now() => {}
+                        }
+                    }
+                    connection.abrupt_shutdown(h2::Reason::NO_ERROR);
+                    for _ in 0..LAST_TURNS {
+                        tokio::select! { biased;
+                            accepted = connection.accept() => if accepted.is_none() { break },
+                            () = yield_now() => {}
+                        }
                     }
                     break;
                 }
@@ -55,10 +71,15 @@
         shared.end();
         greeted.1.notify_one();
     });
+    // Guards against peers that connect and ask nothing: whoever waits here may stop waiting.
+    let mut unmet = Unmet(Some(shared.clone()));
     // The session begins with whom it is with.
     greeted.1.notified().await;
     match greeted.0.take() {
-        Some(them) => Ok(Session { them, events, out: Out { shared } }),
+        Some(them) => {
+            unmet.0.take();
+            Ok(Session { them, events, out: Out { shared } })
+        }
         None => Err("nothing was asked".to_owned()),
     }
 }
@@ -99,7 +120,7 @@
     let (to, queue) = mpsc::unbounded_channel();
     shared.calls.borrow_mut().insert(number, to);
     // A release needs no word from whoever it is for.
-    let release = matches!(body, Body::Release(_));
+    let release = matches!(body, Body::Release(_) | Body::Peer(_));
     shared.tell(Event::Frame(frame(number, body)));
     let head = Response::builder().status(200).header("content-type", "application/grpc").body(());
     let began = head.ok().and_then(|head| respond.send_response(head, false).ok());
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,11 +7,10 @@
 
 pub use memory::Memory;
 
-use cindercleat_protocol::{encode, Decoder, Frame, Malformed};
 use std::future::Future;
 use std::io;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
@@ -116,65 +115,3 @@
         tokio::time::sleep(wait).await;
     }
 }
-
-/// Why no frame came.
-#[derive(Debug)]
-pub enum Cut {
-    /// The other side closed between two frames.
-    Closed,
-    /// It closed, or failed, in the middle of one.
-    Broken(io::Error),
-    /// It sent what is not this protocol.
-    Malformed(Malformed),
-}
-
-/// Reads frames from one direction of a connection.
-pub struct FrameReader<R> {
-    from: R,
-    decoder: Decoder,
-}
-
-impl<R: AsyncRead + Unpin> FrameReader<R> {
-    /// `most`: the largest frame taken, in bytes.
-    pub fn new(from: R, most: usize) -> Self {
-        FrameReader { from, decoder: Decoder::new(most) }
-    }
-
-    /// # Errors
-    /// The connection is over. Dropped in mid-wait, it loses nothing.
-    pub async fn next(&mut self) -> Result<Frame, Cut> {
-        loop {
-            if let Some(frame) = self.buffered()? {
-                return Ok(frame);
-            }
-            let read = self.from.read_buf(self.decoder.buffer()).await.map_err(Cut::Broken)?;
-            if read == 0 {
-                let whole = self.decoder.buffer().is_empty();
-                return Err(if whole {
-                    Cut::Closed
-                } else {
-                    Cut::Broken(io::ErrorKind::UnexpectedEof.into())
-                });
-            }
-        }
-    }
-
-    /// A frame that is here already.
-    ///
-    /// # Errors
-    /// As `next`.
-    pub fn buffered(&mut self) -> Result<Option<Frame>, Cut> {
-        self.decoder.next_frame().map_err(Cut::Malformed)
-    }
-}
-
-/// Writes one frame at once.
-///
-/// # Errors
-/// The connection is over.
-pub async fn write_frame<W: AsyncWrite + Unpin>(to: &mut W, frame: &Frame) -> io::Result<()> {
-    let mut out = Default::default();
-    encode(frame, &mut out);
-    to.write_all(&out).await?;
-    to.flush().await
-}
