What was said before a close arrives: a connection's last words are waited for

Change: a closing connection counts the calls that have yet to say their last and gives them turns to write it. A test that failed before closes right after a final answer.

--- a/crates/grpc/src/lib.rs
+++ b/crates/grpc/src/lib.rs
@@ -78,6 +78,8 @@
     /// How to begin a call; none on a side that only answers.
     begin: RefCell<Option<client::Begin>>,
     closing: Cell<bool>,
+    /// Calls of the other side that are not over.
+    answering: Cell<usize>,
     close: Notify,
     over: Notify,
 }
@@ -91,6 +93,7 @@
             calls: RefCell::default(),
             begin: RefCell::default(),
             closing: Cell::new(false),
+            answering: Cell::new(0),
             close: Notify::new(),
             over: Notify::new(),
         };
--- a/crates/grpc/src/server.rs
+++ b/crates/grpc/src/server.rs
@@ -16,8 +16,9 @@
 use tokio::sync::{mpsc, Notify};
 use tokio::task::{spawn_local, yield_now};
 
-/// Turns of the thread that a connection's last words get.
+/// Turns of the thread that a connection's last words get to be written, and to be said.
 const LAST_TURNS: usize = 16;
+const MOST_LAST_TURNS: usize = 10_000;
 
 /// Serves a connection. Gives the session once the other side has greeted or made its first call; a peer that
 /// does not greet is a client without a name.
@@ -42,10 +43,10 @@
             let accepted = tokio::select! { biased;
                 accepted = connection.accept() => accepted,
                 () = shared.closed() => {
-                    connection.graceful_shutdown();
-                    // What was answered goes out, as far as the peer takes it at once; what is open is cut off.
+                    // What was answered goes out, as far as the peer takes it soon; what is open is cut off.
                     shared.calls.borrow_mut().clear();
-                    for _ in 0..LAST_TURNS {
+                    let mut left = LAST_TURNS;
+                    for _ in 0..MOST_LAST_TURNS {
                         tokio::select! { biased;
                             accepted = connection.accept() => match accepted {
                                 Some(Ok((_, mut respond))) => respond.send_reset(h2::Reason::REFUSED_STREAM),
@@ -53,6 +54,11 @@
                             },
                             () = yield_now() => {}
                         }
+                        // Once all calls have said their last, some turns more to write it.
+                        left -= usize::from(shared.answering.get() == 0);
+                        if left == 0 {
+                            break;
+                        }
                     }
                     connection.abrupt_shutdown(h2::Reason::NO_ERROR);
                     for _ in 0..LAST_TURNS {
@@ -66,7 +72,12 @@
             };
             let Some(Ok((request, respond))) = accepted else { break };
             calls += 1;
-            spawn_local(answer(shared.clone(), greeted.clone(), calls, request, respond));
+            shared.answering.set(shared.answering.get() + 1);
+            let (to, greeted) = (shared.clone(), greeted.clone());
+            spawn_local(async move {
+                answer(to.clone(), greeted, calls, request, respond).await;
+                to.answering.set(to.answering.get() - 1);
+            });
         }
         shared.end();
         greeted.1.notify_one();
--- a/crates/grpc/tests/session.rs
+++ b/crates/grpc/tests/session.rs
@@ -152,6 +152,28 @@
     });
 }
 
+#[test]
+fn what_was_said_before_a_close_arrives() {
+    for said in [1, 50] {
+        run(async {
+            let (mut client, mut server) = pair().await;
+            client.out.send(frame(1, submit()));
+            let stream = next(&mut server).await.expect("a task").stream;
+            for at in 0..said {
+                server.out.send(frame(stream, tokens(at)));
+            }
+            let last = v1::Final { answer: v1::Answer::WrittenOff.into(), ..v1::Final::default() };
+            server.out.send(frame(stream, Body::Final(last.clone())));
+            server.out.close();
+            for at in 0..said {
+                assert_eq!(next(&mut client).await, Some(frame(1, tokens(at))));
+            }
+            assert_eq!(next(&mut client).await, Some(frame(1, Body::Final(last))));
+            assert_eq!(next(&mut client).await, None);
+        });
+    }
+}
+
 #[test]
 fn garbage_and_http_1_are_refused_and_nothing_hangs() {
     run(async {
