Another version is refused: its test over gRPC

Cause: the test went with the framed link. Change: a greeting of version 99 is answered FAILED_PRECONDITION with both versions named, and makes no session.

--- a/crates/grpc/tests/session.rs
+++ b/crates/grpc/tests/session.rs
@@ -216,3 +216,29 @@
         assert!(begun <= 5000 && cancelled <= begun, "{begun} begun, {cancelled} cancelled");
     });
 }
+
+#[test]
+fn another_version_is_refused_and_both_are_named() {
+    run(async {
+        let (near, far) = tokio::io::duplex(1 << 16);
+        let serving = spawn_local(serve(far, setup(v1::Party::Dispatcher, "d", "")));
+        let (send, connection) = h2::client::handshake(near).await.expect("HTTP/2");
+        let driving = spawn_local(async move {
+            let _ = connection.await;
+        });
+        let request =
+            http::Request::post("http://d/cindercleat.v1.Router/Greet").body(()).expect("a request");
+        let mut send = send.ready().await.expect("room for a call");
+        let (response, mut stream) = send.send_request(request, false).expect("a call");
+        let hello = v1::Hello { version: 99, ..v1::Hello::default() };
+        let hello = prost::Message::encode_to_vec(&hello);
+        let message = [&[0, 0, 0, 0, hello.len() as u8][..], &hello].concat();
+        stream.send_data(message.into(), true).expect("it goes out");
+        let headers = response.await.expect("an answer").headers().clone();
+        assert_eq!(headers["grpc-status"], "9");
+        let why = headers["grpc-message"].to_str().expect("text");
+        assert!(why.contains("99") && why.contains('1'), "{why}");
+        driving.abort();
+        assert!(serving.await.expect("it ran").is_err(), "there is no session");
+    });
+}
