--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -333,7 +333,7 @@
                 }
             }
         }
-        self.links.arm_again(host, &mut self.timers);
+        self.links.arm(host, &mut self.timers);
     }
 
     /// Closes a link from this side.
--- a/crates/dispatcher/src/ledger/links.rs
+++ b/crates/dispatcher/src/ledger/links.rs
@@ -123,7 +123,7 @@
     }
 
     /// Sets the timer for what falls due next at a host's links, unless an earlier one is set: it looks again.
-    fn arm(&mut self, host: &HostId, timers: &mut Timers) {
+    pub fn arm(&mut self, host: &HostId, timers: &mut Timers) {
         let Some(at) = self.decide.get(host).and_then(Channels::next_at) else { return };
         if self.armed.get(host).is_none_or(|armed| at < *armed) {
             self.armed.insert(host.clone(), at);
@@ -137,10 +137,6 @@
         self.decide.get_mut(host).map(|channels| channels.wanted(now, ready)).unwrap_or_default()
     }
 
-    pub fn arm_again(&mut self, host: &HostId, timers: &mut Timers) {
-        self.arm(host, timers);
-    }
-
     /// The link is up.
     pub fn come_up(&mut self, id: LinkId, now: Ms, timers: &mut Timers) {
         let Some(link) = self.all.get_mut(&id) else { return };
--- a/crates/grpc/src/call.rs
+++ b/crates/grpc/src/call.rs
@@ -5,11 +5,6 @@
 use cindercleat_protocol::{v1, Body};
 use prost::Message;
 
-/// What is to go out on a call.
-pub enum Say {
-    Body(Body),
-}
-
 /// The path of the call that a body begins.
 pub fn path(body: &Body) -> Option<&'static str> {
     Some(match body {
--- a/crates/grpc/src/client.rs
+++ b/crates/grpc/src/client.rs
@@ -1,6 +1,6 @@
 //! The calling side of a connection.
 
-use crate::call::{self, Say};
+use crate::call;
 use crate::message::{encode, send, Messages, Stop};
 use crate::{connection_window, Event, Out, Session, Setup, Shared, Unmet, STREAM_WINDOW};
 use bytes::Bytes;
@@ -132,7 +132,7 @@
     path: &'static str,
     body: Body,
     requests: SendRequest<Bytes>,
-    mut queue: mpsc::UnboundedReceiver<Say>,
+    mut queue: mpsc::UnboundedReceiver<Body>,
 ) -> Option<CallEnd> {
     let mut credit = match &body {
         Body::Write(write) => write.window,
@@ -180,15 +180,15 @@
         // A message that there is no credit for is not taken: its sender's window fills, and it waits.
         let next = tokio::select! { biased;
             said = queue.recv() => match said {
-                Some(Say::Body(Body::Credit(more))) => {
+                Some(Body::Credit(more)) => {
                     credit = credit.saturating_add(more.messages);
                     continue;
                 }
-                Some(Say::Body(Body::Cancel(_))) => {
+                Some(Body::Cancel(_)) => {
                     to.send_reset(h2::Reason::CANCEL);
                     return Some(CallEnd::Status { code: Code::Cancelled, never_ran: false });
                 }
-                Some(Say::Body(_)) => continue,
+                Some(_) => continue,
                 None => return Some(CallEnd::ConnectionLost),
             },
             next = messages.next(), if credit > 0 => next,
@@ -231,14 +231,14 @@
 }
 
 /// Waits for the call to be cancelled, keeping credit that comes meanwhile.
-async fn cancelled(queue: &mut mpsc::UnboundedReceiver<Say>, credit: &mut u32) -> Option<CallEnd> {
+async fn cancelled(queue: &mut mpsc::UnboundedReceiver<Body>, credit: &mut u32) -> Option<CallEnd> {
     loop {
         match queue.recv().await {
-            Some(Say::Body(Body::Credit(more))) => *credit = credit.saturating_add(more.messages),
-            Some(Say::Body(Body::Cancel(_))) => {
+            Some(Body::Credit(more)) => *credit = credit.saturating_add(more.messages),
+            Some(Body::Cancel(_)) => {
                 return Some(CallEnd::Status { code: Code::Cancelled, never_ran: false })
             }
-            Some(Say::Body(_)) => {}
+            Some(_) => {}
             None => return Some(CallEnd::ConnectionLost),
         }
     }
@@ -247,7 +247,6 @@
 fn end_of(problem: &h2::Error) -> CallEnd {
     match problem.reason() {
         Some(reason) if problem.is_reset() => CallEnd::Reset(u32::from(reason)),
-        Some(_) if problem.is_go_away() && problem.is_remote() => CallEnd::ConnectionLost,
         _ => CallEnd::ConnectionLost,
     }
 }
--- a/crates/grpc/src/lib.rs
+++ b/crates/grpc/src/lib.rs
@@ -14,7 +14,7 @@
 pub use client::connect;
 pub use server::serve;
 
-use cindercleat_protocol::{v1, Frame};
+use cindercleat_protocol::{v1, Body, Frame};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -74,7 +74,7 @@
     setup: Setup,
     events: RefCell<Option<mpsc::UnboundedSender<Event>>>,
     /// Calls that are open: what is to go out on each.
-    calls: RefCell<BTreeMap<u64, mpsc::UnboundedSender<call::Say>>>,
+    calls: RefCell<BTreeMap<u64, mpsc::UnboundedSender<Body>>>,
     /// How to begin a call; none on a side that only answers.
     begin: RefCell<Option<client::Begin>>,
     closing: Cell<bool>,
@@ -145,7 +145,7 @@
         let open = self.shared.calls.borrow().get(&frame.stream).cloned();
         match (open, frame.body) {
             (Some(call), Some(body)) => {
-                let _ = call.send(call::Say::Body(body));
+                let _ = call.send(body);
             }
             (None, Some(body)) => client::begin(&self.shared, frame.stream, body),
             (_, None) => {}
--- a/crates/grpc/src/server.rs
+++ b/crates/grpc/src/server.rs
@@ -1,6 +1,6 @@
 //! The answering side of a connection.
 
-use crate::call::{self, Say};
+use crate::call;
 use crate::message::{encode, send, Messages, Stop};
 use crate::{connection_window, Event, Out, Session, Setup, Shared, Unmet, STREAM_WINDOW};
 use bytes::Bytes;
@@ -151,7 +151,7 @@
     shared: &Shared,
     number: u64,
     path: &str,
-    mut queue: mpsc::UnboundedReceiver<Say>,
+    mut queue: mpsc::UnboundedReceiver<Body>,
     to: &mut SendStream<Bytes>,
 ) {
     loop {
@@ -161,7 +161,7 @@
             }
             next = queue.recv() => next,
         };
-        let Some(Say::Body(body)) = next else { return end(to, Code::Unavailable, "the connection closes") };
+        let Some(body) = next else { return end(to, Code::Unavailable, "the connection closes") };
         let tokens = matches!(body, Body::Tokens(_));
         // What does not belong on this call is passed over.
         let Some(back) = call::back(path, body) else { continue };
