--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -317,7 +317,7 @@
             match act {
                 Do::Connect => {
                     let to = (&mut self.timers, &mut *out);
-                    self.links.dial(host, &address, self.now, &self.settings, to);
+                    self.links.dial(host, &address, self.now, to);
                 }
                 Do::Ping(id) => {
                     self.links.send(LinkId(id.0), StreamNo(0), Body::Ping(v1::Ping {}), out);
--- a/crates/dispatcher/src/ledger/links.rs
+++ b/crates/dispatcher/src/ledger/links.rs
@@ -91,7 +91,7 @@
             channels.wants_more(now)
         });
         if more {
-            self.dial(host, address, now, settings, (timers, out));
+            self.dial(host, address, now, (timers, out));
         }
         self.arm(host, timers);
         Ok((chosen, stream))
@@ -105,19 +105,16 @@
         settings: &ProgramSettings,
         to: (&mut Timers, &mut Vec<Output>),
     ) -> Result<LinkId, Refusal> {
-        let new = || Channels::new(settings.channels(), self.seed ^ self.decide.len() as u64);
         let ids = self.of.get(host).into_iter().flatten();
         let moved: Vec<LinkId> = ids.copied().filter(|id| self.all[id].address != address).collect();
-        if !self.decide.contains_key(host) {
-            let channels = new();
-            self.decide.insert(host.clone(), channels);
-        }
-        let Some(channels) = self.decide.get_mut(host) else { return Err(Refusal::NotYet) };
+        let seed = self.seed ^ self.decide.len() as u64;
+        let new = || Channels::new(settings.channels(), seed);
+        let channels = self.decide.entry(host.clone()).or_insert_with(new);
         // The host has another address now: what is out there ends there.
         moved.iter().for_each(|id| channels.going_away(ChannelId(id.0)));
         match channels.place(now) {
             Placement::On(id) => Ok(LinkId(id.0)),
-            Placement::Connect => Ok(self.dial(host, address, now, settings, to)),
+            Placement::Connect => Ok(self.dial(host, address, now, to)),
             Placement::Nowhere(refusal) => Err(refusal),
         }
     }
@@ -164,20 +161,21 @@
         }
     }
 
+    /// Dials a host whose channels have asked for it.
     pub fn dial(
         &mut self,
         host: &HostId,
         address: &str,
         now: Ms,
-        settings: &ProgramSettings,
         (timers, out): (&mut Timers, &mut Vec<Output>),
     ) -> LinkId {
         self.made += 1;
         let id = LinkId(self.made);
         let (host, address) = (host.clone(), address.to_owned());
         out.push(Output::Dial { link: id, host: host.clone(), address: address.clone() });
-        let new = || Channels::new(settings.channels(), self.seed ^ id.0);
-        self.decide.entry(host.clone()).or_insert_with(new).connecting(ChannelId(id.0), now);
+        if let Some(channels) = self.decide.get_mut(&host) {
+            channels.connecting(ChannelId(id.0), now);
+        }
         self.of.entry(host.clone()).or_default().push(id);
         let link = Link {
             host: host.clone(),
