--- a/crates/cindercleat-cli/src/lib.rs
+++ b/crates/cindercleat-cli/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod bench_day;
 pub mod conf;
 pub mod day;
+pub mod node;
 pub mod price;
 pub mod script;
 pub mod seeds;
--- a/crates/cindercleat-cli/src/main.rs
+++ b/crates/cindercleat-cli/src/main.rs
@@ -1,6 +1,6 @@
 //! The program `cindercleat`. Exit codes: 0 as wanted, 1 a rule was broken or the work failed, 2 bad input.
 
-use cindercleat_cli::{bench_day, day, price, script, seeds, send, serve, settings, try_it};
+use cindercleat_cli::{bench_day, day, node, price, script, seeds, send, serve, settings, try_it};
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use std::hash::{BuildHasher, RandomState};
 use std::path::{Path, PathBuf};
@@ -29,6 +29,8 @@
 enum Command {
     /// Serves as a dispatcher until SIGTERM.
     Serve { settings: PathBuf },
+    /// Serves as a dispatcher of the platform until SIGTERM. GW_CONFIG names its configuration.
+    Node,
     /// Reads a settings file and says what is wrong with it, if anything is.
     Check { settings: PathBuf },
     /// Runs the stand-ins of a day's script: its hosts and their list, without faults.
@@ -132,6 +134,14 @@
             let read = read_settings(&settings, run)?;
             serve::serve(read.program, read.places, &read.listen, run)?;
         }
+        Command::Node => {
+            let path = std::env::var_os("GW_CONFIG")
+                .ok_or_else(|| Failure::Input("GW_CONFIG names no configuration".to_owned()))?;
+            node::serve(Path::new(&path)).map_err(|problem| match problem {
+                node::Problem::Configuration(what) => Failure::Input(what),
+                node::Problem::Io(problem) => problem.into(),
+            })?;
+        }
         Command::Check { settings } => {
             let read = read_settings(&settings, 0)?;
             let (profiles, kinds) = (read.program.profiles.len(), read.program.kinds.len());
--- a/crates/cindercleat-cli/src/send.rs
+++ b/crates/cindercleat-cli/src/send.rs
@@ -166,7 +166,7 @@
                         }
                     }
                     Event::GoingAway => reading.open.set(false),
-                    Event::Flushed { .. } => {}
+                    Event::Flushed { .. } | Event::Partly => {}
                 }
             }
             reading.open.set(false);
--- a/crates/cindercleat-cli/src/settings.rs
+++ b/crates/cindercleat-cli/src/settings.rs
@@ -161,6 +161,9 @@
         most_frame: limits.value_or("most-frame", 1 << 20)?,
         most_clients: limits.value_or("most-clients", 12_000)?,
         greet_within: or("greet-within", 5_000.0)?,
+        stop_notice: 0.0,
+        single: None,
+        feed_quiet: f64::INFINITY,
     };
     if own.window == 0 || own.streams_per_link == 0 || own.links_per_host == 0 {
         return Err(limits.head.wrong("window, streams-per-link and links-per-host of at least 1"));
--- a/crates/simhost/src/conf.rs
+++ b/crates/conf/src/lib.rs
@@ -1,14 +1,47 @@
-//! The start settings: `path=value` pairs in any order to the interface's [`Settings`].
+//! The start settings: `path=value` pairs in any order to the interface's [`Settings`]. The simulator's wire
+//! carries them as text ([`read`]), the platform's configuration as an object of the same names
+//! ([`read_object`]).
 
-use crate::wire::Malformed;
 use cindercleat::interface::*;
+use serde_json::Value;
 use std::collections::BTreeMap;
+use std::fmt;
 use std::str::FromStr;
 
-/// The settings, and the load report's columns, which only the wire needs.
+/// What should have been there, and what came.
+#[derive(Debug)]
+pub struct Malformed {
+    pub expected: String,
+    pub came: String,
+}
+
+impl Malformed {
+    pub fn new(expected: impl Into<String>, came: impl Into<String>) -> Self {
+        Malformed { expected: expected.into(), came: came.into() }
+    }
+}
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let came: String = self.came.chars().take(80).collect();
+        write!(f, "expected {}, came {came:?}", self.expected)
+    }
+}
+
+/// The settings, and what is said besides to whoever needs more than the decisions do.
 pub struct Conf {
     pub settings: Settings,
+    /// The load report's columns, in the wire's words.
     pub columns: Vec<String>,
+    /// The names behind the ids in `settings`, in the same order, where they are said.
+    pub profiles: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    /// A host closes a connection that rests for this long.
+    pub link_idle: Option<Ms>,
+    /// Tasks open at once.
+    pub most_tasks: Option<usize>,
 }
 
 struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
@@ -70,13 +103,65 @@
     }
 }
 
+/// Reads pairs separated by tabs.
+///
+/// # Errors
+/// The first thing wrong.
 pub fn read(text: &str) -> Result<Conf, Malformed> {
     let mut pairs = BTreeMap::new();
     for pair in text.split('\t').filter(|pair| !pair.is_empty()) {
         let (path, value) = pair.split_once('=').ok_or_else(|| Malformed::new("path=value", pair))?;
         pairs.insert(path, value);
     }
-    let pairs = Pairs(pairs);
+    read_pairs(Pairs(pairs))
+}
+
+/// Reads an object: what lies within another has both names, joined by a dot; a list of values is one value
+/// with commas, a list of objects has a count, and its entries numbers for names.
+///
+/// # Errors
+/// The first thing wrong.
+pub fn read_object(object: &Value) -> Result<Conf, Malformed> {
+    let mut flat = BTreeMap::new();
+    flatten(object, String::new(), &mut flat);
+    read_pairs(Pairs(flat.iter().map(|(path, value)| (path.as_str(), value.as_str())).collect()))
+}
+
+fn flatten(value: &Value, path: String, flat: &mut BTreeMap<String, String>) {
+    let within = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(name, value)| flatten(value, within(name), flat)),
+        Value::Array(entries) => {
+            let objects = entries.iter().any(Value::is_object);
+            if objects || entries.is_empty() {
+                flat.insert(within("count"), entries.len().to_string());
+                entries.iter().enumerate().for_each(|(i, e)| flatten(e, within(&i.to_string()), flat));
+            }
+            if !objects {
+                let texts: Vec<String> = entries.iter().map(plain).collect();
+                flat.insert(path, texts.join(","));
+            }
+        }
+        other => {
+            flat.insert(path, plain(other));
+        }
+    }
+}
+
+/// A value as the wire writes it.
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Number(number) => match number.as_f64() {
+            Some(float) if !number.is_u64() && !number.is_i64() => float.to_string(),
+            _ => number.to_string(),
+        },
+        Value::Null => String::new(),
+        other => other.to_string(),
+    }
+}
+
+fn read_pairs(pairs: Pairs) -> Result<Conf, Malformed> {
     let profiles: usize = pairs.number("services.count")?;
     let tenants: usize = if pairs.0.contains_key("orgs.count") { pairs.number("orgs.count")? } else { 0 };
     let discovery = match pairs.text("discovery")? {
@@ -112,8 +197,24 @@
         start_capacity: pairs.amount("rules.startCapacity")?,
         ramp: pairs.time("rules.rampTime")?,
     };
-    let columns = pairs.list("stats.columns").into_iter().map(str::to_owned).collect();
-    Ok(Conf { settings, columns })
+    let texts = |path: &str| pairs.list(path).into_iter().map(str::to_owned).collect();
+    let named = |what: &str, count: usize| {
+        let name = |i| pairs.0.get(format!("{what}.{i}.name").as_str()).map(|name| (*name).to_owned());
+        (0..count).map_while(name).collect()
+    };
+    let link_idle = pairs.time_or("limits.connIdle", 0.0)?;
+    let most_tasks =
+        if pairs.0.contains_key("limits.mostHeld") { Some(pairs.number("limits.mostHeld")?) } else { None };
+    Ok(Conf {
+        settings,
+        columns: texts("stats.columns"),
+        profiles: named("services", profiles),
+        tenants: named("orgs", tenants),
+        zones: texts("zones"),
+        kinds: texts("shapes"),
+        link_idle: (link_idle > 0.0).then_some(link_idle),
+        most_tasks,
+    })
 }
 
 fn profile(pairs: &Pairs, i: usize) -> Result<ProfileSettings, Malformed> {
--- a/crates/dispatcher/src/ledger/clients.rs
+++ b/crates/dispatcher/src/ledger/clients.rs
@@ -1,12 +1,22 @@
-//! Clients' connections: which there are, and what is decided about each ([`Caller`]).
+//! Clients' connections: which there are, and what is decided about each ([`Caller`], [`Single`]).
 
 use super::timers::{Due, Timers};
 use super::*;
+use crate::settings::Limits;
 use cindercleat::callers::{Caller, CallerSettings, Do, Why};
+use cindercleat::single::{self, Single};
+
+#[derive(Debug)]
+struct Row {
+    caller: Caller,
+    /// Where a connection carries one task at a time.
+    single: Option<Single>,
+    armed: Ms,
+}
 
 #[derive(Debug, Default)]
 pub(super) struct Callers {
-    all: BTreeMap<ConnId, (Caller, Ms)>,
+    all: BTreeMap<ConnId, Row>,
 }
 
 impl Callers {
@@ -19,11 +29,12 @@
     }
 
     /// Sets the timer for what falls due next, unless an earlier one is set: it looks again.
-    fn arm(&mut self, conn: ConnId, settings: &CallerSettings, timers: &mut Timers) {
-        let Some((caller, armed)) = self.all.get_mut(&conn) else { return };
-        let at = caller.next_at(settings);
-        if at < *armed {
-            *armed = at;
+    fn arm(&mut self, conn: ConnId, settings: &CallerSettings, limits: &Limits, timers: &mut Timers) {
+        let Some(row) = self.all.get_mut(&conn) else { return };
+        let single = row.single.zip(limits.single).and_then(|(row, l)| row.next_at(&l.clients));
+        let at = row.caller.next_at(settings).min(single.unwrap_or(f64::INFINITY));
+        if at < row.armed {
+            row.armed = at;
             timers.set(at, Due::Client(conn));
         }
     }
@@ -32,23 +43,74 @@
 impl Ledger {
     pub(super) fn take_client_up(&mut self, conn: ConnId, out: &mut Vec<Output>) {
         let settings = self.settings.callers();
-        self.callers.all.insert(conn, (Caller::new(&settings, self.now), f64::INFINITY));
-        self.callers.arm(conn, &settings, &mut self.timers);
-        if self.stopping.is_some() {
+        let caller = Caller::new(&settings, self.now);
+        let single = self.settings.limits.single.map(|_| Single::new(self.now));
+        self.callers.all.insert(conn, Row { caller, single, armed: f64::INFINITY });
+        self.arm_client(conn);
+        if self.is_closed() {
             out.push(Output::LeaveClient { conn });
         }
     }
 
+    fn arm_client(&mut self, conn: ConnId) {
+        let settings = self.settings.callers();
+        self.callers.arm(conn, &settings, &self.settings.limits, &mut self.timers);
+    }
+
     pub(super) fn heard_client(&mut self, conn: ConnId) {
-        if let Some((caller, _)) = self.callers.all.get_mut(&conn) {
-            caller.heard(self.now);
+        if let Some(row) = self.callers.all.get_mut(&conn) {
+            row.caller.heard(self.now);
+        }
+    }
+
+    /// Part of a request is there.
+    pub(super) fn take_partly(&mut self, conn: ConnId) {
+        self.change_single(conn, Single::partly);
+    }
+
+    /// A request is there; gives how long ago its first part came.
+    pub(super) fn client_asks(&mut self, conn: ConnId) -> Ms {
+        let single = self.callers.all.get_mut(&conn).and_then(|row| row.single.as_mut());
+        single.map_or(0.0, |single| single.whole(self.now))
+    }
+
+    /// The one answer to a request is out.
+    pub(super) fn client_answered(&mut self, conn: ConnId) {
+        self.change_single(conn, Single::answered);
+    }
+
+    fn change_single(&mut self, conn: ConnId, change: impl FnOnce(&mut Single, Ms)) {
+        if let Some(single) = self.callers.all.get_mut(&conn).and_then(|row| row.single.as_mut()) {
+            change(single, self.now);
+            self.arm_client(conn);
+        }
+    }
+
+    /// There may be no more connections of clients, and one more wants to come.
+    pub(super) fn make_room(&mut self, out: &mut Vec<Output>) {
+        let all = self.callers.all.iter().filter_map(|(conn, row)| Some((*conn, row.single?)));
+        let Some(conn) = single::shed(all) else { return };
+        let row = self.callers.all.get_mut(&conn).and_then(|row| row.single.as_mut());
+        if let Some(why) = row.map(Single::give_up) {
+            self.end_single(conn, why, out);
+        }
+    }
+
+    fn end_single(&mut self, conn: ConnId, why: single::Why, out: &mut Vec<Output>) {
+        match why {
+            // What it asks as this is said is still answered.
+            single::Why::Silent => out.push(Output::LeaveClient { conn }),
+            single::Why::Slow => {
+                let reason = "its request does not come".to_owned();
+                out.push(Output::CloseClient { conn, reason });
+            }
         }
     }
 
     pub(super) fn count_cancel(&mut self, conn: ConnId, out: &mut Vec<Output>) {
         let settings = self.settings.callers();
-        if let Some((caller, _)) = self.callers.all.get_mut(&conn) {
-            caller.cancelled(&settings, self.now);
+        if let Some(row) = self.callers.all.get_mut(&conn) {
+            row.caller.cancelled(&settings, self.now);
             self.look_at_client(conn, out);
         }
     }
@@ -56,9 +118,11 @@
     /// What has fallen due for a client's connection.
     pub(super) fn look_at_client(&mut self, conn: ConnId, out: &mut Vec<Output>) {
         let settings = self.settings.callers();
-        let Some((caller, armed)) = self.callers.all.get_mut(&conn) else { return };
-        *armed = f64::INFINITY;
-        match caller.wanted(&settings, self.now) {
+        let Some(row) = self.callers.all.get_mut(&conn) else { return };
+        row.armed = f64::INFINITY;
+        let single = row.single.as_mut().zip(self.settings.limits.single);
+        let why = single.and_then(|(single, limits)| single.wanted(&limits.clients, self.now));
+        match row.caller.wanted(&settings, self.now) {
             Some(Do::Ping) => {
                 out.push(Output::ToClient { conn, frame: frame(0, Body::Ping(v1::Ping {})) });
             }
@@ -72,6 +136,9 @@
             }
             None => {}
         }
-        self.callers.arm(conn, &settings, &mut self.timers);
+        if let Some(why) = why {
+            self.end_single(conn, why, out);
+        }
+        self.arm_client(conn);
     }
 }
--- a/crates/dispatcher/src/ledger/fleet.rs
+++ b/crates/dispatcher/src/ledger/fleet.rs
@@ -75,6 +75,11 @@
         Ok(Entry { host, zone, kind, cell, condition, weight, started })
     }
 
+    /// Whether a list was there.
+    pub fn is_known(&self) -> bool {
+        !self.hosts.is_empty()
+    }
+
     /// All that is known and not gone, as a list to remember.
     pub fn whole(&self) -> v1::HostList {
         let here = self.hosts.values().filter(|row| row.condition != Condition::Gone);
--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -12,6 +12,10 @@
 const RELEASE_PARTS: f64 = 4.0;
 /// For how many release times a release that does not get through is tried again.
 const RELEASE_TIMES: f64 = 10.0;
+/// Where any host passes a release on: the part of the release time that one has to answer, and that passes
+/// before the next is asked.
+const RELEASE_ANSWER: f64 = 4.0;
+const RELEASE_NEXT: f64 = 25.0;
 
 impl Ledger {
     pub(super) fn launch(&mut self, id: TaskId, host: HostId, until: Option<Ms>, out: &mut Vec<Output>) {
@@ -30,11 +34,12 @@
             return self.events.push(never_sent(id, no, host, Outcome::Void, task.answered));
         };
         let address = row.line.address.clone();
-        let state = state_of(self.settings.run, id, no);
+        let until = until.unwrap_or(task.ends).min(task.ends);
+        let wait_ms = until - self.now;
         let body = if reading {
-            read(&task.submit, state)
+            read(&task.submit, state_of(self.settings.run, id, no), wait_ms)
         } else {
-            write(task, &self.fleet, self.settings.limits.window)
+            write(task, &self.fleet, self.settings.limits.window, wait_ms)
         };
         let purpose = Use::Launch(id, no);
         let opened =
@@ -66,11 +71,35 @@
             last_gone: self.now,
         });
         task.sent |= self.links.get(link).is_some_and(|l| l.up);
-        let until = until.unwrap_or(task.ends).min(task.ends);
         self.timers.set(until, Due::Launch(id, no));
         self.links.send(link, stream, body, out);
     }
 
+    /// A launch that its connection did not carry, as it was over before anything was written, goes out on
+    /// another one: the host has said nothing of it. Tells whether it could.
+    fn launch_again(&mut self, id: TaskId, out: &mut Vec<Output>) -> bool {
+        let Some(task) = self.tasks.get_mut(&id).filter(|task| !task.answered) else { return false };
+        let Some(launch) = task.out.as_ref().filter(|launch| !launch.first) else { return false };
+        let Some(row) = self.fleet.hosts.get(&launch.host) else { return false };
+        if row.condition != Condition::Ready {
+            return false;
+        }
+        let (no, host, address) = (launch.no, launch.host.clone(), row.line.address.clone());
+        let wait_ms = task.ends - self.now;
+        let body = if launch.reading {
+            read(&task.submit, state_of(self.settings.run, id, no), wait_ms)
+        } else {
+            write(task, &self.fleet, self.settings.limits.window, wait_ms)
+        };
+        let to = (&mut self.timers, &mut *out);
+        let purpose = Use::Launch(id, no);
+        let opened = self.links.open(&host, &address, purpose, self.now, &self.settings, to);
+        let (Ok((link, stream)), Some(launch)) = (opened, task.out.as_mut()) else { return false };
+        (launch.link, launch.stream) = (link, stream);
+        self.links.send(link, stream, body, out);
+        true
+    }
+
     /// The wire's end of the launch that is out: what has not gone out is taken back, else the host is told.
     /// Tells whether it never went out.
     pub(super) fn stop_launch(&mut self, id: TaskId, out: &mut Vec<Output>) -> bool {
@@ -96,7 +125,8 @@
     /// The state that the read which is out for a task leaves, if one is out.
     fn read_out(&self, id: TaskId) -> Option<Held> {
         let launch = self.tasks.get(&id)?.out.as_ref().filter(|launch| launch.reading)?;
-        Some(Held { host: launch.host.clone(), id: state_of(self.settings.run, id, launch.no) })
+        let origin = self.tasks.get(&id)?.origin();
+        Some(Held { host: launch.host.clone(), id: state_of(self.settings.run, id, launch.no), origin })
     }
 
     fn make_past(&mut self, id: LinkId, stream: StreamNo) {
@@ -113,6 +143,11 @@
         if !matches!(link.streams.get(&stream), Some(Use::Past | Use::Release(..))) {
             return;
         }
+        if self.settings.limits.single.is_some()
+            && matches!(link.streams.get(&stream), Some(Use::Release(..)))
+        {
+            return self.drop_link(id, "it does not answer a release", out);
+        }
         let until = link.heard + self.settings.limits.stall_limit;
         if self.now >= until {
             self.drop_link(id, "it says nothing and ends nothing", out);
@@ -127,7 +162,7 @@
         let Some(launch) = task.out.take() else { return };
         if outcome == Outcome::ReadDone {
             let state = state_of(self.settings.run, id, launch.no);
-            task.state = Some(Held { host: launch.host.clone(), id: state });
+            task.state = Some(Held { host: launch.host.clone(), id: state, origin: task.origin() });
         } else if outcome == Outcome::Full && detail == 1.0 {
             task.state = None;
         }
@@ -200,32 +235,58 @@
         if planted::is(Plant::ReleaseForgotten) {
             return;
         }
-        self.unreleased.entry(held.host.clone()).or_default().push((held.id, self.now));
-        self.flush_releases(&held.host, out);
+        let host = held.host.clone();
+        self.unreleased.entry(host.clone()).or_default().push((held, self.now));
+        self.flush_releases(&host, out);
     }
 
     /// A release did not get through: it is said again, or its state would stay pinned.
-    fn release_lost(&mut self, host: HostId, state: v1::StateId, since: Ms) {
-        self.unreleased.entry(host.clone()).or_default().push((state, since));
-        self.timers.set(self.now + self.settings.policy.release / RELEASE_PARTS, Due::Release(host));
+    fn release_lost(&mut self, host: HostId, held: Held, since: Ms) {
+        let release = self.settings.policy.release;
+        let (host, again) = match self.settings.limits.single {
+            None => (host, release / RELEASE_PARTS),
+            // Where states go by their task's id, any host lets them go.
+            Some(_) => (self.another(&host).unwrap_or(host), release / RELEASE_NEXT),
+        };
+        self.unreleased.entry(host.clone()).or_default().push((held, since));
+        self.timers.set(self.now + again, Due::Release(host));
+    }
+
+    /// Another host that runs, as far as is known: one to which a link rests, else the next by name.
+    fn another(&self, host: &HostId) -> Option<HostId> {
+        let next = self.fleet.hosts.range(host.clone()..).chain(self.fleet.hosts.range(..host.clone()));
+        let others = next.filter(|(other, row)| *other != host && row.condition == Condition::Ready);
+        let names: Vec<&HostId> = others.map(|(other, _)| other).collect();
+        let linked = names.iter().find(|other| self.links.up(other, true).is_some());
+        linked.or(names.first()).map(|other| (*other).clone())
+    }
+
+    /// Whether letting a state go would end what its task still needs: where states go by their task's id, a
+    /// release does not tell a launch's from the next one's.
+    fn is_withheld(&self, held: &Held) -> bool {
+        let task = self.origins.get(&held.origin).and_then(|id| self.tasks.get(id));
+        task.is_some_and(|task| task.out.is_some() || task.state.is_some())
     }
 
     /// Lets go what is to be let go at a host, over any link that is up; else one is had. What is wanted is
     /// kept until the host says that it is done: a release lost on its way would leave a state pinned. A process that
     /// is gone holds nothing, and a host that cannot be reached for long has its own time limit.
     pub(super) fn flush_releases(&mut self, host: &HostId, out: &mut Vec<Output>) {
+        if self.settings.limits.single.is_some() {
+            return self.flush_singly(host, out);
+        }
         let Some(states) = self.unreleased.get_mut(host) else { return };
         let oldest = self.now - RELEASE_TIMES * self.settings.policy.release;
         states.retain(|(_, since)| *since >= oldest);
         let row = self.fleet.hosts.get(host).filter(|row| row.condition != Condition::Gone);
-        match (self.links.up(host), row) {
+        match (self.links.up(host, false), row) {
             (Some(link), _) => {
-                for (state, since) in self.unreleased.remove(host).unwrap_or_default() {
-                    let purpose = Use::Release(state, since);
+                for (held, since) in self.unreleased.remove(host).unwrap_or_default() {
+                    let body = release(&held);
+                    let purpose = Use::Release(held, since);
                     let stream = self.links.open_on(link, purpose, self.now, &mut self.timers);
                     let Some(stream) = stream else { continue };
                     self.timers.set(self.now + self.settings.limits.stall_limit, Due::Past(link, stream));
-                    let body = Body::Release(v1::Release { state: Some(state) });
                     self.links.send(link, stream, body, out);
                 }
             }
@@ -243,6 +304,34 @@
         }
     }
 
+    /// As `flush_releases`, where each release takes a connection, and any host passes it on.
+    fn flush_singly(&mut self, host: &HostId, out: &mut Vec<Output>) {
+        let release_time = self.settings.policy.release;
+        let oldest = self.now - RELEASE_TIMES * release_time;
+        for (held, since) in self.unreleased.remove(host).unwrap_or_default() {
+            if self.is_withheld(&held) {
+                self.withheld.insert(host.clone());
+                self.unreleased.entry(host.clone()).or_default().push((held, self.now));
+                continue;
+            }
+            if since < oldest {
+                continue;
+            }
+            let here = |to: &HostId| self.fleet.condition(to) != Condition::Gone;
+            let Some(via) = Some(host.clone()).filter(here).or_else(|| self.another(host)) else { continue };
+            let address = self.fleet.hosts.get(&via).map(|row| row.line.address.clone()).unwrap_or_default();
+            let (body, purpose) = (release(&held), Use::Release(held.clone(), since));
+            let to = (&mut self.timers, &mut *out);
+            match self.links.open(&via, &address, purpose, self.now, &self.settings, to) {
+                Ok((link, stream)) => {
+                    self.timers.set(self.now + release_time / RELEASE_ANSWER, Due::Past(link, stream));
+                    self.links.send(link, stream, body, out);
+                }
+                Err(_) => self.release_lost(via, held, since),
+            }
+        }
+    }
+
     pub(super) fn hold_ahead(&mut self, id: TaskId, host: &HostId, out: &mut Vec<Output>) {
         let Some(launch) = self.tasks.get(&id).and_then(|t| t.out.as_ref()) else { return };
         let state = state_of(self.settings.run, id, launch.no);
@@ -284,7 +373,7 @@
 
     pub(super) fn end_probe(&mut self, id: LinkId, stream: StreamNo, outcome: Outcome, load: Load) {
         let Some(link) = self.links.get_mut(id) else { return };
-        let Some(Use::Probe { sent }) = link.streams.get(&stream).copied() else { return };
+        let Some(Use::Probe { sent }) = link.streams.get(&stream).cloned() else { return };
         let host = link.host.clone();
         self.events.push(Event::Probed { host, outcome, latency: self.now - sent, load });
         if outcome == Outcome::TimedOut && !self.links.unsend(id, stream) {
@@ -314,7 +403,7 @@
         let ready = self.fleet.condition(&host) == Condition::Ready || planted::is(Plant::DrainReadLate);
         self.flush_releases(&host, out);
         for (stream, body) in waiting {
-            let purpose = self.links.get(id).and_then(|l| l.streams.get(&stream).copied());
+            let purpose = self.links.get(id).and_then(|l| l.streams.get(&stream).cloned());
             let frame = frame(stream.0, body);
             match purpose {
                 Some(Use::Launch(task, _)) if !ready => {
@@ -410,7 +499,7 @@
         self.links.heard(id, self.now);
         let Some(link) = self.links.get(id) else { return };
         let host = link.host.clone();
-        let purpose = link.streams.get(&stream).copied();
+        let purpose = link.streams.get(&stream).cloned();
         let name = name_of(frame.body.as_ref());
         let good = match (purpose, frame.body) {
             (Some(Use::Launch(task, _)), Some(Body::Tokens(tokens))) => self.take_tokens(task, tokens, out),
@@ -418,6 +507,21 @@
                 self.close_stream(id, stream);
                 self.take_ended(task, &ended, out)
             }
+            // The connection is over before or after the whole request was written: only the first proves
+            // that nothing ran.
+            (Some(Use::Launch(task, _)), Some(Body::Goodbye(bye))) => {
+                let reused = self.links.get(id).is_some_and(|link| link.carried() > 1);
+                self.close_stream(id, stream);
+                self.links.leaving(id, &mut self.timers);
+                let again = bye.never_ran && reused && self.launch_again(task, out);
+                if !again {
+                    let outcome = if bye.never_ran { Outcome::Unreachable } else { Outcome::Broken };
+                    let text = format!("launch at {} over: {}", host.0, bye.reason);
+                    out.push(Output::Log { level: Level::Info, text });
+                    self.finish_launch(task, outcome, "the connection broke", Load::default(), out);
+                }
+                true
+            }
             (Some(Use::Probe { .. }), Some(Body::Load(load))) => {
                 self.end_probe(id, stream, Outcome::Fulfilled, load_of(&load));
                 true
@@ -476,7 +580,7 @@
     /// or it would stay pinned.
     fn take_late_end(&mut self, host: HostId, ended: &v1::Ended, out: &mut Vec<Output>) {
         if let (v1::Status::ReadDone, Some(state)) = (ended.status(), ended.state) {
-            self.release_state(Held { host, id: state }, out);
+            self.release_state(Held { host, id: state, origin: String::new() }, out);
         }
     }
 
@@ -529,6 +633,8 @@
             launch.first = true;
             launch.last_gone = self.now;
             task.state = None;
+            // No launch can need it any more.
+            task.submit.prompt = Default::default();
             let (no, host, latency) = (launch.no, launch.host.clone(), self.now - launch.since);
             self.timers.set(self.now + self.settings.limits.stall_limit, Due::Stall(id, no));
             self.events.push(Event::FirstToken { task: id, launch: no, host, latency });
@@ -590,7 +696,11 @@
     Event::Ended(Ended { task, launch, host, outcome, latency: 0.0, last, detail: 0.0, load })
 }
 
-fn read(submit: &v1::Submit, state: v1::StateId) -> Body {
+fn release(held: &Held) -> Body {
+    Body::Release(v1::Release { state: Some(held.id), origin: held.origin.clone() })
+}
+
+fn read(submit: &v1::Submit, state: v1::StateId, wait_ms: Ms) -> Body {
     Body::Read(v1::Read {
         state: Some(state),
         key: submit.key.clone(),
@@ -601,10 +711,12 @@
         profile: submit.profile.clone(),
         tenant: submit.tenant.clone(),
         prompt: submit.prompt.clone(),
+        origin: submit.origin.clone(),
+        wait_ms,
     })
 }
 
-fn write(task: &Task, fleet: &Fleet, window: u32) -> Body {
+fn write(task: &Task, fleet: &Fleet, window: u32, wait_ms: Ms) -> Body {
     let submit = &task.submit;
     let reader = task.state.as_ref().and_then(|held| fleet.hosts.get(&held.host));
     Body::Write(v1::Write {
@@ -621,6 +733,8 @@
         tenant: submit.tenant.clone(),
         window,
         prompt: submit.prompt.clone(),
+        origin: submit.origin.clone(),
+        wait_ms,
     })
 }
 
--- a/crates/dispatcher/src/ledger/links.rs
+++ b/crates/dispatcher/src/ledger/links.rs
@@ -1,16 +1,17 @@
 //! Links: connections to model hosts, and what is out on each. Which one a stream takes, when one more is
 //! dialled, asked whether it lives or closed, [`Channels`] decides.
 
+use super::tasks::Held;
 use super::timers::{Due, Timers};
 use super::{LinkId, Output, StreamNo};
 use crate::settings::ProgramSettings;
 use cindercleat::channels::{ChannelId, Channels, Do, Placement, Refusal};
 use cindercleat::interface::{HostId, LaunchNo, Ms, TaskId};
-use cindercleat_protocol::{frame, v1, Body};
+use cindercleat_protocol::{frame, Body};
 use std::collections::BTreeMap;
 
 /// What a stream of a link is for.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub(super) enum Use {
     Launch(TaskId, LaunchNo),
     Probe {
@@ -18,7 +19,7 @@
     },
     Hold(TaskId, LaunchNo),
     /// A state is let go, since when that is wanted.
-    Release(v1::StateId, Ms),
+    Release(Held, Ms),
     /// Given up here; whatever still comes is old.
     Past,
 }
@@ -36,6 +37,13 @@
     next_stream: u64,
 }
 
+impl Link {
+    /// Streams that it has carried.
+    pub fn carried(&self) -> u64 {
+        self.next_stream - 1
+    }
+}
+
 #[derive(Debug, Default)]
 pub(super) struct Links {
     all: BTreeMap<LinkId, Link>,
@@ -107,11 +115,28 @@
         moved.iter().for_each(|id| channels.going_away(ChannelId(id.0)));
         match channels.place(now) {
             Placement::On(id) => Ok(LinkId(id.0)),
-            Placement::Connect => Ok(self.dial(host, address, now, to)),
+            Placement::Connect => {
+                let most = settings.limits.single.map_or(usize::MAX, |single| single.most_links);
+                if self.all.len() >= most && !self.make_room(now, to.1) {
+                    return Err(Refusal::AllTaken);
+                }
+                Ok(self.dial(host, address, now, to))
+            }
             Placement::Nowhere(refusal) => Err(refusal),
         }
     }
 
+    /// Closes the link that has rested longest, at whatever host; tells whether there was one.
+    fn make_room(&mut self, now: Ms, out: &mut Vec<Output>) -> bool {
+        let resting = self.all.iter().filter(|(_, link)| link.up && link.streams.is_empty());
+        let longest = resting.min_by(|a, b| a.1.heard.total_cmp(&b.1.heard)).map(|(id, _)| *id);
+        if let Some(id) = longest {
+            out.push(Output::CloseLink { link: id, reason: "its place is wanted".to_owned() });
+            self.remove(id, now);
+        }
+        longest.is_some()
+    }
+
     /// Sets the timer for what falls due next at a host's links, unless an earlier one is set: it looks again.
     pub fn arm(&mut self, host: &HostId, timers: &mut Timers) {
         let Some(at) = self.decide.get(host).and_then(Channels::next_at) else { return };
@@ -214,11 +239,12 @@
         all.any(|purpose| matches!(purpose, Use::Release(..)))
     }
 
-    /// A link to the host that is up and takes streams.
-    pub fn up(&self, host: &HostId) -> Option<LinkId> {
+    /// A link to the host that is up and takes streams; `resting`: one that carries nothing.
+    pub fn up(&self, host: &HostId, resting: bool) -> Option<LinkId> {
         let channels = self.decide.get(host)?;
         let ids = self.of.get(host)?;
-        let takes = |id: &LinkId| channels.takes(ChannelId(id.0)) && self.all.get(id).is_some_and(|l| l.up);
+        let fits = |l: &Link| l.up && (!resting || l.streams.is_empty());
+        let takes = |id: &LinkId| channels.takes(ChannelId(id.0)) && self.all.get(id).is_some_and(fits);
         ids.iter().copied().find(takes)
     }
 
--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -22,7 +22,7 @@
 use clients::Callers;
 use fleet::Fleet;
 use links::Links;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use tasks::{Held, Task, Ticket};
 use timers::{Due, Timers};
 
@@ -43,6 +43,10 @@
     Client { conn: ConnId, frame: Frame },
     /// A client's connection is there.
     ClientUp { conn: ConnId },
+    /// Part of a client's message is there.
+    ClientPartly { conn: ConnId },
+    /// There may be no more connections of clients, and one more wants to come.
+    ClientsFull,
     /// The client's connection is over.
     ClientClosed { conn: ConnId },
     /// So many token messages of a stream have left for the client.
@@ -137,13 +141,17 @@
     now: Ms,
     tasks: BTreeMap<TaskId, Task>,
     tickets: BTreeMap<Ticket, TaskId>,
+    /// Open tasks by the id that their clients gave them, where they did.
+    origins: BTreeMap<String, TaskId>,
     callers: Callers,
     next_task: u32,
     fleet: Fleet,
     links: Links,
     timers: Timers,
     /// States to let go as soon as their hosts are reached, and since when.
-    unreleased: BTreeMap<HostId, Vec<(v1::StateId, Ms)>>,
+    unreleased: BTreeMap<HostId, Vec<(Held, Ms)>>,
+    /// Hosts with releases that wait until nothing of their task is out or held.
+    withheld: BTreeSet<HostId>,
     /// What the decisions have not been told yet.
     events: Vec<Event>,
     stopping: Option<Ms>,
@@ -159,12 +167,14 @@
             now: f64::NEG_INFINITY,
             tasks: BTreeMap::new(),
             tickets: BTreeMap::new(),
+            origins: BTreeMap::new(),
             callers: Callers::default(),
             next_task: 0,
             fleet: Fleet::default(),
             links: Links::new(seed),
             timers: Timers::default(),
             unreleased: BTreeMap::new(),
+            withheld: BTreeSet::new(),
             events: Vec::new(),
             stopping: None,
             stopped: false,
@@ -178,6 +188,8 @@
         match input {
             Input::ClientUp { conn } => self.take_client_up(conn, out),
             Input::Client { conn, frame } => self.take_client(conn, frame, out),
+            Input::ClientPartly { conn } => self.take_partly(conn),
+            Input::ClientsFull => self.make_room(out),
             Input::ClientClosed { conn } => self.take_client_closed(conn, out),
             Input::Flushed { conn, stream, messages } => self.take_flushed((conn, stream), messages, out),
             Input::LinkUp { link, limit } => self.take_link_up(link, limit, out),
@@ -198,11 +210,14 @@
             self.take_due(due, out);
             self.settle(out);
         }
+        for host in std::mem::take(&mut self.withheld) {
+            self.flush_releases(&host, out);
+        }
         // States that are let go are gone when their hosts say so: a stop does not cut that off, but no host that
         // says nothing holds it up for longer than a release may take.
         if let (Some(since), false) = (self.stopping, self.stopped) {
             let latest = since + self.settings.limits.stop_grace + self.settings.policy.release;
-            if self.tasks.is_empty() && (!self.releasing() || self.now >= latest) {
+            if self.tasks.is_empty() && self.is_closed() && (!self.releasing() || self.now >= latest) {
                 self.stopped = true;
                 out.push(Output::Stopped);
             }
@@ -277,6 +292,7 @@
             Due::Probe(link, stream) => self.end_probe(link, stream, Outcome::TimedOut, Load::default()),
             Due::Past(link, stream) => self.look_at_past(link, stream, out),
             Due::Release(host) => self.flush_releases(&host, out),
+            Due::StopNotice => self.end_notice(out),
             Due::StopGrace => self.end_grace(out),
             Due::StopReleases => {}
         }
@@ -294,6 +310,16 @@
                     self.count_cancel(conn, out);
                 }
             }
+            // Whether tasks can be routed: the list is there, and no stop has begun.
+            Some(Body::Ping(_)) if stream.0 > 0 => {
+                self.client_asks(conn);
+                let ready = self.fleet.is_known() && self.stopping.is_none();
+                let no = || v1::Goodbye { reason: "not ready".to_owned(), never_ran: true };
+                let body = if ready { Body::Pong(v1::Pong {}) } else { Body::Goodbye(no()) };
+                let frame = Frame { stream: stream.0, body: Some(body) };
+                out.push(Output::ToClient { conn, frame });
+                self.client_answered(conn);
+            }
             Some(Body::Goodbye(_) | Body::Pong(_)) => {}
             other => {
                 let reason = format!("a client does not send {}", name_of(other.as_ref()));
@@ -302,40 +328,72 @@
         }
     }
 
-    fn take_submit(&mut self, ticket: Ticket, submit: v1::Submit, out: &mut Vec<Output>) {
+    fn take_submit(&mut self, ticket: Ticket, mut submit: v1::Submit, out: &mut Vec<Output>) {
         let (conn, stream) = ticket;
-        let mut say = |body| out.push(Output::ToClient { conn, frame: frame(stream.0, body) });
+        let took = self.client_asks(conn);
         if self.tickets.contains_key(&ticket) || stream.0 == 0 {
             let reason = format!("stream {} is in use or reserved", stream.0);
             return out.push(Output::CloseClient { conn, reason });
         }
-        let arrival = match self.arrival(&submit) {
-            Ok(arrival) => arrival,
-            Err((field, reason)) => {
-                return say(Body::Rejected(v1::Rejected { field: field.to_owned(), reason }));
+        // The client's time runs since it sent the first of its request.
+        submit.patience_ms -= took;
+        let refused = match self.refusal(&submit) {
+            Err((field, reason)) => Some(Body::Rejected(v1::Rejected { field: field.to_owned(), reason })),
+            Ok(None) => None,
+            Ok(Some((reason, full))) => {
+                let policy = &self.settings.policy;
+                let hears = if policy.clients_hear_retry { policy.release } else { 0.0 };
+                let retry_after_ms = hears.min(policy.max_retry_after);
+                let answer = v1::Answer::Bounced.into();
+                Some(Body::Final(v1::Final { answer, retry_after_ms, reason: reason.to_owned(), full }))
             }
         };
-        // Guards against more open tasks than memory and patience bear; nothing has run, so a retry is harmless.
-        let full = self.tasks.len() >= self.settings.limits.most_tasks || self.next_task == u32::MAX;
-        if full || self.stopping.is_some() {
-            let reason = if full { "too many tasks are open" } else { "stopping" };
-            let retry_after_ms = self.settings.policy.release.min(self.settings.policy.max_retry_after);
-            let answer = v1::Answer::Bounced.into();
-            let reason = reason.to_owned();
-            return say(Body::Final(v1::Final { answer, retry_after_ms, reason, full }));
+        if let Some(body) = refused {
+            out.push(Output::ToClient { conn, frame: frame(stream.0, body) });
+            return self.client_answered(conn);
         }
+        let Ok(arrival) = self.arrival(&submit) else { return };
         let id = arrival.task;
         self.next_task += 1;
-        say(Body::Accepted(v1::Accepted { task: id.0 }));
+        out.push(Output::ToClient {
+            conn,
+            frame: frame(stream.0, Body::Accepted(v1::Accepted { task: id.0 })),
+        });
         let ends = self.now + arrival.patience_left;
         self.timers.set(ends, Due::Patience(id));
         self.tickets.insert(ticket, id);
+        if let Some(origin) = &submit.origin {
+            self.origins.insert(origin.id.clone(), id);
+        }
         let task =
             Task { ticket, submit, ends, answered: false, launches: 0, out: None, state: None, sent: false };
         self.tasks.insert(id, task);
         self.events.push(Event::Arrived(arrival));
     }
 
+    /// Why a task is not taken now though it could be, and whether that is for want of room; or the field that
+    /// cannot be right, and why.
+    fn refusal(&self, submit: &v1::Submit) -> Result<Option<(&'static str, bool)>, (&'static str, String)> {
+        self.arrival(submit)?;
+        let open = submit.origin.as_ref().is_some_and(|origin| self.origins.contains_key(&origin.id));
+        if open {
+            // Guards against a task that goes by another's id: what is held for that one would be mixed up.
+            return Err(("id", "a task of this id is open".to_owned()));
+        }
+        // Guards against more open tasks than memory and patience bear; nothing has run, so a retry is harmless.
+        let full = self.tasks.len() >= self.settings.limits.most_tasks || self.next_task == u32::MAX;
+        Ok(match (full, self.is_closed()) {
+            (true, _) => Some(("too many tasks are open", true)),
+            (_, true) => Some(("stopping", false)),
+            _ => None,
+        })
+    }
+
+    /// Whether nothing new is taken.
+    fn is_closed(&self) -> bool {
+        self.stopping.is_some_and(|since| self.now >= since + self.settings.limits.stop_notice)
+    }
+
     /// The task as the decisions take it; or the field that cannot be right, and why.
     fn arrival(&self, submit: &v1::Submit) -> Result<Arrival, (&'static str, String)> {
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name).map(|at| at as u32);
@@ -408,6 +466,8 @@
     ) {
         let Some(task) = self.tasks.get_mut(&id).filter(|t| !t.answered) else { return };
         task.answered = true;
+        // No launch can need it any more.
+        task.submit.prompt = Default::default();
         let (conn, stream) = task.ticket;
         self.tickets.remove(&task.ticket);
         let (answer, reason) = (answer.into(), reason.to_owned());
@@ -416,12 +476,16 @@
             return;
         }
         out.push(Output::ToClient { conn, frame: frame(stream.0, Body::Final(body)) });
+        self.client_answered(conn);
         self.forget_past(id);
     }
 
     fn forget_past(&mut self, id: TaskId) {
         if self.tasks.get(&id).is_some_and(Task::is_past) {
-            self.tasks.remove(&id);
+            let past = self.tasks.remove(&id);
+            if let Some(origin) = past.and_then(|task| task.submit.origin) {
+                self.origins.remove(&origin.id);
+            }
         }
     }
 
@@ -442,7 +506,7 @@
         let list = planted.as_ref().unwrap_or(list);
         let (kind, entries, wrong) = self.fleet.take(list, &self.settings);
         out.extend(wrong.into_iter().map(|text| Output::Log { level: Level::Warn, text }));
-        if remembered.is_none() {
+        if remembered.is_none() && !list.hosts.is_empty() {
             out.push(Output::KeepList(self.fleet.whole()));
         }
         for entry in entries.iter().filter(|e| e.condition != Condition::Ready) {
@@ -460,12 +524,22 @@
             let grace = self.now + self.settings.limits.stop_grace;
             self.timers.set(grace, Due::StopGrace);
             self.timers.set(grace + self.settings.policy.release, Due::StopReleases);
-            out.extend(self.callers.all().map(|conn| Output::LeaveClient { conn }));
+            let notice = self.settings.limits.stop_notice;
+            if notice > 0.0 {
+                self.timers.set(self.now + notice, Due::StopNotice);
+            } else {
+                self.end_notice(out);
+            }
             let text = format!("stopping with {} tasks open", self.tasks.len());
             out.push(Output::Log { level: Level::Info, text });
         }
     }
 
+    /// Nothing new is taken from now on.
+    fn end_notice(&mut self, out: &mut Vec<Output>) {
+        out.extend(self.callers.all().map(|conn| Output::LeaveClient { conn }));
+    }
+
     /// What is still open at the end of the grace is answered: bounced if nothing of it ever went out, else
     /// written off, which promises nothing; its launches are called off and its states let go.
     fn end_grace(&mut self, out: &mut Vec<Output>) {
--- a/crates/dispatcher/src/ledger/tasks.rs
+++ b/crates/dispatcher/src/ledger/tasks.rs
@@ -29,6 +29,8 @@
 pub(super) struct Held {
     pub host: HostId,
     pub id: v1::StateId,
+    /// The task's id as its client gave it, where states are known by it; else empty.
+    pub origin: String,
 }
 
 /// The launch of a task that is out.
@@ -58,6 +60,11 @@
         self.answered && self.out.is_none() && self.state.is_none()
     }
 
+    /// The id that its client gave it, where it did.
+    pub fn origin(&self) -> String {
+        self.submit.origin.as_ref().map(|origin| origin.id.clone()).unwrap_or_default()
+    }
+
     pub fn streams(&self) -> bool {
         self.out.as_ref().is_some_and(|o| o.first)
     }
--- a/crates/dispatcher/src/ledger/timers.rs
+++ b/crates/dispatcher/src/ledger/timers.rs
@@ -24,6 +24,8 @@
     Past(LinkId, StreamNo),
     /// States there whose release was lost are let go again.
     Release(HostId),
+    /// What comes from now on is not taken any more.
+    StopNotice,
     StopGrace,
     /// Releases after a stop have had their time.
     StopReleases,
--- a/crates/dispatcher/src/settings.rs
+++ b/crates/dispatcher/src/settings.rs
@@ -3,6 +3,7 @@
 use cindercleat::callers::CallerSettings;
 use cindercleat::channels::ChannelSettings;
 use cindercleat::interface::{DispatcherId, Ms, Settings, ZoneId};
+use cindercleat::single::SingleSettings;
 
 /// A dispatcher's settings.
 #[derive(Clone, Debug, PartialEq)]
@@ -47,11 +48,25 @@
     pub cancels_per_s: f64,
     /// After a stop: how long what is open may still run.
     pub stop_grace: Ms,
+    /// After a stop: for how long what still comes is taken.
+    pub stop_notice: Ms,
     /// The largest message taken from anybody, in bytes.
     pub most_frame: usize,
     /// Connections of clients at once, and how long one may take to greet.
     pub most_clients: usize,
     pub greet_within: Ms,
+    /// Where a connection carries one call at a time, and ends with a call that is called off: what is decided
+    /// about clients' connections, and how many there may be to all hosts.
+    pub single: Option<Single>,
+    /// The list feed says something at least this often.
+    pub feed_quiet: Ms,
+}
+
+/// What holds where a connection carries one call at a time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Single {
+    pub clients: SingleSettings,
+    pub most_links: usize,
 }
 
 impl ProgramSettings {
--- a/crates/dispatcher/src/shell.rs
+++ b/crates/dispatcher/src/shell.rs
@@ -7,8 +7,9 @@
 use crate::ledger::{ConnId, Input, Ledger, Level, LinkId, Output, StreamNo};
 use crate::{keep, ProgramSettings};
 use cindercleat::interface::{DispatcherId, HostId, Ms};
-use cindercleat_grpc::{connect, serve, Event, Out, Session, Setup};
+use cindercleat_grpc::Grpc;
 use cindercleat_net::{Clock, Listener, Transport};
+use cindercleat_protocol::session::{Event, Outbox, Session, Setup, Wire};
 use cindercleat_protocol::{frame, v1, Body, Frame};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -37,15 +38,18 @@
 const MOST_CALLS: u32 = 1024;
 
 /// A connection to a model host, from its dialling on.
-#[derive(Default)]
-struct LinkEnd {
+struct LinkEnd<O> {
     /// Once it is up.
-    out: RefCell<Option<Out>>,
+    out: RefCell<Option<O>>,
     given_up: Cell<bool>,
     give_up: Notify,
 }
 
-impl LinkEnd {
+impl<O: Outbox> LinkEnd<O> {
+    fn new() -> Self {
+        LinkEnd { out: RefCell::new(None), given_up: Cell::new(false), give_up: Notify::new() }
+    }
+
     fn close(&self) {
         self.given_up.set(true);
         self.give_up.notify_waiters();
@@ -61,43 +65,61 @@
     }
 }
 
-struct Inner<T, C> {
+struct Inner<T, C, W: Wire> {
     settings: ProgramSettings,
-    places: Places,
+    places: RefCell<Places>,
     transport: T,
     clock: C,
+    wire: W,
     ledger: RefCell<Ledger>,
-    clients: RefCell<BTreeMap<ConnId, Out>>,
-    links: RefCell<BTreeMap<LinkId, Rc<LinkEnd>>>,
-    peers: RefCell<BTreeMap<u32, Out>>,
+    clients: RefCell<BTreeMap<ConnId, W::Out>>,
+    links: RefCell<BTreeMap<LinkId, Rc<LinkEnd<W::Out>>>>,
+    peers: RefCell<BTreeMap<u32, W::Out>>,
     connections: Cell<u64>,
     greeting: Cell<usize>,
     armed: Cell<Option<Ms>>,
     timer: Notify,
     follow: Notify,
+    /// The list feed is at another address.
+    moved: Notify,
     stopped: Notify,
 }
 
-/// A dispatcher that serves; clones are the same one.
-pub struct Shell<T, C> {
-    inner: Rc<Inner<T, C>>,
+/// A dispatcher that serves, speaking `W`; clones are the same one.
+pub struct Shell<T, C, W: Wire = Grpc> {
+    inner: Rc<Inner<T, C, W>>,
 }
 
-impl<T, C> Clone for Shell<T, C> {
+impl<T, C, W: Wire> Clone for Shell<T, C, W> {
     fn clone(&self) -> Self {
         Shell { inner: self.inner.clone() }
     }
 }
 
 impl<T: Transport, C: Clock> Shell<T, C> {
-    /// `seed` starts the chance that the decisions draw.
+    /// One that speaks gRPC. `seed` starts the chance that the decisions draw.
     pub fn new(settings: ProgramSettings, places: Places, transport: T, clock: C, seed: u64) -> Self {
+        Shell::speaking(Grpc, settings, places, transport, clock, seed)
+    }
+}
+
+impl<T: Transport, C: Clock, W: Wire> Shell<T, C, W> {
+    /// `seed` starts the chance that the decisions draw.
+    pub fn speaking(
+        wire: W,
+        settings: ProgramSettings,
+        places: Places,
+        transport: T,
+        clock: C,
+        seed: u64,
+    ) -> Self {
         let inner = Inner {
             ledger: RefCell::new(Ledger::new(settings.clone(), seed)),
             settings,
-            places,
+            places: RefCell::new(places),
             transport,
             clock,
+            wire,
             clients: RefCell::default(),
             links: RefCell::default(),
             peers: RefCell::default(),
@@ -106,6 +128,7 @@
             armed: Cell::new(None),
             timer: Notify::new(),
             follow: Notify::new(),
+            moved: Notify::new(),
             stopped: Notify::new(),
         };
         Shell { inner: Rc::new(inner) }
@@ -138,9 +161,22 @@
         self.inner.clients.borrow().len()
     }
 
+    /// The list feed is at these addresses from now on.
+    pub fn move_feeds(&self, feeds: Vec<String>) {
+        if self.inner.places.borrow().feeds != feeds {
+            self.inner.places.borrow_mut().feeds = feeds;
+            self.inner.moved.notify_one();
+        }
+    }
+
+    /// Takes in a list as it was known before, unless the feed has told one.
+    pub fn remember_list(&self, list: v1::HostList) {
+        self.input(Input::Remembered(list));
+    }
+
     fn remember(&self) {
-        let Some(path) = &self.inner.places.keep else { return };
-        match keep::load(path) {
+        let Some(path) = self.inner.places.borrow().keep.clone() else { return };
+        match keep::load(&path) {
             Ok(Some(list)) => {
                 tracing::info!(hosts = list.hosts.len(), version = list.version, "list remembered");
                 self.input(Input::Remembered(list));
@@ -190,7 +226,7 @@
                 }
             }
             Output::Dial { link, host, address } => {
-                let end = Rc::new(LinkEnd::default());
+                let end = Rc::new(LinkEnd::new());
                 self.inner.links.borrow_mut().insert(link, end.clone());
                 spawn_local(self.clone().link(link, host, address, end));
             }
@@ -208,8 +244,8 @@
                 }
             }
             Output::KeepList(list) => {
-                let Some(path) = &self.inner.places.keep else { return };
-                if let Err(problem) = keep::save(path, &list) {
+                let Some(path) = self.inner.places.borrow().keep.clone() else { return };
+                if let Err(problem) = keep::save(&path, &list) {
                     tracing::warn!(path = %path.display(), %problem, "list not kept");
                 }
             }
@@ -238,8 +274,8 @@
     /// What has been said goes out before the end, as far as the peers take it within a moment.
     async fn flush(&self) {
         let until = self.inner.clock.now() + self.inner.settings.limits.greet_within;
-        let outs: Vec<Out> = self.inner.clients.borrow().values().cloned().collect();
-        outs.iter().for_each(Out::close);
+        let outs: Vec<W::Out> = self.inner.clients.borrow().values().cloned().collect();
+        outs.iter().for_each(Outbox::close);
         for out in outs {
             tokio::select! { biased;
                 () = out.over() => {}
@@ -267,6 +303,12 @@
             match listener.accept().await {
                 Ok(stream) => {
                     let (clients, greeting) = (self.clients(), &self.inner.greeting);
+                    if clients + greeting.get() >= self.inner.settings.limits.most_clients {
+                        self.input(Input::ClientsFull);
+                        // Who makes room is closed by then.
+                        yield_now().await;
+                    }
+                    let clients = self.clients();
                     // Guards against more connections than memory bears; a client that is turned away here
                     // hears a closed connection, and nothing of it has run.
                     if clients + greeting.get() < self.inner.settings.limits.most_clients {
@@ -289,7 +331,7 @@
         let settings = &self.inner.settings;
         let until = self.inner.clock.now() + settings.limits.greet_within;
         let greeted = tokio::select! { biased;
-            greeted = serve(stream, self.setup("", MOST_CALLS)) => greeted,
+            greeted = self.inner.wire.serve(stream, self.setup("", MOST_CALLS)) => greeted,
             () = self.inner.clock.sleep_until(until) => Err("nothing was asked in time".to_owned()),
         };
         self.inner.greeting.set(self.inner.greeting.get() - 1);
@@ -308,6 +350,7 @@
                     self.input(Input::Heard { from, bytes });
                 }
                 Event::Frame(frame) => self.input(Input::Client { conn, frame }),
+                Event::Partly => self.input(Input::ClientPartly { conn }),
                 Event::GoingAway => {}
                 Event::Flushed { stream, messages } => {
                     self.input(Input::Flushed { conn, stream: StreamNo(stream), messages });
@@ -319,17 +362,17 @@
     }
 
     /// One connection to a model host, from the dialling to its end.
-    async fn link(self, link: LinkId, host: HostId, address: String, end: Rc<LinkEnd>) {
+    async fn link(self, link: LinkId, host: HostId, address: String, end: Rc<LinkEnd<W::Out>>) {
         let reason = self.run_link(link, &host, &address, &end).await;
         self.inner.links.borrow_mut().remove(&link);
         self.input(Input::LinkClosed { link, reason });
     }
 
-    async fn run_link(&self, link: LinkId, host: &HostId, address: &str, end: &LinkEnd) -> String {
+    async fn run_link(&self, link: LinkId, host: &HostId, address: &str, end: &LinkEnd<W::Out>) -> String {
         let dialled = async {
             let stream = self.inner.transport.connect(address).await.map_err(|e| e.to_string())?;
             // A host that took another's address refuses: it would run what was not meant for it.
-            let session = connect(stream, v1::Party::Host, self.setup(&host.0, 1)).await?;
+            let session = self.inner.wire.connect(stream, v1::Party::Host, self.setup(&host.0, 1)).await?;
             // Guards against one that does not refuse.
             if session.them.name != *host.0 || session.them.party() != v1::Party::Host {
                 session.out.close();
@@ -354,7 +397,7 @@
             match event {
                 Event::Frame(frame) => self.input(Input::Host { link, frame }),
                 Event::GoingAway => self.input(Input::LinkLeaving { link }),
-                Event::Flushed { .. } => {}
+                Event::Flushed { .. } | Event::Partly => {}
             }
         }
         "the connection ended".to_owned()
@@ -364,15 +407,29 @@
     async fn follow_list(self) {
         let mut wait = FEED_AGAIN;
         let mut at = 0;
-        while !self.inner.places.feeds.is_empty() {
-            let address = &self.inner.places.feeds[at % self.inner.places.feeds.len()];
-            let reason = self.read_feed(address, &mut wait).await;
+        loop {
+            let feeds = self.inner.places.borrow().feeds.clone();
+            if feeds.is_empty() {
+                return;
+            }
+            let address = &feeds[at % feeds.len()];
+            let reason = tokio::select! { biased;
+                () = self.inner.moved.notified() => {
+                    tracing::info!("list feed moved");
+                    wait = FEED_AGAIN;
+                    continue;
+                }
+                reason = self.read_feed(address, &mut wait) => reason,
+            };
             tracing::warn!(address, reason, "list feed lost");
             self.input(Input::ListRefused);
             at += 1;
             let again = self.inner.clock.now() + wait;
             wait = (2.0 * wait).min(FEED_AGAIN_MOST);
-            self.inner.clock.sleep_until(again).await;
+            tokio::select! { biased;
+                () = self.inner.moved.notified() => wait = FEED_AGAIN,
+                () = self.inner.clock.sleep_until(again) => {}
+            }
         }
     }
 
@@ -380,7 +437,7 @@
         let until = self.inner.clock.now() + self.inner.settings.limits.greet_within;
         let called = async {
             let stream = self.inner.transport.connect(address).await.map_err(|e| e.to_string())?;
-            connect(stream, v1::Party::Feed, self.setup("", 1)).await
+            self.inner.wire.connect(stream, v1::Party::Feed, self.setup("", 1)).await
         };
         let called = tokio::select! { biased;
             called = called => called,
@@ -393,7 +450,10 @@
         let follow = |number| out.send(frame(number, Body::Follow(v1::Follow { changes: true })));
         let mut number = 1;
         follow(number);
+        let clock = &self.inner.clock;
         loop {
+            let quiet = self.inner.settings.limits.feed_quiet;
+            let until = clock.now() + quiet;
             let next = tokio::select! { biased;
                 () = self.inner.follow.notified() => {
                     number += 1;
@@ -401,6 +461,11 @@
                     continue;
                 }
                 next = events.recv() => next,
+                // Guards against a feed that is gone without a word.
+                () = clock.sleep_until(until), if quiet.is_finite() => {
+                    out.close();
+                    return "it says nothing".to_owned();
+                }
             };
             match next {
                 Some(Event::Frame(Frame { body: Some(Body::List(list)), .. })) => {
@@ -422,8 +487,8 @@
     fn tell(&self, to: Option<DispatcherId>, bytes: Vec<u8>) {
         let from = self.inner.settings.policy.me.0;
         let body = Body::Peer(v1::PeerMessage { from, bytes: bytes.into() });
-        let peers = self.inner.places.peers.iter();
-        for (&peer, address) in peers.filter(|(p, _)| to.map_or(**p != from, |to| to.0 == **p)) {
+        let peers = self.inner.places.borrow().peers.clone();
+        for (&peer, address) in peers.iter().filter(|(p, _)| to.map_or(**p != from, |to| to.0 == **p)) {
             let known = self.inner.peers.borrow().get(&peer).cloned();
             match known {
                 Some(out) => {
@@ -438,7 +503,7 @@
 
     async fn peer(self, peer: u32, address: String, first: Body) {
         let Ok(stream) = self.inner.transport.connect(&address).await else { return };
-        let session = connect(stream, v1::Party::Dispatcher, self.setup("", 1)).await;
+        let session = self.inner.wire.connect(stream, v1::Party::Dispatcher, self.setup("", 1)).await;
         let Ok(Session { mut events, out, .. }) = session else { return };
         out.send(frame(0, first));
         self.inner.peers.borrow_mut().insert(peer, out);
--- a/crates/dispatcher/tests/common/mod.rs
+++ b/crates/dispatcher/tests/common/mod.rs
@@ -83,6 +83,9 @@
         most_frame: 1 << 16,
         most_clients: 100,
         greet_within: 1000.0,
+        stop_notice: 0.0,
+        single: None,
+        feed_quiet: f64::INFINITY,
     }
 }
 
--- a/crates/faults/src/draw.rs
+++ b/crates/faults/src/draw.rs
@@ -122,6 +122,9 @@
         most_frame: 1 << 16,
         most_clients: 100,
         greet_within: 1_000.0,
+        stop_notice: 0.0,
+        single: None,
+        feed_quiet: f64::INFINITY,
     };
     Service {
         policy,
--- a/crates/faults/tests/named.rs
+++ b/crates/faults/tests/named.rs
@@ -106,7 +106,12 @@
         let records = [
             record(1000.0, Way::In, 1, Body::Read(v1::Read { state, ..v1::Read::default() })),
             record(1100.0, Way::Out, 1, Body::Ended(ended)),
-            record(1100.0 + after, Way::In, 2, Body::Release(v1::Release { state })),
+            record(
+                1100.0 + after,
+                Way::In,
+                2,
+                Body::Release(v1::Release { state, ..v1::Release::default() }),
+            ),
             record(9000.0, Way::In, 3, Body::Probe(v1::Probe {})),
         ];
         let mut rules: Rules = cindercleat_faults::plan::rules(&day(1, &SHAPES[0]), 0.0);
--- a/crates/grpc/src/lib.rs
+++ b/crates/grpc/src/lib.rs
@@ -16,6 +16,9 @@
 pub use client::connect;
 pub use server::serve;
 
+pub use cindercleat_protocol::session::{Event, Setup};
+
+use cindercleat_protocol::session::{self, Io, Outbox, Wire};
 use cindercleat_protocol::{frame, v1, Body, Frame};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -23,20 +26,6 @@
 use tokio::sync::{mpsc, Notify};
 use tokio::task::spawn_local;
 
-/// What a connection is given at its start.
-#[derive(Clone, Debug)]
-pub struct Setup {
-    pub party: v1::Party,
-    pub name: String,
-    /// Whom a caller means to reach; empty if it does not matter.
-    pub expects: String,
-    pub run: u64,
-    /// The largest message taken, in bytes.
-    pub most_message: usize,
-    /// Calls that the other side may have open at once.
-    pub most_calls: u32,
-}
-
 /// Bytes under way on one stream.
 const STREAM_WINDOW: u32 = 16 << 10;
 
@@ -46,28 +35,41 @@
     setup.most_calls.saturating_add(1).saturating_mul(STREAM_WINDOW).min(MOST)
 }
 
-/// What comes of a connection; nearly all of it is frames.
-#[allow(clippy::large_enum_variant)]
-#[derive(Clone, Debug, PartialEq)]
-pub enum Event {
-    Frame(Frame),
-    /// So many token messages of a stream have left for the other side, which takes them.
-    Flushed {
-        stream: u64,
-        messages: u32,
-    },
-    /// The other side takes no new call on this connection; what it has taken goes on.
-    GoingAway,
+/// One connection that speaks gRPC.
+pub type Session = session::Session<Out>;
+
+/// gRPC, for whoever drives sessions of any kind.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Grpc;
+
+impl Wire for Grpc {
+    type Out = Out;
+
+    async fn serve<S: Io>(&self, io: S, setup: Setup) -> Result<Session, String> {
+        serve(io, setup).await
+    }
+
+    async fn connect<S: Io>(&self, io: S, to: v1::Party, setup: Setup) -> Result<Session, String> {
+        connect(io, to, setup).await
+    }
 }
 
-/// One connection. Its events end when it does.
-pub struct Session {
-    /// The other side's greeting.
-    pub them: v1::Hello,
-    /// Calls that the other side lets be open at once, if it says; for a caller.
-    pub limit: Option<usize>,
-    pub events: mpsc::UnboundedReceiver<Event>,
-    pub out: Out,
+impl Outbox for Out {
+    fn send(&self, frame: Frame) -> bool {
+        Out::send(self, frame)
+    }
+
+    fn go_away(&self) {
+        Out::go_away(self);
+    }
+
+    fn close(&self) {
+        Out::close(self);
+    }
+
+    async fn over(&self) {
+        Out::over(self).await;
+    }
 }
 
 /// The sending side of a session; clones are the same one.
--- a/crates/grpc/tests/hard.rs
+++ b/crates/grpc/tests/hard.rs
@@ -151,7 +151,7 @@
         match session.events.recv().await? {
             Event::Frame(frame) if matches!(frame.body, Some(Body::Tokens(_))) => {}
             Event::Frame(frame) => return Some((frame.stream, frame.body?)),
-            Event::Flushed { .. } | Event::GoingAway => {}
+            Event::Flushed { .. } | Event::GoingAway | Event::Partly => {}
         }
     }
 }
--- a/crates/grpc/tests/session.rs
+++ b/crates/grpc/tests/session.rs
@@ -28,7 +28,7 @@
     loop {
         match session.events.recv().await? {
             Event::Frame(frame) => return Some(frame),
-            Event::Flushed { .. } | Event::GoingAway => {}
+            Event::Flushed { .. } | Event::GoingAway | Event::Partly => {}
         }
     }
 }
--- /dev/null
+++ b/crates/http1/src/feed.rs
@@ -0,0 +1,81 @@
+//! The list feed's side: the whole list once, then the watch, each next call at once after the last answer.
+
+use crate::framing::{Came, Reading};
+use crate::{list, session, words, Bounds, Session, Shared};
+use bytes::BytesMut;
+use cindercleat_protocol::session::{Io, Setup};
+use cindercleat_protocol::{v1, Body, Frame};
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+
+/// A session with the list feed. It begins when the list is asked for; each answer is a list, if an empty one.
+pub(crate) fn start<S: Io>(io: S, bounds: Bounds, setup: Setup) -> Session {
+    let them = v1::Hello { party: v1::Party::Feed.into(), name: setup.expects, ..v1::Hello::default() };
+    let (session, shared, said) = session(them, Some(1));
+    spawn_local(async move {
+        let ended = tokio::select! { biased;
+            () = shared.closed() => None,
+            reason = run(io, bounds, &shared, said) => Some(reason),
+        };
+        if let Some(reason) = ended {
+            shared.say(1, Body::Goodbye(v1::Goodbye { reason, never_ran: true }));
+        }
+        shared.end();
+    });
+    session
+}
+
+async fn run<S: Io>(
+    mut io: S,
+    bounds: Bounds,
+    shared: &Rc<Shared>,
+    mut said: mpsc::UnboundedReceiver<Frame>,
+) -> String {
+    let stream = match said.recv().await {
+        Some(frame) => frame.stream,
+        None => return "nothing was asked".to_owned(),
+    };
+    let mut path = words::LIST.to_owned();
+    let mut bytes = BytesMut::new();
+    loop {
+        let call = format!("GET {path} HTTP/1.1\r\nHost: list\r\n\r\n");
+        if let Err(problem) = io.write_all(call.as_bytes()).await {
+            return problem.to_string();
+        }
+        let body = match answer(&mut io, bounds, &mut bytes).await {
+            Ok(body) => body,
+            Err(reason) => return reason,
+        };
+        let list = match list::parse(&body) {
+            Ok(list) => list,
+            Err(problem) => return format!("no list: {problem}"),
+        };
+        let (after, wait) = (list.version, bounds.feed_wait_ms);
+        path = format!("{}?{}={after}&{}={wait}", words::LIST, words::LIST_AFTER, words::LIST_WAIT);
+        shared.say(stream, Body::List(list));
+    }
+}
+
+async fn answer<S: Io>(io: &mut S, bounds: Bounds, bytes: &mut BytesMut) -> Result<BytesMut, String> {
+    let mut reading = Reading::new(bounds.most_list);
+    let mut body = BytesMut::new();
+    loop {
+        match reading.next(bytes).map_err(|fault| format!("{fault:?}"))? {
+            Some(Came::Head(head)) if head.first != 200 => return Err(format!("status {}", head.first)),
+            Some(Came::Head(_)) => {}
+            Some(Came::Data(data)) if body.len() + data.len() > bounds.most_list => {
+                return Err("the list is too long".to_owned());
+            }
+            Some(Came::Data(data)) => body.extend_from_slice(&data),
+            Some(Came::End) => return Ok(body),
+            None => match io.read_buf(bytes).await {
+                Ok(0) if reading.may_end() => return Ok(body),
+                Ok(0) => return Err("the connection ended".to_owned()),
+                Ok(_) => {}
+                Err(problem) => return Err(problem.to_string()),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/http1/src/host.rs
@@ -0,0 +1,379 @@
+//! A model host's side: one call at a time on a connection, each a request and its answer.
+//!
+//! Whether a request's last byte was written is known here and nowhere else: a connection that ends before
+//! ends its call as a goodbye that says that nothing ran, one that ends after it as one that does not.
+
+use crate::framing::{Answer, Came, Fault, Length, Reading};
+use crate::{session, words, Bounds, Session, Shared};
+use bytes::{Bytes, BytesMut};
+use cindercleat_protocol::session::{Event, Io, Setup};
+use cindercleat_protocol::{v1, Body, Frame};
+use serde::Deserialize;
+use std::fmt::Write;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+
+/// Bytes that one turn of reading takes at most.
+const TURN: usize = 16 << 10;
+
+pub(crate) fn start<S: Io>(io: S, bounds: Bounds, setup: Setup) -> Session {
+    let name = setup.expects.clone();
+    let them = v1::Hello { party: v1::Party::Host.into(), name, ..v1::Hello::default() };
+    let (session, shared, said) = session(them, Some(1));
+    let host = Host { io, bounds, shared, said, bytes: BytesMut::new(), name: setup.expects };
+    spawn_local(host.run());
+    session
+}
+
+struct Host<S> {
+    io: S,
+    bounds: Bounds,
+    shared: Rc<Shared>,
+    said: mpsc::UnboundedReceiver<Frame>,
+    bytes: BytesMut,
+    name: String,
+}
+
+/// What a call is for, and what its answer is made into.
+#[derive(Clone, Debug, PartialEq)]
+enum Call {
+    Read(Option<v1::StateId>),
+    /// Token messages that may still be taken, and how many were.
+    Write {
+        credit: u32,
+        position: u32,
+    },
+    Probe,
+    Release,
+}
+
+/// Why a connection is not used any more.
+#[derive(Debug)]
+enum Over {
+    /// It is closed from this side.
+    Ours,
+    /// It broke or ended.
+    Theirs(String),
+    /// What came cannot be read.
+    Spoilt(Fault),
+}
+
+impl<S: Io> Host<S> {
+    async fn run(mut self) {
+        while let Some(frame) = self.idle().await {
+            let stream = frame.stream;
+            let Some((call, head, body)) = self.begin(frame) else { continue };
+            if !self.call(stream, call, &head, &body).await {
+                break;
+            }
+        }
+        // What was to begin on a connection that is over was never sent.
+        self.said.close();
+        while let Ok(frame) = self.said.try_recv() {
+            let begins = matches!(
+                frame.body,
+                Some(Body::Read(_) | Body::Write(_) | Body::Probe(_) | Body::Release(_))
+            );
+            if begins && !self.shared.closing.get() {
+                let bye = v1::Goodbye { reason: "the connection was over".to_owned(), never_ran: true };
+                self.shared.say(frame.stream, Body::Goodbye(bye));
+            }
+        }
+        self.shared.end();
+    }
+
+    /// Waits for the next call; none once the connection is over. Bytes that belong to no answer end it.
+    async fn idle(&mut self) -> Option<Frame> {
+        if !self.bytes.is_empty() {
+            return None;
+        }
+        // A connection at rest holds no buffer.
+        self.bytes = BytesMut::new();
+        let mut byte = [0];
+        tokio::select! { biased;
+            () = self.shared.closed() => None,
+            _ = self.io.read(&mut byte) => None,
+            frame = self.said.recv() => frame,
+        }
+    }
+
+    fn begin(&self, frame: Frame) -> Option<(Call, String, Bytes)> {
+        let host = &self.name;
+        match frame.body? {
+            Body::Read(read) => {
+                let head = self.task(read.origin.unwrap_or_default(), read.wait_ms, read.prompt.len());
+                Some((Call::Read(read.state), head, read.prompt))
+            }
+            Body::Write(write) => {
+                let head = self.task(write.origin.unwrap_or_default(), write.wait_ms, write.prompt.len());
+                Some((Call::Write { credit: write.window, position: 0 }, head, write.prompt))
+            }
+            Body::Probe(_) => {
+                let head = format!("GET {} HTTP/1.1\r\nHost: {host}\r\n\r\n", words::LOAD_PATH);
+                Some((Call::Probe, head, Bytes::new()))
+            }
+            Body::Release(release) => {
+                let path = format!("{}{}", words::STATES, release.origin);
+                let head = format!("DELETE {path} HTTP/1.1\r\nHost: {host}\r\nContent-Length: 0\r\n\r\n");
+                Some((Call::Release, head, Bytes::new()))
+            }
+            // What belongs to a call that is over.
+            _ => None,
+        }
+    }
+
+    fn task(&self, origin: v1::Origin, wait_ms: f64, length: usize) -> String {
+        let mut head = format!("{} {} HTTP/1.1\r\nHost: {}\r\n", origin.method, origin.target, self.name);
+        // Writing to a string cannot fail.
+        let _ = write!(head, "{}: {}\r\nContent-Length: {length}\r\n", words::ID, origin.id);
+        if !origin.content_type.is_empty() {
+            let _ = write!(head, "Content-Type: {}\r\n", origin.content_type);
+        }
+        if wait_ms > 0.0 {
+            let _ = write!(head, "{}: {}\r\n", words::PATIENCE, wait_ms.floor());
+        }
+        head.push_str("\r\n");
+        head
+    }
+
+    /// Carries one call; tells whether another may follow.
+    async fn call(&mut self, stream: u64, mut call: Call, head: &str, body: &[u8]) -> bool {
+        let whole = [head.as_bytes(), body].concat();
+        if let Err((over, written)) = self.write(stream, &whole).await {
+            if let Over::Theirs(reason) = over {
+                let bye = v1::Goodbye { reason, never_ran: written < whole.len() };
+                self.shared.say(stream, Body::Goodbye(bye));
+            }
+            return false;
+        }
+        drop(whole);
+        match self.answer(stream, &mut call).await {
+            Ok(keeps) => keeps,
+            Err(Over::Ours) => false,
+            Err(Over::Theirs(reason)) => {
+                self.shared.say(stream, Body::Goodbye(v1::Goodbye { reason, never_ran: false }));
+                false
+            }
+            Err(Over::Spoilt(fault)) => {
+                self.shared.tell(Event::GoingAway);
+                let reason = format!("its answer cannot be read: {fault:?}");
+                self.shared.say(stream, failed(&call, reason));
+                false
+            }
+        }
+    }
+
+    /// Whether what was said ends the call.
+    fn ends(&self, stream: u64, frame: Option<Frame>, call: Option<&mut Call>) -> bool {
+        match (frame, call) {
+            (None, _) => true,
+            (Some(Frame { stream: s, body: Some(Body::Cancel(_)) }), _) => s == stream,
+            (Some(Frame { stream: s, body: Some(Body::Credit(more)) }), Some(Call::Write { credit, .. })) => {
+                *credit += if s == stream { more.messages } else { 0 };
+                false
+            }
+            _ => false,
+        }
+    }
+
+    async fn write(&mut self, stream: u64, whole: &[u8]) -> Result<(), (Over, usize)> {
+        let mut written = 0;
+        while written < whole.len() {
+            let frame = tokio::select! { biased;
+                () = self.shared.closed() => return Err((Over::Ours, written)),
+                wrote = self.io.write(&whole[written..]) => match wrote {
+                    Ok(0) => return Err((Over::Theirs("it takes nothing".to_owned()), written)),
+                    Ok(bytes) => {
+                        written += bytes;
+                        continue;
+                    }
+                    Err(problem) => return Err((Over::Theirs(problem.to_string()), written)),
+                },
+                frame = self.said.recv() => frame,
+            };
+            if self.ends(stream, frame, None) {
+                return Err((Over::Ours, written));
+            }
+        }
+        Ok(())
+    }
+
+    /// More bytes of the answer; none at its end.
+    async fn more(&mut self, stream: u64, call: &mut Call) -> Result<bool, Over> {
+        loop {
+            let takes = !matches!(call, Call::Write { credit: 0, .. });
+            let room = self.bytes.len() < TURN;
+            if room {
+                self.bytes.reserve(TURN / 4);
+            } else {
+                self.bytes.reserve(TURN);
+            }
+            let frame = tokio::select! { biased;
+                () = self.shared.closed() => return Err(Over::Ours),
+                frame = self.said.recv() => frame,
+                read = self.io.read_buf(&mut self.bytes), if takes => return match read {
+                    Ok(bytes) => Ok(bytes > 0),
+                    Err(problem) => Err(Over::Theirs(problem.to_string())),
+                },
+            };
+            if self.ends(stream, frame, Some(call)) {
+                return Err(Over::Ours);
+            }
+            if !takes && !matches!(call, Call::Write { credit: 0, .. }) {
+                // Credit came: what is here already goes on first.
+                return Ok(true);
+            }
+        }
+    }
+
+    /// Reads the answer and says what it is; tells whether the connection may be used again.
+    async fn answer(&mut self, stream: u64, call: &mut Call) -> Result<bool, Over> {
+        let mut reading = Reading::new(self.bounds.most_chunk);
+        let mut head: Option<Answer> = None;
+        let mut body = BytesMut::new();
+        let mut ended = false;
+        loop {
+            // What has come is taken together: one message for the events of one turn.
+            loop {
+                if matches!(call, Call::Write { credit: 0, .. }) {
+                    break;
+                }
+                match reading.next(&mut self.bytes) {
+                    Ok(Some(Came::Head(came))) => head = Some(came),
+                    Ok(Some(Came::Data(data))) => {
+                        body.extend_from_slice(&data);
+                        let streams = head.as_ref().is_some_and(|head| is_stream(head, call));
+                        if body.len() > self.bounds.most_chunk && !streams {
+                            return Err(Over::Spoilt(Fault::TooLong("the answer")));
+                        }
+                        if streams && body.len() >= TURN {
+                            break;
+                        }
+                    }
+                    Ok(Some(Came::End)) => {
+                        ended = true;
+                        break;
+                    }
+                    Ok(None) => break,
+                    Err(fault) => {
+                        self.pass_on(stream, call, head.as_ref(), &mut body);
+                        return Err(Over::Spoilt(fault));
+                    }
+                }
+            }
+            self.pass_on(stream, call, head.as_ref(), &mut body);
+            if let (true, Some(head)) = (ended, &head) {
+                let keeps = head.keeps && self.bytes.is_empty() && !self.shared.leaving.get();
+                if !keeps {
+                    // Said first, so that nothing new is put on it meanwhile.
+                    self.shared.tell(Event::GoingAway);
+                }
+                self.shared.say(stream, said_of(call, head, &body));
+                return Ok(keeps);
+            }
+            if !self.more(stream, call).await? {
+                if !reading.may_end() {
+                    let turned_away = head.as_ref().is_some_and(turns_away);
+                    if let (true, Some(head)) = (turned_away, &head) {
+                        self.shared.tell(Event::GoingAway);
+                        self.shared.say(stream, said_of(call, head, &body));
+                        return Ok(false);
+                    }
+                    return Err(Over::Theirs("it ended the connection within its answer".to_owned()));
+                }
+                ended = true;
+            }
+        }
+    }
+
+    /// Events of a stream go on as they come.
+    fn pass_on(&mut self, stream: u64, call: &mut Call, head: Option<&Answer>, body: &mut BytesMut) {
+        if body.is_empty() || !head.is_some_and(|head| is_stream(head, call)) {
+            return;
+        }
+        if let Call::Write { credit, position } = call {
+            let text = body.split().freeze();
+            let count = u32::try_from(text.len()).unwrap_or(u32::MAX);
+            let tokens = v1::Tokens { position: *position, count, text };
+            *credit = credit.saturating_sub(1);
+            *position = position.saturating_add(count);
+            self.shared.say(stream, Body::Tokens(tokens));
+        }
+    }
+}
+
+/// Whether an answer's body is a stream to pass on.
+fn is_stream(head: &Answer, call: &Call) -> bool {
+    head.first == 200 && head.length == Length::Chunked && matches!(call, Call::Write { .. })
+}
+
+fn turns_away(head: &Answer) -> bool {
+    head.get(words::TURNED_AWAY) == Some(b"1") && matches!(head.first, 503 | 504 | 410)
+}
+
+fn failed(call: &Call, reason: String) -> Body {
+    match call {
+        Call::Read(_) | Call::Write { .. } => {
+            let status = v1::Status::Failed.into();
+            Body::Ended(v1::Ended { status, reason, ..v1::Ended::default() })
+        }
+        Call::Probe | Call::Release => Body::Goodbye(v1::Goodbye { reason, never_ran: false }),
+    }
+}
+
+#[derive(Deserialize)]
+struct Found {
+    #[serde(default)]
+    cached_tokens: f64,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Pressure {
+    inflight: Option<f64>,
+    queue: Option<f64>,
+    util: Option<f64>,
+    x0: Option<f64>,
+    x1: Option<f64>,
+}
+
+fn load(bytes: &[u8]) -> Option<v1::Load> {
+    let said: Pressure = serde_json::from_slice(bytes).ok()?;
+    Some(v1::Load {
+        in_flight: said.inflight,
+        queue: said.queue,
+        slots_used: said.util,
+        memory_held: said.x0,
+        waiting_kilotokens: said.x1,
+    })
+}
+
+/// What a whole answer says.
+fn said_of(call: &Call, head: &Answer, body: &[u8]) -> Body {
+    let load_said = head.get(words::LOAD).and_then(load);
+    let ended = |status: v1::Status| {
+        let reason = format!("status {}", head.first);
+        v1::Ended { status: status.into(), load: load_said, reason, ..v1::Ended::default() }
+    };
+    match (call, head.first) {
+        (Call::Read(state), 202) => {
+            let kept = serde_json::from_slice(body).map_or(0.0, |found: Found| found.cached_tokens);
+            let kept_tokens = if kept.is_finite() { kept.clamp(0.0, 1e9) as u32 } else { 0 };
+            Body::Ended(v1::Ended { kept_tokens, state: *state, ..ended(v1::Status::ReadDone) })
+        }
+        (Call::Write { .. }, 200) if is_stream(head, call) => Body::Ended(ended(v1::Status::Fulfilled)),
+        (Call::Write { .. }, 410) if turns_away(head) => Body::Ended(ended(v1::Status::NoState)),
+        (Call::Read(_) | Call::Write { .. }, 503 | 504) if turns_away(head) => {
+            Body::Ended(ended(v1::Status::Full))
+        }
+        (Call::Read(_) | Call::Write { .. }, _) => Body::Ended(ended(v1::Status::Failed)),
+        (Call::Probe, 200) => Body::Load(load(body).or(load_said).unwrap_or_default()),
+        (Call::Release, 200..=299) => Body::Done(v1::Done {}),
+        (Call::Probe | Call::Release, status) => {
+            let reason = format!("status {status}");
+            Body::Goodbye(v1::Goodbye { reason, never_ran: false })
+        }
+    }
+}
--- /dev/null
+++ b/crates/http1/src/list.rs
@@ -0,0 +1,58 @@
+//! The list of model hosts in the platform's form.
+
+use crate::words;
+use cindercleat_protocol::v1;
+use serde::Deserialize;
+
+/// Why bytes are no list.
+pub type Malformed = serde_json::Error;
+
+#[derive(Deserialize)]
+struct List {
+    revision: u64,
+    complete: bool,
+    members: Vec<Member>,
+}
+
+#[derive(Deserialize)]
+struct Member {
+    id: String,
+    host_port: String,
+    locality: String,
+    flavor: String,
+    cell: serde_json::Value,
+    phase: String,
+    #[serde(default)]
+    size: Option<f64>,
+    #[serde(default)]
+    up_since_ms: Option<f64>,
+}
+
+/// # Errors
+/// They are no list.
+pub fn parse(bytes: &[u8]) -> Result<v1::HostList, Malformed> {
+    let list: List = serde_json::from_slice(bytes)?;
+    let kind = if list.complete { v1::ListKind::Full } else { v1::ListKind::Changes };
+    let hosts = list.members.into_iter().map(line).collect();
+    Ok(v1::HostList { kind: kind.into(), version: list.revision, hosts })
+}
+
+fn line(member: Member) -> v1::HostLine {
+    let condition = match member.phase.as_str() {
+        words::UP => v1::HostCondition::Ready,
+        words::DRAINING => v1::HostCondition::Draining,
+        words::REMOVED => v1::HostCondition::Gone,
+        _ => v1::HostCondition::Unspecified,
+    };
+    v1::HostLine {
+        host: member.id,
+        address: member.host_port,
+        zone: member.locality,
+        kind: member.flavor,
+        cell: member.cell.to_string(),
+        condition: condition.into(),
+        weight: member.size.unwrap_or(1.0),
+        // 0: long ago.
+        started_ms: member.up_since_ms.filter(|at| *at > 0.0),
+    }
+}
--- /dev/null
+++ b/crates/http1/src/server.rs
@@ -0,0 +1,382 @@
+//! A client's side: requests in, each a task, and its answer out.
+
+use crate::framing::{self, Fault, Length, Part, Request};
+use crate::{session, words, Http1, Session, Shared};
+use bytes::{Bytes, BytesMut};
+use cindercleat_protocol::session::{Event, Io};
+use cindercleat_protocol::{v1, Body, Frame};
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+
+/// Bytes that one turn of reading takes at most, and that may wait behind a request that is being answered.
+const TURN: usize = 8 << 10;
+/// Bytes of answers that are put together for one writing.
+const TOGETHER: usize = 32 << 10;
+
+pub(crate) fn start<S: Io>(io: S, wire: Http1) -> Session {
+    let them = v1::Hello { party: v1::Party::Client.into(), ..v1::Hello::default() };
+    let (session, shared, said) = session(them, None);
+    let lease = Lease { held: wire.held.clone(), bytes: 0 };
+    let client = Client { io, wire, shared, said, bytes: BytesMut::new(), stream: 0, lease };
+    spawn_local(client.run());
+    session
+}
+
+struct Client<S> {
+    io: S,
+    wire: Http1,
+    shared: Rc<Shared>,
+    said: mpsc::UnboundedReceiver<Frame>,
+    bytes: BytesMut,
+    /// The request that is open or was last.
+    stream: u64,
+    lease: Lease,
+}
+
+/// This connection's part of the bytes that all clients' bodies may hold.
+struct Lease {
+    held: Rc<Cell<usize>>,
+    bytes: usize,
+}
+
+impl Lease {
+    fn set(&mut self, bytes: usize) {
+        self.held.set(self.held.get() - self.bytes + bytes);
+        self.bytes = bytes;
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
+
+/// What a client gets besides the answer to a task.
+struct Refusal {
+    status: &'static str,
+    why: &'static str,
+}
+
+const fn refusal(status: &'static str, why: &'static str) -> Refusal {
+    Refusal { status, why }
+}
+
+/// What a request asks for.
+enum Asks {
+    Task(Box<v1::Submit>),
+    Ready,
+}
+
+/// Why there is no next request.
+enum Stop {
+    /// The connection is over, or to be closed without a word.
+    Over,
+    Refuse(Refusal),
+}
+
+impl<S: Io> Client<S> {
+    async fn run(mut self) {
+        let refused = loop {
+            let (asks, keeps) = match self.receive().await {
+                Ok(received) => received,
+                Err(Stop::Over) => break None,
+                Err(Stop::Refuse(refusal)) => break Some(refusal),
+            };
+            self.stream += 1;
+            let body = match asks {
+                Asks::Task(submit) => Body::Submit(*submit),
+                Asks::Ready => Body::Ping(v1::Ping {}),
+            };
+            self.shared.say(self.stream, body);
+            let goes_on = self.answer(keeps).await;
+            self.lease.set(0);
+            if !goes_on {
+                break None;
+            }
+        };
+        if let Some(Refusal { status, why }) = refused {
+            let text = plain(status, why, "", false);
+            self.lease.set(0);
+            self.bytes = BytesMut::new();
+            let _ = self.write(&text).await;
+        }
+        // The last word is written: whoever reads what it is sent has it before the end.
+        tokio::select! { biased;
+            () = self.shared.closed() => {}
+            _ = self.io.shutdown() => {}
+        }
+        self.shared.end();
+    }
+
+    /// Reads the next request, whole.
+    async fn receive(&mut self) -> Result<(Asks, bool), Stop> {
+        let mut told = false;
+        let head = loop {
+            if let Some(head) =
+                framing::request(&mut self.bytes).map_err(|fault| Stop::Refuse(wrong(fault)))?
+            {
+                break head;
+            }
+            self.more(&mut told).await?;
+        };
+        let most = self.wire.bounds.most_body;
+        let too_long = || Stop::Refuse(refusal("413 Content Too Large", "the body is too long"));
+        if matches!(head.length, Length::Known(bytes) if bytes > most as u64) {
+            return Err(too_long());
+        }
+        let kind = kind(&head).map_err(Stop::Refuse)?;
+        let mut reading = framing::Body::new(head.length, most);
+        let mut body = BytesMut::new();
+        if let Length::Known(bytes) = head.length {
+            body.reserve((bytes as usize).min(2 * self.bytes.len()));
+        }
+        loop {
+            match reading.next(&mut self.bytes).map_err(|fault| Stop::Refuse(wrong(fault)))? {
+                Some(Part::Data(data)) => {
+                    if body.len() + data.len() > most {
+                        return Err(too_long());
+                    }
+                    body.extend_from_slice(&data);
+                    self.lease.set(body.len());
+                    // Guards against many large bodies at once, which memory would not bear.
+                    if self.lease.held.get() > self.wire.bounds.most_bodies {
+                        return Err(Stop::Refuse(refusal(words::BOUNCED, "too much is being sent")));
+                    }
+                }
+                Some(Part::End) => break,
+                None => self.more(&mut told).await?,
+            }
+        }
+        let asks = match kind {
+            Kind::Ready => Asks::Ready,
+            Kind::Task => Asks::Task(Box::new(submit(&head, body.freeze()).map_err(Stop::Refuse)?)),
+        };
+        Ok((asks, head.keeps))
+    }
+
+    async fn more(&mut self, told: &mut bool) -> Result<(), Stop> {
+        let begun = !self.bytes.is_empty() || self.lease.bytes > 0;
+        if begun && !*told {
+            *told = true;
+            self.shared.tell(Event::Partly);
+        }
+        let resting = !*told;
+        if self.bytes.is_empty() && resting {
+            // A connection at rest holds no buffer.
+            self.bytes = BytesMut::new();
+        }
+        self.bytes.reserve(if resting { TURN / 8 } else { TURN });
+        tokio::select! { biased;
+            () = self.shared.closed() => {
+                Err(if resting { Stop::Over } else {
+                    Stop::Refuse(refusal("408 Request Timeout", "the request did not come in time"))
+                })
+            }
+            read = self.io.read_buf(&mut self.bytes) => match read {
+                Ok(0) | Err(_) => Err(Stop::Over),
+                Ok(_) => Ok(()),
+            },
+            () = self.shared.left(), if resting => Err(Stop::Over),
+        }
+    }
+
+    async fn write(&mut self, bytes: &[u8]) -> bool {
+        let closing = self.shared.closing.get();
+        tokio::select! { biased;
+            // What is said last is written as far as it goes at once.
+            () = self.shared.closed(), if !closing => false,
+            wrote = self.io.write_all(bytes) => wrote.is_ok(),
+        }
+    }
+
+    /// Writes the answer to the open request; tells whether another request may follow.
+    async fn answer(&mut self, keeps: bool) -> bool {
+        let mut begun = false;
+        let mut text = Vec::new();
+        loop {
+            let room = self.bytes.len() < TURN;
+            self.bytes.reserve(if room { 512 } else { 0 });
+            let frame = tokio::select! { biased;
+                frame = self.said.recv() => frame,
+                () = self.shared.closed() => return false,
+                read = self.io.read_buf(&mut self.bytes), if room => match read {
+                    // The client is gone: the session ends, and with it what was open.
+                    Ok(0) | Err(_) => return false,
+                    Ok(_) => continue,
+                },
+            };
+            let Some(mut frame) = frame else { return false };
+            let (mut messages, mut end) = (0, None);
+            text.clear();
+            loop {
+                if frame.stream == self.stream {
+                    match frame.body {
+                        Some(Body::Tokens(tokens)) => {
+                            if !begun {
+                                let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+                                    Cache-Control: no-cache\r\nTransfer-Encoding: chunked\r\n\r\n";
+                                text.extend_from_slice(head.as_bytes());
+                                begun = true;
+                            }
+                            text.extend_from_slice(format!("{:x}\r\n", tokens.text.len()).as_bytes());
+                            text.extend_from_slice(&tokens.text);
+                            text.extend_from_slice(b"\r\n");
+                            messages += 1;
+                        }
+                        Some(body) => end = self.end(&body, begun, keeps, &mut text),
+                        None => {}
+                    }
+                }
+                if end.is_some() || text.len() >= TOGETHER {
+                    break;
+                }
+                match self.said.try_recv() {
+                    Ok(next) => frame = next,
+                    Err(_) => break,
+                }
+            }
+            if !text.is_empty() && !self.write(&text).await {
+                return false;
+            }
+            if let Some(goes_on) = end {
+                return goes_on;
+            }
+            if messages > 0 {
+                self.shared.tell(Event::Flushed { stream: self.stream, messages });
+            }
+        }
+    }
+
+    /// The last of an answer; tells whether another request may follow, or nothing if this is not its last.
+    fn end(&self, body: &Body, begun: bool, keeps: bool, text: &mut Vec<u8>) -> Option<bool> {
+        let keeps = keeps && !self.shared.leaving.get();
+        let (status, why, more, keeps) = match body {
+            Body::Final(said) => match (said.answer(), begun) {
+                (v1::Answer::Fulfilled, true) => {
+                    text.extend_from_slice(b"0\r\n\r\n");
+                    return Some(keeps);
+                }
+                // A stream that is not whole ends with its connection, without the last chunk.
+                (_, true) => return Some(false),
+                (v1::Answer::Bounced, false) => {
+                    let after = said.retry_after_ms;
+                    let more = if after > 0.0 {
+                        format!("Retry-After: {:.3}\r\n", after / 1000.0)
+                    } else {
+                        String::new()
+                    };
+                    (words::BOUNCED, said.reason.as_str(), more, keeps)
+                }
+                (_, false) => (words::WRITTEN_OFF, said.reason.as_str(), String::new(), keeps),
+            },
+            Body::Rejected(said) => (words::REJECTED, said.reason.as_str(), String::new(), false),
+            Body::Pong(_) => ("200 OK", "ready", String::new(), keeps),
+            Body::Goodbye(said) => (words::BOUNCED, said.reason.as_str(), String::new(), keeps),
+            _ => return None,
+        };
+        text.extend_from_slice(&plain(status, why, &more, keeps));
+        Some(keeps)
+    }
+}
+
+/// An answer that is no stream.
+fn plain(status: &str, why: &str, more: &str, keeps: bool) -> Vec<u8> {
+    let close = if keeps { "" } else { "Connection: close\r\n" };
+    let length = why.len() + 1;
+    let head = "Content-Type: text/plain; charset=utf-8\r\n";
+    format!("HTTP/1.1 {status}\r\n{head}Content-Length: {length}\r\n{more}{close}\r\n{why}\n").into_bytes()
+}
+
+fn wrong(fault: Fault) -> Refusal {
+    match fault {
+        Fault::Malformed(what) => refusal(words::REJECTED, what),
+        Fault::TooLong(what) => refusal("431 Request Header Fields Too Large", what),
+    }
+}
+
+enum Kind {
+    Task,
+    Ready,
+}
+
+/// What a head asks for, as far as it tells without the body.
+fn kind(head: &Request) -> Result<Kind, Refusal> {
+    let path = head.first.target.split('?').next().unwrap_or_default();
+    match head.first.method.as_str() {
+        "GET" if path == words::READY_PATH => Ok(Kind::Ready),
+        "POST" if path.starts_with(words::TASKS) => Ok(Kind::Task),
+        _ if path.starts_with(words::TASKS) => Err(refusal("405 Method Not Allowed", "only POST")),
+        _ => Err(refusal("404 Not Found", "there is nothing here")),
+    }
+}
+
+/// The task that a request describes, or the first thing that cannot be right.
+fn submit(head: &Request, prompt: Bytes) -> Result<v1::Submit, Refusal> {
+    let bad = |why| refusal(words::REJECTED, why);
+    let id = head
+        .text(words::ID)
+        .filter(|id| words::is_id(id))
+        .ok_or_else(|| bad("no id, or none that can be one"))?;
+    let patience = head.get(words::PATIENCE).and_then(words::whole);
+    let patience = patience.ok_or_else(|| bad("no time to wait, or none that can be one"))?;
+    let profile = head.text(words::PROFILE).unwrap_or_default();
+    let mut labels = Labels::default();
+    if let Some(text) = head.text(words::LABELS) {
+        labels = Labels::read(text).ok_or_else(|| bad("the labels cannot be read"))?;
+    }
+    let guessed = prompt.len().div_ceil(words::CHARS_PER_TOKEN).max(1) as u32;
+    let prompt_tokens = labels.prompt_tokens.unwrap_or(guessed).max(1);
+    let session = head.text(words::SESSION).unwrap_or(id);
+    let resent = head.text(words::RETRIED);
+    let content_type = head.text("content-type").unwrap_or_default();
+    Ok(v1::Submit {
+        profile: profile.to_owned(),
+        tenant: head.text(words::TENANT).unwrap_or_default().to_owned(),
+        session: words::key(session),
+        shared_text: labels.shared.unwrap_or(0),
+        prompt_tokens,
+        shared_tokens: labels.shared_tokens.unwrap_or(0).min(prompt_tokens),
+        max_tokens: labels.max_tokens.unwrap_or(guessed).max(1),
+        patience_ms: f64::from(patience),
+        retried: resent == Some(words::TRIED_BEFORE),
+        resumed: resent == Some(words::FOR_THE_REST),
+        key: String::new(),
+        prompt,
+        origin: Some(v1::Origin {
+            id: id.to_owned(),
+            method: head.first.method.clone(),
+            target: head.first.target.clone(),
+            content_type: content_type.to_owned(),
+        }),
+    })
+}
+
+#[derive(Default)]
+struct Labels {
+    shared: Option<u64>,
+    prompt_tokens: Option<u32>,
+    shared_tokens: Option<u32>,
+    max_tokens: Option<u32>,
+}
+
+impl Labels {
+    fn read(text: &str) -> Option<Labels> {
+        let mut labels = Labels::default();
+        for label in text.split(',').map(str::trim).filter(|label| !label.is_empty()) {
+            let (name, value) = label.split_once('=')?;
+            let number = || words::whole(value.as_bytes());
+            match name {
+                words::SHARED => labels.shared = Some(words::key(value)),
+                words::PROMPT_TOKENS => labels.prompt_tokens = Some(number()?),
+                words::SHARED_TOKENS => labels.shared_tokens = Some(number()?),
+                words::MAX_TOKENS => labels.max_tokens = Some(number()?),
+                _ => {}
+            }
+        }
+        Some(labels)
+    }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -2,6 +2,8 @@
 //! them with the stream that it belongs to: the program's own form, also in transcripts. On the wire they are
 //! calls of the schema's services.
 
+pub mod session;
+
 /// The generated messages.
 pub mod v1 {
     #![allow(clippy::all, missing_docs)]
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -1,15 +1,15 @@
 //! Hosts the instances of [`cindercleat::control::Control`] that the simulator plays, one a dispatcher, and
 //! carries its wire to the module's interface and back. Nothing is decided here, and instances share nothing.
 
-mod conf;
 mod wire;
 
 use cindercleat::control::Control;
 use cindercleat::interface::{Action, Event, Ms};
+use cindercleat_conf::Malformed;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
-use wire::{Line, Malformed, Parser};
+use wire::{Line, Parser};
 
 /// One dispatcher: its decisions and the events of the batch being read.
 struct Instance {
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -1,25 +1,12 @@
 //! The wire's lines to events, and actions to the wire's lines.
 
-use crate::conf;
 use base64::prelude::{Engine, BASE64_STANDARD};
 use cindercleat::interface::*;
+use cindercleat_conf::{self as conf, Malformed};
 use std::fmt::Write;
 use std::str::FromStr;
 use std::sync::Arc;
 
-/// What a line should have been, and what came.
-#[derive(Debug)]
-pub struct Malformed {
-    expected: String,
-    came: String,
-}
-
-impl Malformed {
-    pub fn new(expected: impl Into<String>, came: impl Into<String>) -> Self {
-        Malformed { expected: expected.into(), came: came.into() }
-    }
-}
-
 /// One line, understood.
 pub enum Line {
     Empty,
@@ -117,8 +104,7 @@
 
 impl Parser {
     pub fn at_line(&self, problem: Malformed) -> String {
-        let came: String = problem.came.chars().take(80).collect();
-        format!("line {}: expected {}, came {came:?}", self.number, problem.expected)
+        format!("line {}: {problem}", self.number)
     }
 
     pub fn list_owner(&self) -> u32 {
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -202,7 +202,7 @@
                         reading.over.set(true);
                         continue;
                     }
-                    Event::Flushed { .. } => continue,
+                    Event::Flushed { .. } | Event::Partly => continue,
                 };
                 port.record(&reading, Way::In, &frame);
                 let stream = frame.stream;
@@ -507,6 +507,7 @@
             resumed: false,
             key: format!("{}-{number}", traffic.profile),
             prompt: bytes::Bytes::new(),
+            origin: None,
         };
         let asked = self.clock.now();
         self.tally(traffic, |t| t.tasks += 1);
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -385,7 +385,7 @@
             while let Some(event) = events.recv().await {
                 let frame = match event {
                     Event::Frame(frame) => frame,
-                    Event::GoingAway => continue,
+                    Event::GoingAway | Event::Partly => continue,
                     Event::Flushed { stream, messages } => {
                         if let Some(left) = reading.credit.borrow_mut().get_mut(&stream) {
                             *left += messages;
@@ -415,7 +415,7 @@
                         cancelled.notify_one();
                     }
                 }
-                Some(Body::Release(v1::Release { state: Some(state) })) => {
+                Some(Body::Release(v1::Release { state: Some(state), .. })) => {
                     self.let_go(key(&state));
                     conn.out.send(Frame { stream, body: Some(Body::Done(v1::Done {})) });
                 }
--- a/crates/standin/src/transcript.rs
+++ b/crates/standin/src/transcript.rs
@@ -44,6 +44,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq)]
+#[allow(clippy::large_enum_variant)]
 pub enum What {
     Frame(Way, Frame),
     Note(Note),
--- a/crates/standin/tests/audit.rs
+++ b/crates/standin/tests/audit.rs
@@ -195,7 +195,13 @@
         let ended =
             v1::Ended { status: v1::Status::ReadDone.into(), state: state(2), ..v1::Ended::default() };
         story.frame(100.0, READER, Way::Out, 9, Body::Ended(ended));
-        story.frame(100.0 + released, READER, Way::In, 0, Body::Release(v1::Release { state: state(2) }));
+        story.frame(
+            100.0 + released,
+            READER,
+            Way::In,
+            0,
+            Body::Release(v1::Release { state: state(2), ..v1::Release::default() }),
+        );
         assert_eq!(story.found(), found, "released after {released}");
     }
     // Never let go, by a dispatcher that lives, and by one that is killed at once.
@@ -234,7 +240,13 @@
     story.frame(300.0, WRITER, Way::In, 9, write(2));
     let full = v1::Ended { status: v1::Status::Full.into(), ..v1::Ended::default() };
     story.frame(3000.0, WRITER, Way::Out, 9, Body::Ended(full));
-    story.frame(3400.0, READER, Way::In, 0, Body::Release(v1::Release { state: state(2) }));
+    story.frame(
+        3400.0,
+        READER,
+        Way::In,
+        0,
+        Body::Release(v1::Release { state: state(2), ..v1::Release::default() }),
+    );
     assert_eq!(story.found(), []);
 }
 
--- a/src/channels.rs
+++ b/src/channels.rs
@@ -226,7 +226,7 @@
     /// happens, so it is asked for then.
     pub fn next_at(&self) -> Option<Ms> {
         let due = self.all.iter().filter_map(|(id, channel)| channel.due(*id, &self.settings));
-        due.map(|(at, _)| at).min_by(f64::total_cmp)
+        due.map(|(at, _)| at).filter(|at| at.is_finite()).min_by(f64::total_cmp)
     }
 
     /// Whether it takes streams, or will.
@@ -250,7 +250,9 @@
         let connecting = taking().any(|c| c.phase != Phase::Up);
         let used = self.all.values().any(|c| c.streams > 0);
         let spare = SPARE * self.settings.streams.max(1) as f64;
-        used && !connecting && self.taking() < self.settings.most.max(1) && (free as f64) < spare
+        // Channels for one stream each are never ahead of need: every task at a peak would cost the host one.
+        let shared = self.settings.streams > 1;
+        shared && used && !connecting && self.taking() < self.settings.most.max(1) && (free as f64) < spare
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod channels;
 pub mod control;
 pub mod interface;
+pub mod single;
 pub mod status;
--- /dev/null
+++ b/src/single.rs
@@ -0,0 +1,107 @@
+//! What a dispatcher decides about a client's connection that carries one task at a time: when it is closed for
+//! saying nothing, for being slow with a request, or for resting too long, and which one makes room when there
+//! may be no more.
+//!
+//! Like [`channels`](crate::channels) it does no I/O and reads no clock; instants do not go back.
+
+use crate::interface::Ms;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SingleSettings {
+    /// A connection that has asked for nothing yet is closed after this long.
+    pub first: Ms,
+    /// A request must be whole this long after its first byte.
+    pub whole: Ms,
+    /// A connection that rests between requests is closed after this long.
+    pub rest: Ms,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Part of a request is there.
+    Partly,
+    /// Between requests.
+    Resting,
+    /// Nothing was asked yet.
+    New,
+}
+
+/// Why a connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// It asks for nothing. What it asks meanwhile is still answered.
+    Silent,
+    /// Its request does not come.
+    Slow,
+}
+
+/// One client's connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Single {
+    /// None while its task is open.
+    phase: Option<Phase>,
+    since: Ms,
+    told: bool,
+}
+
+impl Single {
+    pub fn new(now: Ms) -> Self {
+        Single { phase: Some(Phase::New), since: now, told: false }
+    }
+
+    /// The first part of a request is there.
+    pub fn partly(&mut self, now: Ms) {
+        (self.phase, self.since) = (Some(Phase::Partly), now);
+    }
+
+    /// A request is there, whole; gives how long ago its first part came.
+    pub fn whole(&mut self, now: Ms) -> Ms {
+        let took = if self.phase == Some(Phase::Partly) { now - self.since } else { 0.0 };
+        (self.phase, self.since) = (None, now);
+        took.max(0.0)
+    }
+
+    pub fn answered(&mut self, now: Ms) {
+        (self.phase, self.since) = (Some(Phase::Resting), now);
+    }
+
+    /// What is to be done by now, once.
+    pub fn wanted(&mut self, settings: &SingleSettings, now: Ms) -> Option<Why> {
+        let (at, why) = self.due(settings)?;
+        self.told = now >= at;
+        self.told.then_some(why)
+    }
+
+    /// When `wanted` wants to be asked next, if nothing happens before.
+    pub fn next_at(&self, settings: &SingleSettings) -> Option<Ms> {
+        self.due(settings).map(|(at, _)| at)
+    }
+
+    fn due(&self, settings: &SingleSettings) -> Option<(Ms, Why)> {
+        let (wait, why) = match self.phase? {
+            Phase::New => (settings.first, Why::Silent),
+            Phase::Resting => (settings.rest, Why::Silent),
+            // Guards against half a request, which would keep its place and its bytes for nobody.
+            Phase::Partly => (settings.whole, Why::Slow),
+        };
+        (!self.told).then_some((self.since + wait, why))
+    }
+
+    /// Its place is wanted: the reason to close it with.
+    pub fn give_up(&mut self) -> Why {
+        self.told = true;
+        if self.phase == Some(Phase::Partly) {
+            Why::Slow
+        } else {
+            Why::Silent
+        }
+    }
+}
+
+/// Which connection makes room when there may be no more: one that has asked for nothing yet, else one that
+/// rests, else one whose request does not come; the longest so first. Never one with an open task. Guards against clients
+/// that connect by hundreds and say nothing: those who ask still find a place.
+pub fn shed<I>(all: impl Iterator<Item = (I, Single)>) -> Option<I> {
+    let may = all.filter(|(_, single)| !single.told).filter_map(|(id, s)| Some((id, s.phase?, s.since)));
+    may.max_by(|a, b| a.1.cmp(&b.1).then(b.2.total_cmp(&a.2))).map(|(id, ..)| id)
+}
