A stopping dispatcher ends its streams at 2.5 s, for clients that come back for the rest

Debug lines (new: answers that are not fulfilled) showed 19 such answers in all, so the failures were not ours to give: streams cut by the kill that follows SIGTERM, all at once, at an instant when the other dispatcher was stopping too. Ruled out: refused connections, idle closes, bounces at the stop, the list.

Change: Ledger::move_all, a time after the stop, where the settings say that clients resume (limits.stop_moves).

--- a/crates/cindercleat-cli/src/node.rs
+++ b/crates/cindercleat-cli/src/node.rs
@@ -72,6 +72,8 @@
 /// After a stop: what still comes is taken for this long; what is open may run for as long as it is let.
 const STOP_NOTICE: Ms = 600.0;
 const STOP_GRACE: Ms = 60_000.0;
+/// Streams go on elsewhere once no new client comes here any more: whoever ends this process does not wait for them.
+const STOP_MOVES: Ms = 2_500.0;
 /// A stream that does not go on is ended; clients are not to wait five seconds for it.
 const STALL: Ms = 4_000.0;
 
@@ -135,6 +137,7 @@
         cancels_per_s: 0.0,
         stop_grace: STOP_GRACE,
         stop_notice: STOP_NOTICE,
+        stop_moves: conf.clients_resume.then_some(STOP_MOVES),
         most_frame: MOST_BODY,
         most_clients: share,
         greet_within: 1_000.0,
--- a/crates/cindercleat-cli/src/settings.rs
+++ b/crates/cindercleat-cli/src/settings.rs
@@ -162,6 +162,7 @@
         most_clients: limits.value_or("most-clients", 12_000)?,
         greet_within: or("greet-within", 5_000.0)?,
         stop_notice: 0.0,
+        stop_moves: None,
         single: None,
         feed_quiet: f64::INFINITY,
     };
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -40,6 +40,8 @@
     pub kinds: Vec<String>,
     /// A host closes a connection that rests for this long.
     pub link_idle: Option<Ms>,
+    /// Whether clients ask for the rest of a stream that ends before its end.
+    pub clients_resume: bool,
     /// Tasks open at once.
     pub most_tasks: Option<usize>,
 }
@@ -203,6 +205,7 @@
         (0..count).map_while(name).collect()
     };
     let link_idle = pairs.time_or("limits.connIdle", 0.0)?;
+    let clients_resume = pairs.flag("familyInfo.resume")?;
     let most_tasks =
         if pairs.0.contains_key("limits.mostHeld") { Some(pairs.number("limits.mostHeld")?) } else { None };
     Ok(Conf {
@@ -213,6 +216,7 @@
         zones: texts("zones"),
         kinds: texts("shapes"),
         link_idle: (link_idle > 0.0).then_some(link_idle),
+        clients_resume,
         most_tasks,
     })
 }
--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -293,6 +293,7 @@
             Due::Past(link, stream) => self.look_at_past(link, stream, out),
             Due::Release(host) => self.flush_releases(&host, out),
             Due::StopNotice => self.end_notice(out),
+            Due::StopMoves => self.move_all(out),
             Due::StopGrace => self.end_grace(out),
             Due::StopReleases => {}
         }
@@ -525,6 +526,9 @@
             self.timers.set(grace, Due::StopGrace);
             self.timers.set(grace + self.settings.policy.release, Due::StopReleases);
             let notice = self.settings.limits.stop_notice;
+            if let Some(after) = self.settings.limits.stop_moves {
+                self.timers.set(self.now + after, Due::StopMoves);
+            }
             if notice > 0.0 {
                 self.timers.set(self.now + notice, Due::StopNotice);
             } else {
@@ -540,6 +544,15 @@
         out.extend(self.callers.all().map(|conn| Output::LeaveClient { conn }));
     }
 
+    /// Guards against streams that outlast this process: cut off with it they would all look for another
+    /// dispatcher at an instant that nobody chose, perhaps with none there.
+    fn move_all(&mut self, out: &mut Vec<Output>) {
+        let ids: Vec<TaskId> = self.tasks.keys().copied().collect();
+        for id in ids {
+            self.move_away(id, out);
+        }
+    }
+
     /// What is still open at the end of the grace is answered: bounced if nothing of it ever went out, else
     /// written off, which promises nothing; its launches are called off and its states let go.
     fn end_grace(&mut self, out: &mut Vec<Output>) {
--- a/crates/dispatcher/src/ledger/timers.rs
+++ b/crates/dispatcher/src/ledger/timers.rs
@@ -26,6 +26,8 @@
     Release(HostId),
     /// What comes from now on is not taken any more.
     StopNotice,
+    /// Streams are to go on elsewhere.
+    StopMoves,
     StopGrace,
     /// Releases after a stop have had their time.
     StopReleases,
--- a/crates/dispatcher/src/settings.rs
+++ b/crates/dispatcher/src/settings.rs
@@ -50,6 +50,8 @@
     pub stop_grace: Ms,
     /// After a stop: for how long what still comes is taken.
     pub stop_notice: Ms,
+    /// After a stop: streams are ended then, whose clients come back for the rest; none lets them run.
+    pub stop_moves: Option<Ms>,
     /// The largest message taken from anybody, in bytes.
     pub most_frame: usize,
     /// Connections of clients at once, and how long one may take to greet.
--- a/crates/dispatcher/src/shell.rs
+++ b/crates/dispatcher/src/shell.rs
@@ -209,6 +209,17 @@
     fn perform(&self, output: Output) {
         match output {
             Output::ToClient { conn, frame } => {
+                match &frame.body {
+                    Some(Body::Final(said)) if said.answer() != v1::Answer::Fulfilled => {
+                        let (answer, reason) = (said.answer().as_str_name(), &said.reason);
+                        tracing::debug!(conn = conn.0, stream = frame.stream, answer, reason, "answered");
+                    }
+                    Some(Body::Rejected(said)) => {
+                        let (field, reason) = (&said.field, &said.reason);
+                        tracing::debug!(conn = conn.0, stream = frame.stream, field, reason, "rejected");
+                    }
+                    _ => {}
+                }
                 let clients = self.inner.clients.borrow();
                 if let Some(out) = clients.get(&conn) {
                     out.send(frame);
--- a/crates/dispatcher/tests/common/mod.rs
+++ b/crates/dispatcher/tests/common/mod.rs
@@ -84,6 +84,7 @@
         most_clients: 100,
         greet_within: 1000.0,
         stop_notice: 0.0,
+        stop_moves: None,
         single: None,
         feed_quiet: f64::INFINITY,
     }
--- a/crates/faults/src/draw.rs
+++ b/crates/faults/src/draw.rs
@@ -123,6 +123,7 @@
         most_clients: 100,
         greet_within: 1_000.0,
         stop_notice: 0.0,
+        stop_moves: None,
         single: None,
         feed_quiet: f64::INFINITY,
     };
