Connections that were just answered are used last, lately used ones before long rested

Channels::place took the lowest number, which is neither. A link that ends with what was called off is no warning any more.

--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -479,8 +479,9 @@
             true => Outcome::Broken,
             false => Outcome::Unreachable,
         };
-        if !link.streams.is_empty() {
-            let streams = link.streams.len();
+        // A connection that ends with what was called off ends as it should.
+        let streams = link.streams.values().filter(|purpose| **purpose != Use::Past).count();
+        if streams > 0 {
             let text = format!("link to {} over with {streams} streams: {reason}", link.host.0);
             out.push(Output::Log { level: Level::Warn, text });
         }
--- a/crates/dispatcher/src/shell.rs
+++ b/crates/dispatcher/src/shell.rs
@@ -481,7 +481,11 @@
             match next {
                 Some(Event::Frame(Frame { body: Some(Body::List(list)), .. })) => {
                     *wait = FEED_AGAIN;
-                    tracing::debug!(version = list.version, hosts = list.hosts.len(), "list");
+                    let told = |line: &v1::HostLine| {
+                        (line.host.clone(), line.condition().as_str_name(), line.started_ms)
+                    };
+                    let hosts: Vec<_> = list.hosts.iter().map(told).collect();
+                    tracing::debug!(version = list.version, ?hosts, "list");
                     self.input(Input::Listed(list));
                 }
                 Some(Event::Frame(Frame { body: Some(Body::Goodbye(bye)), .. })) => {
--- a/src/channels.rs
+++ b/src/channels.rs
@@ -34,6 +34,10 @@
 /// One more channel is connected ahead when less than this share of a channel's streams is free in all.
 const SPARE: f64 = 0.2;
 
+/// A host that closes right after an answer has done so by this share of the connect timeout, as far as one can
+/// wait to see: channels that rest for less are taken last. Those that rest long may be closed by their host as idle.
+const SETTLE: f64 = 0.02;
+
 /// Where a stream goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Placement {
@@ -116,12 +120,16 @@
     }
 
     /// Where the next stream goes: on the fullest channel that is up and has room, so that the others can fall
-    /// idle; else on one that is connecting; else on a new one, if there may be one.
+    /// idle, among equals on the one that rests since lately, if not since just now; else on one that is connecting; else on a new one, if there may be one.
     pub fn place(&self, now: Ms) -> Placement {
         let room = |(_, c): &(&ChannelId, &Channel)| c.phase != Phase::Leaving && c.streams < c.limit;
-        let rank =
-            |(id, c): &(&ChannelId, &Channel)| (c.phase == Phase::Up, c.streams, std::cmp::Reverse(**id));
-        match self.all.iter().filter(room).max_by_key(rank) {
+        let settled_at = now - SETTLE * self.settings.connect_timeout;
+        let rank = |c: &Channel| (c.phase == Phase::Up, c.streams, c.idle_since <= settled_at);
+        let order = |a: &(&ChannelId, &Channel), b: &(&ChannelId, &Channel)| {
+            let rests = a.1.idle_since.total_cmp(&b.1.idle_since);
+            rank(a.1).cmp(&rank(b.1)).then(rests).then(b.0.cmp(a.0))
+        };
+        match self.all.iter().filter(room).max_by(order) {
             Some((id, _)) => Placement::On(*id),
             None if self.taking() >= self.settings.most.max(1) => Placement::Nowhere(Refusal::AllTaken),
             // Guards against a host that is down being dialled by every task that it is chosen for.
--- a/tests/channels.rs
+++ b/tests/channels.rs
@@ -250,3 +250,30 @@
     let met = play(&draws, 2).unwrap_or_else(|e| panic!("{e}"));
     assert!(met.iter().all(|n| *n > 10), "{met:?}");
 }
+
+#[test]
+fn a_channel_that_rests_since_lately_is_used_again_but_not_one_that_has_just_been_answered() {
+    let mut channels = Channels::new(ChannelSettings { streams: 1, most: 9, ..settings() }, 1);
+    for (id, rests_since) in [(1, 10.0), (2, 50.0), (3, 99.9)] {
+        channels.connecting(ChannelId(id), 0.0);
+        channels.up(ChannelId(id), None, 0.0);
+        channels.opened(ChannelId(id), 0.0);
+        channels.ended(ChannelId(id), rests_since);
+    }
+    // Its host may be about to close the third; the first, for want of use.
+    for id in [2, 1, 3] {
+        assert_eq!(channels.place(100.0), Placement::On(ChannelId(id)));
+        channels.opened(ChannelId(id), 100.0);
+    }
+    assert_eq!(channels.place(100.0), Placement::Connect);
+}
+
+#[test]
+fn channels_for_one_stream_are_not_connected_ahead() {
+    let mut channels = Channels::new(ChannelSettings { streams: 1, most: 9, ..settings() }, 1);
+    channels.connecting(ChannelId(1), 0.0);
+    channels.up(ChannelId(1), None, 0.0);
+    channels.opened(ChannelId(1), 0.0);
+    assert!(!channels.wants_more(1.0));
+    assert!(!channels.wanted(1.0, true).contains(&Do::Connect));
+}
