--- a/crates/dispatcher/src/ledger/fleet.rs
+++ b/crates/dispatcher/src/ledger/fleet.rs
@@ -80,6 +80,11 @@
         !self.hosts.is_empty()
     }
 
+    pub fn gone(&self) -> Vec<HostId> {
+        let gone = self.hosts.iter().filter(|(_, row)| row.condition == Condition::Gone);
+        gone.map(|(host, _)| host.clone()).collect()
+    }
+
     /// All that is known and not gone, as a list to remember.
     pub fn whole(&self) -> v1::HostList {
         let here = self.hosts.values().filter(|row| row.condition != Condition::Gone);
--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -502,6 +502,7 @@
                 Use::Hold(..) | Use::Past => {}
             }
         }
+        self.forget_gone(&link.host);
     }
 
     pub(super) fn take_host(&mut self, id: LinkId, frame: Frame, out: &mut Vec<Output>) {
--- a/crates/dispatcher/src/ledger/links.rs
+++ b/crates/dispatcher/src/ledger/links.rs
@@ -299,6 +299,16 @@
         Some(purpose)
     }
 
+    /// Forgets what was decided about a host's links, if none is left; tells whether it did.
+    pub fn forget(&mut self, host: &HostId) -> bool {
+        let none = !self.of.contains_key(host);
+        if none {
+            self.decide.remove(host);
+            self.armed.remove(host);
+        }
+        none
+    }
+
     /// Whether the link is up and carries nothing.
     pub fn is_idle(&self, id: LinkId) -> bool {
         self.all.get(&id).is_some_and(|l| l.up && l.streams.is_empty())
--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -133,6 +133,8 @@
     pub tasks: usize,
     pub links: usize,
     pub timers: usize,
+    /// Hosts of which anything is known.
+    pub hosts: usize,
 }
 
 pub struct Ledger {
@@ -231,7 +233,12 @@
 
     /// How much is held, for logs and for tests of what must not grow.
     pub fn held(&self) -> Holding {
-        Holding { tasks: self.tasks.len(), links: self.links.len(), timers: self.timers.len() }
+        Holding {
+            tasks: self.tasks.len(),
+            links: self.links.len(),
+            timers: self.timers.len(),
+            hosts: self.fleet.hosts.len(),
+        }
     }
 
     /// Whether a state is to be let go of which no host has said yet that it is.
@@ -517,6 +524,17 @@
             self.links.renewed(&entry.host);
         }
         self.events.push(Event::Listed { kind: remembered.unwrap_or(kind), entries });
+        for host in self.fleet.gone() {
+            self.forget_gone(&host);
+        }
+    }
+
+    /// Guards against a fleet that is replaced all day: nothing is kept of a host that is gone, once no
+    /// connection to it is left. An unknown host counts as gone.
+    fn forget_gone(&mut self, host: &HostId) {
+        if self.fleet.condition(host) == Condition::Gone && self.links.forget(host) {
+            self.fleet.hosts.remove(host);
+        }
     }
 
     fn take_stop(&mut self, out: &mut Vec<Output>) {
--- a/crates/dispatcher/tests/single.rs
+++ b/crates/dispatcher/tests/single.rs
@@ -261,3 +261,24 @@
     bench.put(Input::Stop);
     assert!(matches!(to_client(&asks(&mut bench, 2, ping()))[..], [(1, Body::Goodbye(_))]));
 }
+
+#[test]
+fn nothing_is_kept_of_hosts_that_are_gone_however_many_come() {
+    use v1::HostCondition::{Gone, Ready};
+    let mut bench = bench();
+    for n in 0..200 {
+        let (reader, writer) = (format!("r-{n}"), format!("w-{n}"));
+        bench.told(&reader, Ready);
+        bench.told(&writer, Ready);
+        let write = writing(&mut bench, n, &n.to_string(), "draft");
+        bench.host(&write, tokens(0));
+        bench.told(&reader, Gone);
+        bench.told(&writer, Gone);
+        assert_eq!(finals(&bench.ended(&write, Status::Fulfilled)), [(1, Answer::Fulfilled)], "it went on");
+        bench.put(Input::ClientClosed { conn: ConnId(n) });
+    }
+    bench.pass(60_000.0);
+    let held = bench.ledger.held();
+    assert_eq!((held.hosts, held.links, held.tasks), (4, 0, 0));
+    assert!(held.timers < 10, "{held:?}");
+}
