--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -367,6 +367,9 @@
             conn,
             frame: frame(stream.0, Body::Accepted(v1::Accepted { task: id.0 })),
         });
+        if self.stopping.is_some() {
+            out.push(Output::LeaveClient { conn });
+        }
         let ends = self.now + arrival.patience_left;
         self.timers.set(ends, Due::Patience(id));
         self.tickets.insert(ticket, id);
@@ -543,6 +546,9 @@
             let grace = self.now + self.settings.limits.stop_grace;
             self.timers.set(grace, Due::StopGrace);
             self.timers.set(grace + self.settings.policy.release, Due::StopReleases);
+            // Those with an open task are told with its answer, others when nothing more is taken.
+            let open: BTreeSet<ConnId> = self.tickets.keys().map(|(conn, _)| *conn).collect();
+            out.extend(open.into_iter().map(|conn| Output::LeaveClient { conn }));
             let notice = self.settings.limits.stop_notice;
             if let Some(after) = self.settings.limits.stop_moves {
                 self.timers.set(self.now + after, Due::StopMoves);
--- a/crates/dispatcher/tests/platform.rs
+++ b/crates/dispatcher/tests/platform.rs
@@ -371,8 +371,11 @@
         net.wait(100.0).await;
         let (mut late, rest) = (net.connect().await, net.connect().await);
         late.write_all(task("a2", "draft").as_bytes()).await.expect("written");
-        assert!(net.rest_of(&mut io, 1000.0).await.ends_with("0\r\n\r\n"));
-        assert!(net.rest_of(&mut late, 1000.0).await.ends_with("0\r\n\r\n"), "what still comes is taken");
+        for (io, what) in [(&mut io, "what was open"), (&mut late, "what still comes")] {
+            let answer = net.rest_of(io, 1000.0).await;
+            assert!(answer.ends_with("0\r\n\r\n"), "{what} is answered: {answer}");
+            assert!(answer.contains("\r\nConnection: close\r\n"), "{answer}");
+        }
         net.wait(2000.0).await;
         drop(rest);
         assert!(net.memory.connect("d").await.is_err(), "it has ended");
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -11,8 +11,13 @@
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
+const TOO_LONG: &str = "413 Content Too Large";
 /// Bytes that one turn of reading takes at most, and that may wait behind a request that is being answered.
 const TURN: usize = 8 << 10;
+/// The head of a stream, and its end where nothing more is taken on the connection.
+const STREAM: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n\
+    Transfer-Encoding: chunked\r\n";
+const CLOSE: &str = "Connection: close\r\n\r\n";
 /// Bytes of answers that are put together for one writing.
 const TOGETHER: usize = 32 << 10;
 
@@ -124,7 +129,7 @@
             self.more(&mut told).await?;
         };
         let most = self.wire.bounds.most_body;
-        let too_long = || Stop::Refuse(refusal("413 Content Too Large", "the body is too long"));
+        let too_long = || Stop::Refuse(refusal(TOO_LONG, "the body is too long"));
         if matches!(head.length, Length::Known(bytes) if bytes > most as u64) {
             return Err(too_long());
         }
@@ -217,9 +222,9 @@
                     match frame.body {
                         Some(Body::Tokens(tokens)) => {
                             if !begun {
-                                let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
-                                    Cache-Control: no-cache\r\nTransfer-Encoding: chunked\r\n\r\n";
-                                text.extend_from_slice(head.as_bytes());
+                                text.extend_from_slice(STREAM.as_bytes());
+                                let stays = keeps && !self.shared.leaving.get();
+                                text.extend_from_slice(if stays { b"\r\n" } else { CLOSE.as_bytes() });
                                 begun = true;
                             }
                             text.extend_from_slice(format!("{:x}\r\n", tokens.text.len()).as_bytes());
@@ -294,7 +299,10 @@
 fn wrong(fault: Fault) -> Refusal {
     match fault {
         Fault::Malformed(what) => refusal(words::REJECTED, what),
-        Fault::TooLong(what) => refusal("431 Request Header Fields Too Large", what),
+        Fault::TooLong(what @ ("the head" | "the list of headers")) => {
+            refusal("431 Request Header Fields Too Large", what)
+        }
+        Fault::TooLong(what) => refusal(TOO_LONG, what),
     }
 }
 
--- a/crates/http1/tests/session.rs
+++ b/crates/http1/tests/session.rs
@@ -215,7 +215,8 @@
         session.out.go_away();
         session.out.send(frame(1, text(0, "data: a\n\n")));
         session.out.send(frame(1, last(v1::Answer::Fulfilled, 0.0)));
-        assert!(until(&mut io, "").await.ends_with("0\r\n\r\n"));
+        let answer = until(&mut io, "").await;
+        assert!(answer.ends_with("0\r\n\r\n") && answer.contains("\r\nConnection: close\r\n"), "{answer}");
         let (mut io, session) = client(&Http1::new(BOUNDS)).await;
         session.out.go_away();
         assert_eq!(until(&mut io, "").await, "", "one that rests is closed without a word");
