--- a/crates/dispatcher/tests/platform.rs
+++ b/crates/dispatcher/tests/platform.rs
@@ -34,9 +34,18 @@
     writer: Rc<Cell<Writer>>,
     /// Calls that each feed got.
     feeds: Rc<RefCell<Vec<String>>>,
+    /// How the feed answers.
+    feed: Rc<Cell<Feed>>,
     stop: Rc<Notify>,
 }
 
+#[derive(Clone, Copy, PartialEq)]
+enum Feed {
+    Good,
+    Silent,
+    Noise,
+}
+
 #[derive(Clone, Copy, PartialEq)]
 enum Writer {
     Good,
@@ -63,7 +72,8 @@
         let shell = Shell::speaking(Http1::new(BOUNDS), settings, places, memory.clone(), clock, 1);
         let (asked, feeds, stop) = (Rc::default(), Rc::default(), Rc::new(Notify::new()));
         let writer = Rc::new(Cell::new(Writer::Good));
-        let net = Net { memory, clock, shell, asked, writer, feeds, stop };
+        let feed = Rc::new(Cell::new(Feed::Good));
+        let net = Net { memory, clock, shell, asked, writer, feeds, feed, stop };
         for name in ["r1", "w1"] {
             let listener = net.memory.listen(name).await.expect("a name");
             spawn_local(net.clone().host(name, listener));
@@ -165,6 +175,13 @@
                              \"flavor\":\"{kind}\",\"cell\":0,\"phase\":\"up\",\"size\":1.0,\"up_since_ms\":0}}"
                         )
                     };
+                    if net.feed.get() == Feed::Silent {
+                        net.wait(60_000.0).await;
+                    }
+                    if net.feed.get() == Feed::Noise {
+                        let _ = io.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n{\"revi").await;
+                        continue;
+                    }
                     let whole = !head.contains("after=");
                     let lines = [line("r1", "reader"), line("w1", "writer")].join(",");
                     let members = if whole { lines } else { String::new() };
@@ -350,6 +367,25 @@
     });
 }
 
+#[test]
+fn a_list_feed_that_is_silent_or_cannot_be_read_is_called_again_and_its_list_kept() {
+    for feed in [Feed::Silent, Feed::Noise] {
+        run(|net| async move {
+            net.feed.set(feed);
+            net.wait(1000.0).await;
+            net.feeds.borrow_mut().clear();
+            net.wait(10_000.0).await;
+            let calls = net.feeds.borrow().len();
+            assert!((3..40).contains(&calls), "called again, and not without rest: {calls}");
+            assert!(net.task("a1", "draft").await.ends_with("0\r\n\r\n"), "the list is kept");
+            net.feed.set(Feed::Good);
+            net.feeds.borrow_mut().clear();
+            net.wait(4000.0).await;
+            assert!(net.feeds.borrow().len() >= 2, "and followed once it speaks again");
+        });
+    }
+}
+
 #[test]
 fn a_stop_answers_what_is_open_and_then_ends() {
     run(|net| async move {
