Load reports are read under the names that the settings give their fields

'probe host=s- outcome=Fulfilled after=1.8 queue=- slots=- memory=0.048': each of 34,851 probes said neither queue nor slots. Bodies as they came: '{"cpu":0.056,"waiting":0,"x0":0.246}'; settings: stats.columns cpu,waiting,x0. Ruled out: tasks held here (p99 10 ms before the first launch), connections (no launch unreachable), writers (first token p50 42 ms). At fault: http1/src/host.rs, struct Pressure, read inflight, queue and util alone. Test: what is said under either set of names arrives.

--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod hosts;
 mod links;
+mod story;
 mod tasks;
 mod timers;
 
@@ -123,6 +124,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Level {
+    Debug,
     Info,
     Warn,
 }
@@ -158,6 +160,8 @@
     events: Vec<Event>,
     stopping: Option<Ms>,
     stopped: bool,
+    /// Whether what happens to tasks is told line by line.
+    stories: bool,
 }
 
 impl Ledger {
@@ -180,6 +184,7 @@
             events: Vec::new(),
             stopping: None,
             stopped: false,
+            stories: false,
         }
     }
 
@@ -252,8 +257,14 @@
         let mut actions = Vec::new();
         while !self.events.is_empty() {
             let events = std::mem::take(&mut self.events);
+            if self.stories {
+                events.iter().for_each(|event| self.tell_event(event, out));
+            }
             self.control.step(self.now, &events, &mut actions);
             for action in actions.drain(..) {
+                if self.stories {
+                    self.tell_action(&action, out);
+                }
                 self.carry_out(action, out);
             }
         }
--- /dev/null
+++ b/crates/dispatcher/src/ledger/story.rs
@@ -0,0 +1,74 @@
+//! The story of each task in lines for the log, so that one task can be followed by the id that its client gave
+//! it through every dispatcher that had it. Made only where somebody reads it (`Ledger::tell_stories`).
+
+use super::*;
+
+impl Ledger {
+    /// What happens to tasks is told line by line from now on.
+    pub fn tell_stories(&mut self) {
+        self.stories = true;
+    }
+
+    pub(super) fn tell_event(&self, event: &Event, out: &mut Vec<Output>) {
+        let text = match event {
+            Event::Arrived(a) => {
+                let (shared, session) = (a.shared.map_or(0, |s| s.0), a.session.0);
+                let (prompt, beginning) = (a.prompt_tokens, a.shared_tokens);
+                let (profile, waits) = (a.profile.0, a.patience_left);
+                let task = self.called(a.task);
+                format!(
+                    "{task} arrived profile={profile} prompt={prompt} shared={beginning} beginning={shared:x} \
+                     session={session:x} waits={waits:.0} retried={}",
+                    a.retried
+                )
+            }
+            Event::Left { task } => format!("{} left", self.called(*task)),
+            Event::FirstToken { task, launch, host, latency } => {
+                format!("{} launch={} host={} began after={latency:.1}", self.called(*task), launch.0, host.0)
+            }
+            Event::Ended(e) => format!(
+                "{} launch={} host={} ended outcome={:?} after={:.1} detail={}",
+                self.called(e.task),
+                e.launch.0,
+                e.host.0,
+                e.outcome,
+                e.latency,
+                e.detail
+            ),
+            Event::Probed { host, outcome, latency, load } => {
+                let said = |value: Option<f64>| value.map_or("-".to_owned(), |v| format!("{v:.3}"));
+                let (queue, slots, memory) =
+                    (said(load.queue), said(load.slots_used), said(load.memory_held));
+                format!(
+                    "probe host={} outcome={outcome:?} after={latency:.1} queue={queue} slots={slots} \
+                     memory={memory}",
+                    host.0
+                )
+            }
+            Event::Listed { .. } | Event::Place { .. } | Event::Timer { .. } | Event::Heard { .. } => return,
+        };
+        out.push(Output::Log { level: Level::Debug, text });
+    }
+
+    pub(super) fn tell_action(&self, action: &Action, out: &mut Vec<Output>) {
+        let text = match action {
+            Action::Launch { task, host, .. } => {
+                let no = self.tasks.get(task).map_or(0, |t| t.launches);
+                format!("{} launch={no} host={} goes out", self.called(*task), host.0)
+            }
+            Action::Cancel { task, launch } => {
+                format!("{} launch={} called off", self.called(*task), launch.0)
+            }
+            Action::Bounce { task, .. } => format!("{} bounced", self.called(*task)),
+            Action::WriteOff { task } => format!("{} written off", self.called(*task)),
+            Action::Release { task } => format!("{} released", self.called(*task)),
+            _ => return,
+        };
+        out.push(Output::Log { level: Level::Debug, text });
+    }
+
+    fn called(&self, id: TaskId) -> String {
+        let origin = self.tasks.get(&id).map(Task::origin).unwrap_or_default();
+        format!("task={} id={}", id.0, if origin.is_empty() { "-" } else { &origin })
+    }
+}
--- a/crates/dispatcher/src/shell.rs
+++ b/crates/dispatcher/src/shell.rs
@@ -113,8 +113,12 @@
         clock: C,
         seed: u64,
     ) -> Self {
+        let mut ledger = Ledger::new(settings.clone(), seed);
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            ledger.tell_stories();
+        }
         let inner = Inner {
-            ledger: RefCell::new(Ledger::new(settings.clone(), seed)),
+            ledger: RefCell::new(ledger),
             settings,
             places: RefCell::new(places),
             transport,
@@ -263,6 +267,7 @@
             }
             Output::Follow { .. } => self.inner.follow.notify_one(),
             Output::Tell { to, bytes } => self.tell(to, bytes),
+            Output::Log { level: Level::Debug, text } => tracing::debug!("{text}"),
             Output::Log { level: Level::Info, text } => tracing::info!("{text}"),
             Output::Log { level: Level::Warn, text } => tracing::warn!("{text}"),
             Output::Stopped => self.inner.stopped.notify_one(),
--- a/crates/http1/src/host.rs
+++ b/crates/http1/src/host.rs
@@ -320,11 +320,16 @@
     cached_tokens: f64,
 }
 
+/// A load report. Its fields go by the names that the settings use for them (`stats.columns`), or by those of the
+/// protocol's own page; one name alone would lose what the other says without a word.
 #[derive(Default, Deserialize)]
 #[serde(default)]
 struct Pressure {
+    #[serde(alias = "active")]
     inflight: Option<f64>,
+    #[serde(alias = "waiting")]
     queue: Option<f64>,
+    #[serde(alias = "cpu")]
     util: Option<f64>,
     x0: Option<f64>,
     x1: Option<f64>,
--- a/crates/http1/tests/session.rs
+++ b/crates/http1/tests/session.rs
@@ -282,6 +282,27 @@
     });
 }
 
+/// What is lost of a report is lost without a word: a fleet whose queues went by another name looked idle.
+#[test]
+fn a_report_is_read_under_the_names_of_the_settings_and_of_the_protocol() {
+    run(async {
+        let (mut io, mut session) = host().await;
+        let reports = [
+            ("{\"cpu\":0.5,\"waiting\":2,\"x0\":0.25}", (None, Some(2.0), Some(0.5), Some(0.25))),
+            ("{\"active\":7,\"waiting\":2}", (Some(7.0), Some(2.0), None, None)),
+            ("{\"inflight\":7,\"queue\":2,\"util\":0.61}", (Some(7.0), Some(2.0), Some(0.61), None)),
+        ];
+        for (no, (report, (in_flight, queue, slots_used, memory_held))) in (1..).zip(reports) {
+            session.out.send(frame(no, Body::Probe(v1::Probe {})));
+            until(&mut io, "\r\n\r\n").await;
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", report.len());
+            io.write_all(format!("{head}{report}").as_bytes()).await.expect("written");
+            let load = v1::Load { in_flight, queue, slots_used, memory_held, ..v1::Load::default() };
+            assert_eq!(body(&mut session).await, Some((no, Body::Load(load))), "{report}");
+        }
+    });
+}
+
 #[test]
 fn what_a_launch_may_be_taken_for_follows_from_the_answer_alone() {
     use v1::Status::*;
