Reads of a beginning leave a jammed home for a few readers that the session names

Lines at fault in control.rs: choose_reader (least of the whole pool; a probe without an answer counted as 'nothing waits'); learn_end (a launch turned away or late counted as heard of, and kept probes off for 2 quoted times); waiting (own unread tokens times 285 dispatchers); mean (unknown hosts were given the mean that the hot home itself made); learn_end (the mean read began at nothing: a queue meant little to a dispatcher of few reads). Now: the home, then a few (4 in all) next to it in the beginning's hash, in the session's own order; a reader that owes a probe has too much; the mean leaves the home out; own part times reads out, at most the dispatchers. tests/fleet.rs: 300 dispatchers; two of three tests fail without.

--- a/src/control.rs
+++ b/src/control.rs
@@ -51,6 +51,8 @@
 const SICK_BELOW: f64 = 0.5;
 /// Beginnings and sessions remembered as kept at a reader.
 const KEPT_MOST: usize = 64;
+/// Readers among which the reads of one beginning are spread.
+const HOMES: usize = 4;
 
 /// A model host's place in the parallel arrays that hold what is known of model hosts.
 type Slot = usize;
@@ -79,7 +81,10 @@
     reported_at: Vec<Ms>,
     asked_at: Vec<Ms>,
     answered_at: Vec<Ms>,
+    /// Whether its last probe came back without an answer.
+    silent: Vec<bool>,
     typical: f64,
+    typical_of: f64,
     stale: Ms,
     /// Last outcomes, newest in the lowest bit, above them a one.
     outcomes: Vec<u32>,
@@ -254,8 +259,9 @@
             }
             Event::Ended(ended) => self.learn_end(ended),
             Event::Timer { timer } if timer.0 == self.timers => self.armed = None,
-            Event::Probed { host, load, .. } => {
+            Event::Probed { host, outcome, load, .. } => {
                 let Some(&slot) = self.hosts.index.get(host) else { return };
+                self.hosts.silent[slot] = *outcome != Outcome::Fulfilled;
                 self.hosts.answered_at[slot] = self.now;
                 self.hosts.note_load(slot, load, self.now);
             }
@@ -320,12 +326,12 @@
         self.queue.coming -= coming;
         self.queue.awake.insert(ended.task);
         self.hosts.tally(&out, -1.0);
+        let queued = ended.outcome != Outcome::ReadDone || self.now - out.sent > QUEUED * task.allowed;
         if out.reading && matches!(ended.outcome, Outcome::ReadDone | Outcome::TimedOut | Outcome::Full) {
-            let allowed = QUEUED * task.allowed;
-            let queued = ended.outcome != Outcome::ReadDone || self.now - out.sent > allowed;
             self.hosts.learn_limit(slot, out.sent, queued, self.now);
         }
-        if ended.outcome != Outcome::CalledOff && ended.outcome != Outcome::TimedOut {
+        // What came late, or was turned away, tells of a queue: a probe is wanted the more.
+        if !out.reading && ended.outcome == Outcome::Fulfilled || out.reading && !queued {
             self.hosts.heard[slot] = self.now;
         }
         task.over |= ended.last;
@@ -342,7 +348,8 @@
                 task.tried.clear();
                 self.hosts.note_kept(slot, &task.arrival);
                 let read = task.arrival.prompt_tokens - ended.detail;
-                self.hosts.typical += (read - self.hosts.typical) / f64::from(JUDGED);
+                self.hosts.typical_of = (self.hosts.typical_of + 1.0).min(f64::from(JUDGED));
+                self.hosts.typical += (read - self.hosts.typical) / self.hosts.typical_of;
                 self.note_done(slot, true);
             }
             // The state is gone (its reader died or let it go): read again.
@@ -461,20 +468,28 @@
         }
     }
 
-    /// The readers that the hashes of a beginning name: the home, and the session's own next to it.
-    fn homes(&self, arrival: &Arrival, pool: &[Slot]) -> Option<(Slot, Slot)> {
+    /// The readers that the hash of a beginning names, in the order in which a session tries them: the home of
+    /// all that begin so, then a few next to it, by the session's own hash. Guards against text scattered over
+    /// the fleet: whoever sends a session's prompts finds them kept at one of the same few readers.
+    fn homes(&self, arrival: &Arrival, pool: &[Slot]) -> Vec<Slot> {
         let beginning = arrival.shared.map_or(arrival.session.0, |shared| shared.0);
         let rank = |s: Slot, key: u64| xxh3_64_with_seed(self.hosts.listed[s].host.0.as_bytes(), key);
-        let home = pool.iter().copied().max_by_key(|&s| rank(s, beginning))?;
-        let others = pool.iter().copied().filter(|&s| s != home);
-        Some((home, others.max_by_key(|&s| rank(s, arrival.session.0)).unwrap_or(home)))
+        let mut homes: Vec<(u64, Slot)> = pool.iter().map(|&s| (rank(s, beginning), s)).collect();
+        homes.sort_unstable_by(|a, b| b.cmp(a));
+        homes.truncate(HOMES);
+        let mut homes: Vec<Slot> = homes.into_iter().map(|(_, s)| s).collect();
+        if let Some(next) = homes.get_mut(1..) {
+            next.sort_unstable_by_key(|&s| rank(s, arrival.session.0));
+        }
+        homes
     }
 
     /// Whether to wait for probes before a read: the home and the session's next are asked.
     fn look(&mut self, task: &Task) -> bool {
         let until = task.idle_since + LOOK * self.quoted_least;
-        let homes = self.homes(&task.arrival, &self.pool(task, true)).map(|(home, next)| [home, next]);
-        let out = self.now < until && homes.is_some_and(|homes| self.ask(&homes));
+        let mut homes = self.homes(&task.arrival, &self.pool(task, true));
+        homes.truncate(2);
+        let out = self.now < until && self.ask(&homes);
         if out {
             self.wake_at(until);
         }
@@ -499,28 +514,31 @@
         any_out
     }
 
-    /// The reads' rule: the home that the hash names, unless too much waits there; then the least waiting.
+    /// The reads' rule: the home that the hash names, unless too much waits there; then the next of its few where
+    /// less does.
     fn choose_reader(&self, task: &Task) -> Option<Slot> {
         let pool = self.pool(task, true);
         let arrival = &task.arrival;
-        let (home, next) = self.homes(arrival, &pool)?;
-        let means = [false, true].map(|reading| self.hosts.mean(reading, &self.hosts.reported_tokens));
-        let waiting = |s: Slot| self.hosts.waiting(s, self.now, means);
-        let waits: BTreeMap<Slot, f64> = pool.iter().map(|&s| (s, waiting(s))).collect();
-        let weighed = |s: Slot| (waits[&s] + self.hosts.unread(s, arrival)) / self.age_weight(s);
-        // Ties fall to the session's own reader: its next prompts find its text there, whoever sends them.
-        let order = |a: Slot, b: Slot| weighed(a).total_cmp(&weighed(b)).then((a != next).cmp(&(b != next)));
-        let least = pool.iter().copied().min_by(|&a, &b| order(a, b))?;
-        let mean = (waits.values().sum::<f64>() + arrival.prompt_tokens) / pool.len() as f64;
-        let too_much = waits[&home] > HOME_ESCAPE * mean;
+        let homes = self.homes(arrival, &pool);
+        let home = *homes.first()?;
+        // What is known of few must not hide the home's queue: it is held against the others.
+        let mean = self.hosts.mean(true, &self.hosts.reported_tokens, home);
+        let wait = |s: Slot| self.hosts.waiting(s, self.now, mean) / self.age_weight(s);
+        let others = pool.iter().filter(|&&s| s != home).map(|&s| wait(s)).sum::<f64>();
+        let mean = (others + arrival.prompt_tokens) / pool.len() as f64;
+        let too_much = |s: Slot| wait(s) > HOME_ESCAPE * mean || self.hosts.owes(s, self.now);
+        if !too_much(home) && self.hosts.has_room(home) {
+            return Some(home);
+        }
         // Guards against a jam by scattered reads: elsewhere they cost more and push out what is kept there.
         // Reads leave their home (too much waits, or no room) only while the readers together have room to
         // spare, or for one that has kept most of the text; else the task is held for its home.
         let reads = pool.iter().map(|&s| self.hosts.reads[s]).sum::<f64>();
         let spare = reads < SPARE * pool.iter().map(|&s| self.hosts.limit[s]).sum::<f64>();
-        let kept = self.hosts.unread(least, arrival) < SPARE * arrival.prompt_tokens;
-        let leave = (too_much || !self.hosts.has_room(home)) && (spare || kept);
-        Some(if leave { least } else { home }).filter(|&s| self.hosts.has_room(s))
+        let kept = |s: Slot| self.hosts.unread(s, arrival) < SPARE * arrival.prompt_tokens;
+        let next = |s: &Slot| (spare || kept(*s)) && !too_much(*s) && self.hosts.has_room(*s);
+        let next = homes[1..].iter().copied().find(next);
+        next.or(Some(home)).filter(|&s| self.hosts.has_room(s))
     }
 
     /// The mechanism: nearness first, within the band the fewest in flight, skipping those above average.
@@ -540,7 +558,7 @@
         let draws: Vec<f64> = among.iter().map(|_| -self.rng.generate::<f64>().ln()).collect();
         let load = |s: Slot| (self.hosts.streams[s] + self.hosts.reported[s] + 1.0) / self.age_weight(s);
         let (taken, now) = (&self.hosts.reported_load, self.now);
-        let mean = self.hosts.mean(false, taken);
+        let mean = self.hosts.mean(false, taken, Slot::MAX);
         let free = |s: Slot| (1.0 - self.hosts.aged(s, now, taken, mean)).max(f64::EPSILON);
         let drawn: Vec<_> =
             among.into_iter().zip(draws).map(|(s, draw)| (load(s), draw / free(s), s)).collect();
@@ -574,7 +592,7 @@
         };
         let open: Vec<Slot> = judged.into_iter().filter(open).collect();
         let taken = &self.hosts.reported_load;
-        let mean = self.hosts.mean(false, taken);
+        let mean = self.hosts.mean(false, taken, Slot::MAX);
         let loaded = |s: Slot| self.hosts.aged(s, self.now, taken, mean) > (1.0 + mean) / 2.0;
         let fit = |s: &Slot| (reading || self.hosts.has_room(*s)) && !task.tried.contains(s);
         let fit: Vec<Slot> = open.iter().copied().filter(fit).collect();
@@ -757,6 +775,7 @@
         self.kept.push(VecDeque::new());
         self.sends.push(VecDeque::new());
         self.outcomes.push(1);
+        self.silent.push(false);
         let counts = [&mut self.streams, &mut self.reading, &mut self.reads];
         let reports = [&mut self.reported, &mut self.reported_tokens, &mut self.reported_load];
         for count in counts.into_iter().chain(reports) {
@@ -789,8 +808,16 @@
         mean + (-(now - self.reported_at[slot]) / self.stale).exp() * (what[slot] - mean)
     }
 
-    fn mean(&self, reading: bool, what: &[f64]) -> f64 {
-        let known = self.ready(reading).filter(|&s| self.reported_at[s] > f64::NEG_INFINITY);
+    /// Whether a probe is owed: one is out for longer than a read waits for it, or came back without an answer.
+    /// Guards against a host too busy to say how busy it is, which would pass for one with nothing waiting.
+    fn owes(&self, slot: Slot, now: Ms) -> bool {
+        let asked = self.asked_at[slot];
+        now - asked < self.stale && (self.silent[slot] || asked > self.answered_at[slot])
+    }
+
+    /// The mean of a role's reports, that of one host left out.
+    fn mean(&self, reading: bool, what: &[f64], but: Slot) -> f64 {
+        let known = self.ready(reading).filter(|&s| s != but && self.reported_at[s] > f64::NEG_INFINITY);
         let (sum, n) = known.fold((0.0, 0.0), |(sum, n), s| (sum + what[s], n + 1.0));
         sum / f64::max(n, 1.0)
     }
@@ -819,9 +846,9 @@
     }
 
     /// Tokens waiting at a reader: as our own part suggests, or what it reports, whichever is more.
-    fn waiting(&self, slot: Slot, now: Ms, means: [f64; 2]) -> f64 {
-        let mean = means[usize::from(self.kind[slot].role == Role::Reader)];
-        (self.dispatchers * self.reading[slot]).max(self.aged(slot, now, &self.reported_tokens, mean))
+    fn waiting(&self, slot: Slot, now: Ms, mean: f64) -> f64 {
+        let seen = self.dispatchers.min(self.reads.iter().sum());
+        (seen * self.reading[slot]).max(self.aged(slot, now, &self.reported_tokens, mean))
     }
 
     /// Guards against queues at hosts, where tasks grow late and push out kept texts: a limit of what is out,
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,180 @@
+//! Hundreds of dispatchers that each see little, side by side: what is harmless in one and harmful in all.
+
+use cindercleat::control::Control;
+use cindercleat::interface::*;
+use std::collections::BTreeSet;
+
+const DISPATCHERS: u32 = 300;
+const READERS: u32 = 40;
+const BEGINNING: u64 = 9;
+
+fn settings(me: u32) -> Settings {
+    let profile = ProfileSettings {
+        effect: Effect::Reissuable,
+        quoted: 1000.0,
+        quoted_per_1000_tokens: 40.0,
+        patience: 4000.0,
+        payoff: 1.0,
+        late_share: 0.2,
+        token_pace: 50.0,
+        streams: true,
+    };
+    let kind = |role| KindSettings { role, memory_tokens: 150_000.0 };
+    Settings {
+        me: DispatcherId(me),
+        dispatchers: DISPATCHERS,
+        zone: ZoneId(0),
+        tick: 4.0,
+        profiles: vec![profile],
+        tenants: Vec::new(),
+        over_share_worth: 0.1,
+        kinds: vec![kind(Role::Reader), kind(Role::Writer)],
+        discovery: Discovery::Pushed,
+        release: 500.0,
+        writers_read: false,
+        may_hold_ahead: false,
+        may_cancel: true,
+        may_copy: false,
+        may_probe: true,
+        may_tell: true,
+        clients_hear_retry: false,
+        max_retry_after: 1000.0,
+        max_launches: 4,
+        connect_timeout: 250.0,
+        drain_grace: 250.0,
+        answer_grace: 16.0,
+        fall_multiple: 4.0,
+        fall_window: 2000.0,
+        start_capacity: 0.3,
+        ramp: 10_000.0,
+    }
+}
+
+fn host(name: &str) -> HostId {
+    HostId(name.into())
+}
+
+fn hosts() -> Vec<Entry> {
+    let entry = |name: String, kind: u32, at: u32| Entry {
+        host: host(&name),
+        zone: ZoneId(at % 3),
+        kind: KindId(kind),
+        cell: CellId(at % 9),
+        condition: Condition::Ready,
+        weight: 1.0,
+        started: None,
+    };
+    let readers = (0..READERS).map(|at| entry(format!("r{at}"), 0, at));
+    readers.chain((0..20).map(|at| entry(format!("w{at}"), 1, at))).collect()
+}
+
+/// A dispatcher that knows the list.
+fn dispatcher(me: u32) -> Control {
+    let mut control = Control::new(settings(me), u64::from(me) * 7919);
+    let listed = Event::Listed { kind: ListKind::Full, entries: hosts() };
+    control.step(0.0, &[listed], &mut Vec::new());
+    control
+}
+
+fn arrives(task: u32, session: u64) -> Event {
+    Event::Arrived(Arrival {
+        task: TaskId(task),
+        session: SessionId(session),
+        patience_left: 4000.0,
+        shared: Some(SharedTextId(BEGINNING)),
+        prompt_tokens: 5000.0,
+        shared_tokens: 4000.0,
+        max_tokens: 400.0,
+        ..Arrival::default()
+    })
+}
+
+fn probes(actions: &[Action]) -> Vec<HostId> {
+    let probe = |a: &Action| match a {
+        Action::Probe { host } => Some(host.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(probe).collect()
+}
+
+fn launched(actions: &[Action]) -> Option<HostId> {
+    actions.iter().find_map(|a| match a {
+        Action::Launch { host, .. } => Some(host.clone()),
+        _ => None,
+    })
+}
+
+/// Where a task that comes at `now` is read, if a probe of a host ends as `says` has it; none: its answer is out.
+fn read_at(
+    control: &mut Control,
+    now: Ms,
+    session: u64,
+    says: impl Fn(&HostId) -> Option<(Outcome, f64)>,
+) -> HostId {
+    let mut actions = Vec::new();
+    control.step(now, &[arrives(now as u32, session)], &mut actions);
+    let mut answers = Vec::new();
+    for host in probes(&actions) {
+        let Some((outcome, queue)) = says(&host) else { continue };
+        let queue = Some(queue).filter(|_| outcome == Outcome::Fulfilled);
+        let load = Load { queue, slots_used: queue.map(|_| 0.5), ..Load::default() };
+        answers.push(Event::Probed { host, outcome, latency: 5.0, load });
+    }
+    control.step(now + 5.0, &answers, &mut actions);
+    // The wait for probes comes to its end.
+    for after in [20.0, 40.0, 60.0, 100.0, 200.0] {
+        control.wake_all();
+        control.step(now + after, &[], &mut actions);
+    }
+    launched(&actions).expect("a task with room everywhere is read")
+}
+
+fn idle(_: &HostId) -> Option<(Outcome, f64)> {
+    Some((Outcome::Fulfilled, 0.0))
+}
+
+/// A dispatcher that has seen a reader at work long ago, so that the length of a queue means something to it.
+fn seasoned(me: u32) -> Control {
+    let mut control = dispatcher(me);
+    let host = read_at(&mut control, 1.0, 1, idle);
+    let (task, launch, load) = (TaskId(1), LaunchNo(0), Load::default());
+    let (outcome, latency, detail) = (Outcome::ReadDone, 60.0, 4000.0);
+    let ended = Ended { task, launch, host, outcome, latency, last: true, detail, load };
+    control.step(210.0, &[Event::Left { task }, Event::Ended(ended)], &mut Vec::new());
+    control
+}
+
+#[test]
+fn all_read_a_beginning_at_one_home_while_it_is_idle() {
+    let homes: BTreeSet<HostId> =
+        (0..DISPATCHERS).map(|me| read_at(&mut dispatcher(me), 1.0, u64::from(me), idle)).collect();
+    assert_eq!(homes.len(), 1, "{homes:?}");
+}
+
+/// A home that too much is drawn to: its reads go to a few others, the same for a session whoever sends it, and not
+/// to wherever each dispatcher happens to see least waiting. `says`: what the home makes of a probe.
+fn reads_leave_the_home(says: Option<(Outcome, f64)>) {
+    let home = read_at(&mut dispatcher(0), 1.0, 0, idle);
+    let jammed = |h: &HostId| if *h == home { says } else { idle(h) };
+    let mut used = BTreeSet::new();
+    for session in 0..u64::from(DISPATCHERS / 3) {
+        let at = |me: u32| read_at(&mut seasoned(me), 5000.0, session, jammed);
+        let places: BTreeSet<HostId> = [3, 40, 200].map(at).into();
+        assert_eq!(places.len(), 1, "session {session}: {places:?}");
+        used.extend(places);
+    }
+    assert!(!used.contains(&home), "{used:?}");
+    assert!((2..=4).contains(&used.len()), "{used:?}");
+}
+
+#[test]
+fn reads_leave_a_home_with_a_long_queue_for_a_few_readers() {
+    reads_leave_the_home(Some((Outcome::Fulfilled, 30.0)));
+}
+
+#[test]
+fn a_home_too_busy_to_answer_a_probe_is_not_taken_for_idle() {
+    reads_leave_the_home(Some((Outcome::TimedOut, 0.0)));
+    reads_leave_the_home(Some((Outcome::Failed, 0.0)));
+    reads_leave_the_home(None);
+}
