Cold writers get their part of a fleet's streams

Ruled out: list feed (new writers told at 7.7 to 12.1 s), drains (none sent there later than 1.5 s), readers (later). Lines at fault in control.rs: fewest divides one more than what is in flight by the age weight, so that with 0 in flight everywhere, as hundreds of dispatchers see it, a cold writer loses each tie (harmless where 10 to 30 are in flight); cold_room draws a fraction of a launch by the clock, and a dispatcher with 0.6 tasks a second mostly has none then: 12 of 300 may send in a window of 3 s, and one or two do. Now ties fall by chance weighted by age as well, and who has less than one launch to give draws for each task, a third (HOT, what is wanted near a busy reader against the mean).

--- a/crates/dispatcher/src/ledger/story.rs
+++ b/crates/dispatcher/src/ledger/story.rs
@@ -2,6 +2,7 @@
 //! it through every dispatcher that had it. Made only where somebody reads it (`Ledger::tell_stories`).
 
 use super::*;
+use std::fmt::Write;
 
 impl Ledger {
     /// What happens to tasks is told line by line from now on.
@@ -45,7 +46,24 @@
                     host.0
                 )
             }
-            Event::Listed { .. } | Event::Place { .. } | Event::Timer { .. } | Event::Heard { .. } => return,
+            Event::Listed { kind, entries } => {
+                let mut text = format!("list {kind:?}");
+                for e in entries {
+                    // Writing to a string cannot fail.
+                    let _ = write!(
+                        text,
+                        " {}:{}:{}:{}:{:?}:{:.0}",
+                        e.host.0,
+                        e.kind.0,
+                        e.zone.0,
+                        e.cell.0,
+                        e.condition,
+                        e.started.unwrap_or(0.0)
+                    );
+                }
+                text
+            }
+            Event::Place { .. } | Event::Timer { .. } | Event::Heard { .. } => return,
         };
         out.push(Output::Log { level: Level::Debug, text });
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -51,6 +51,8 @@
 const SICK_BELOW: f64 = 0.5;
 /// Beginnings and sessions remembered as kept at a reader.
 const KEPT_MOST: usize = 64;
+/// How many times the mean a host near a busy reader may be wanted.
+const HOT: f64 = 3.0;
 /// Readers among which the reads of one beginning are spread.
 const HOMES: usize = 4;
 
@@ -556,12 +558,15 @@
     /// share that is free as last reported: the least of old reports would draw every dispatcher to one host.
     fn fewest(&mut self, among: Vec<Slot>) -> Option<Slot> {
         let draws: Vec<f64> = among.iter().map(|_| -self.rng.generate::<f64>().ln()).collect();
-        let load = |s: Slot| (self.hosts.streams[s] + self.hosts.reported[s] + 1.0) / self.age_weight(s);
+        let load = |s: Slot| (self.hosts.streams[s] + self.hosts.reported[s]) / self.age_weight(s);
         let (taken, now) = (&self.hosts.reported_load, self.now);
         let mean = self.hosts.mean(false, taken, Slot::MAX);
         let free = |s: Slot| (1.0 - self.hosts.aged(s, now, taken, mean)).max(f64::EPSILON);
-        let drawn: Vec<_> =
-            among.into_iter().zip(draws).map(|(s, draw)| (load(s), draw / free(s), s)).collect();
+        let drawn: Vec<_> = among
+            .into_iter()
+            .zip(draws)
+            .map(|(s, draw)| (load(s), draw / free(s) / self.age_weight(s), s))
+            .collect();
         let order =
             |a: &(f64, f64, Slot), b: &(f64, f64, Slot)| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1));
         drawn.into_iter().min_by(order).map(|drawn| drawn.2)
@@ -587,7 +592,7 @@
         let trials = sick.iter().filter(|&&s| harmless && self.now >= self.hosts.trial_at[s]);
         let judged = if well.is_empty() { sick.clone() } else { [well, trials.copied().collect()].concat() };
         let open = |s: &Slot| {
-            let allowed = self.may_go_to(task, *s) && self.cold_room(*s, budget);
+            let allowed = self.may_go_to(task, *s) && self.cold_room(*s, budget, task.arrival.task);
             allowed && self.now >= self.hosts.full_until[*s]
         };
         let open: Vec<Slot> = judged.into_iter().filter(open).collect();
@@ -631,12 +636,16 @@
         }
     }
 
-    /// Every launch counts, also one turned away. A fraction of one is its chance, drawn once a fall window.
-    fn cold_room(&self, slot: Slot, budget: f64) -> bool {
+    /// Every launch counts, also one turned away. A fraction of one is its chance: drawn once a fall window; or, by
+    /// who has less than one launch to give, for each task, as most of such dispatchers have none to send.
+    fn cold_room(&self, slot: Slot, budget: f64, task: TaskId) -> bool {
         let window = (self.now / self.settings.fall_window) as u64;
-        let luck: f64 = WyRand::new_seed(self.seed ^ (window << 20 | slot as u64)).generate();
+        let thin = budget < 1.0 && !self.hosts.serves(slot, true);
+        let key = if thin { u64::from(task.0) } else { window };
+        let luck: f64 = WyRand::new_seed(self.seed ^ (key << 20 | slot as u64)).generate();
         let sent = self.hosts.sends[slot].iter().filter(|&&at| at > self.now - self.settings.fall_window);
-        !self.is_cold(slot) || sent.count() as f64 + 1.0 <= budget + luck
+        let rest = budget - sent.count() as f64;
+        !self.is_cold(slot) || if thin { rest > 0.0 && luck * HOT < 1.0 } else { rest + luck >= 1.0 }
     }
 
     fn wake_at(&mut self, at: Ms) {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -54,18 +54,21 @@
     HostId(name.into())
 }
 
-fn hosts() -> Vec<Entry> {
-    let entry = |name: String, kind: u32, at: u32| Entry {
-        host: host(&name),
+fn entry(name: &str, kind: u32, at: u32) -> Entry {
+    Entry {
+        host: host(name),
         zone: ZoneId(at % 3),
         kind: KindId(kind),
         cell: CellId(at % 9),
         condition: Condition::Ready,
         weight: 1.0,
         started: None,
-    };
-    let readers = (0..READERS).map(|at| entry(format!("r{at}"), 0, at));
-    readers.chain((0..20).map(|at| entry(format!("w{at}"), 1, at))).collect()
+    }
+}
+
+fn hosts() -> Vec<Entry> {
+    let readers = (0..READERS).map(|at| entry(&format!("r{at}"), 0, at));
+    readers.chain((0..20).map(|at| entry(&format!("w{at}"), 1, at))).collect()
 }
 
 /// A dispatcher that knows the list.
@@ -178,3 +181,35 @@
     reads_leave_the_home(Some((Outcome::Failed, 0.0)));
     reads_leave_the_home(None);
 }
+
+/// Of all dispatchers' next streams, how many begin at the cold one of these writers of the reader's cell.
+fn begun_cold(warm: &[&str]) -> usize {
+    let taken = |me: u32| {
+        let mut control = Control::new(settings(me), u64::from(me) * 7919);
+        let cold = Entry { started: Some(1000.0), ..entry("cold", 1, 0) };
+        let near = warm.iter().map(|name| entry(name, 1, 0));
+        let far = ["f1", "f2", "f3"].map(|name| entry(name, 1, 1));
+        let entries = [cold, entry("r", 0, 0)].into_iter().chain(near).chain(far).collect();
+        let mut actions = Vec::new();
+        control.step(2000.0, &[Event::Listed { kind: ListKind::Full, entries }], &mut actions);
+        let host = read_at(&mut control, 2000.0, u64::from(me), idle);
+        let (task, launch, load) = (TaskId(2000), LaunchNo(0), Load::default());
+        let (outcome, latency, detail) = (Outcome::ReadDone, 60.0, 4000.0);
+        let ended = Ended { task, launch, host, outcome, latency, last: false, detail, load };
+        actions.clear();
+        control.step(2210.0, &[Event::Ended(ended)], &mut actions);
+        launched(&actions) == Some(HostId("cold".into()))
+    };
+    (0..DISPATCHERS).filter(|&me| taken(me)).count()
+}
+
+/// Each has a small part of a launch to give to a cold host, and seldom a task for it: what is drawn of that by the
+/// clock is mostly not there when a task is, and a host counted for less by its age loses each tie.
+#[test]
+fn a_cold_writer_gets_its_part_of_the_streams_of_all_and_no_more() {
+    let part = |warm: &[&str]| begun_cold(warm) as f64 / f64::from(DISPATCHERS);
+    let beside = part(&["w1", "w2"]);
+    assert!((0.02..0.15).contains(&beside), "beside two warm ones of its cell it gets {beside}");
+    let alone = part(&[]);
+    assert!((0.1..0.45).contains(&alone), "alone in its cell it gets {alone}");
+}
