Held tasks are not planned at every step, so a busy dispatcher keeps its processor

Ruled out: connections and descriptors (298 of 1,056), memory (12 of 88 MB), a lost frame (no line of any task of n0 after). Lines at fault: Turns::settle leaves a task without a launch awake, so that each event plans every held task against every host. Harmless at few tasks a second; any jam at a busy dispatcher can do it, whatever holds its tasks. Now a task that is held for a read is planned again after a tenth of the release time, or with an event of its own; those that wait for probes or hold a state are planned as before.

--- a/src/control.rs
+++ b/src/control.rs
@@ -137,6 +137,8 @@
     /// Where its read state waits, and since when the release time counts.
     state: Option<Slot>,
     idle_since: Ms,
+    /// Held: when it is looked at again.
+    look_at: Ms,
     /// Writers and readers that turned this task away or failed it since its last read.
     tried: Vec<Slot>,
     /// The first launch that may have run: where and when.
@@ -168,6 +170,7 @@
     wanted_wake: Option<Ms>,
     armed: Option<Ms>,
     timers: u64,
+    planned: u64,
 }
 
 impl Control {
@@ -200,6 +203,7 @@
             wanted_wake: None,
             armed: None,
             timers: 0,
+            planned: 0,
             settings,
         }
     }
@@ -215,6 +219,7 @@
             let Some(mut task) = self.tasks.remove(&id) else { continue };
             self.queue.coming -= task.coming();
             self.plan(&mut task);
+            self.planned += 1;
             self.emit(id, &mut task, actions);
             self.queue.settle(id, &task, self.now);
             self.queue.coming += task.coming();
@@ -232,9 +237,15 @@
         self.emit_timer(actions);
     }
 
-    /// The plain rule, which the lean one is held against: every task is planned at the next step.
+    /// The plain rule, which the lean one is held against: every task but the held is planned at the next step.
     pub fn wake_all(&mut self) {
-        self.queue.awake.extend(self.tasks.keys());
+        let free = self.tasks.iter().filter(|(_, task)| task.out.is_some() || task.look_at <= self.now);
+        self.queue.awake.extend(free.map(|(id, _)| *id));
+    }
+
+    /// How many tasks were planned so far.
+    pub fn planned(&self) -> u64 {
+        self.planned
     }
 
     fn learn(&mut self, event: &Event) {
@@ -379,7 +390,7 @@
     }
 
     fn plan(&mut self, task: &mut Task) {
-        (task.want, task.want_cancel) = (Want::Rest, false);
+        (task.want, task.want_cancel, task.look_at) = (Want::Rest, false, self.now);
         if task.over {
             task.want_cancel = task.out.as_ref().is_some_and(|o| !o.streaming);
             task.want_release = task.out.is_none() && task.state.is_some();
@@ -434,6 +445,10 @@
         if task.state.is_some() && held > HOLD_SHARE * self.settings.release {
             return self.give_up(task);
         }
+        // Guards against a jam of held tasks that takes all the processor's time: they are not planned at every step.
+        if task.state.is_none() && self.now >= task.idle_since + LOOK * self.quoted_least {
+            task.look_at = self.now + look_again;
+        }
         self.wake_at(self.now + look_again);
     }
 
@@ -735,9 +750,9 @@
     }
 }
 
-/// Which tasks a step has to look at. A task without a launch out may change with anything and is awake at
-/// every step. One whose launch is out changes with an event of its own or when its time comes; one that
-/// streams, or is over, only with an event. So a step costs by what waits, not by what lives.
+/// Which tasks a step has to look at. A new task, one that waits for probes and one whose state waits are awake at
+/// every step. One that is held, or whose launch is out, changes with an event of its own or when its time comes;
+/// one that streams, or is over, only with an event. So a step costs by what comes, not by what waits or lives.
 #[derive(Default)]
 struct Turns {
     awake: BTreeSet<TaskId>,
@@ -757,16 +772,21 @@
         if let Some(due) = self.due_of.remove(&id) {
             self.due.remove(&(due, id));
         }
-        let rests = task.over || task.out.is_some();
-        if rests {
+        let held = task.out.is_none() && task.look_at > now;
+        if task.over || task.out.is_some() || held {
             self.awake.remove(&id);
         }
-        if let Some(out) = task.out.as_ref().filter(|o| !task.over && !o.streaming) {
-            let late_at = out.sent + QUEUED * task.allowed;
-            let due = Due(if now < late_at { late_at.min(task.ends) } else { task.ends });
-            self.due.insert((due, id));
-            self.due_of.insert(id, due);
-        }
+        let late_at =
+            task.out.as_ref().filter(|out| !out.streaming).map(|out| out.sent + QUEUED * task.allowed);
+        let due = match late_at {
+            _ if task.over => return,
+            Some(late_at) if now < late_at => late_at.min(task.ends),
+            Some(_) => task.ends,
+            None if held => task.look_at.min(task.read_by).min(task.ends),
+            None => return,
+        };
+        self.due.insert((Due(due), id));
+        self.due_of.insert(id, Due(due));
     }
 }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -213,3 +213,24 @@
     let alone = part(&[]);
     assert!((0.1..0.45).contains(&alone), "alone in its cell it gets {alone}");
 }
+
+/// The busiest of hundreds, in a jam: what it holds may not take its part of a processor, or all that it took is lost.
+#[test]
+fn held_tasks_are_not_planned_at_every_step() {
+    let mut control = Control::new(settings(0), 7);
+    let entries = vec![entry("r", 0, 0), entry("w", 1, 0)];
+    let tasks = (1..=300).map(|task| arrives(task, u64::from(task)));
+    let first =
+        [Event::Listed { kind: ListKind::Full, entries }].into_iter().chain(tasks).collect::<Vec<_>>();
+    control.step(0.0, &first, &mut Vec::new());
+    control.step(50.0, &[], &mut Vec::new());
+    let before = control.planned();
+    for at in 51..350 {
+        let load = Load::default();
+        let heard = Event::Probed { host: host("w"), outcome: Outcome::Fulfilled, latency: 5.0, load };
+        control.step(f64::from(at), &[heard], &mut Vec::new());
+    }
+    // Every 50 ms, a tenth of the release time.
+    let planned = control.planned() - before;
+    assert!((300..300 * 8).contains(&planned), "{planned}");
+}
