--- a/src/control.rs
+++ b/src/control.rs
@@ -52,7 +52,7 @@
 /// Beginnings and sessions remembered as kept at a reader.
 const KEPT_MOST: usize = 64;
 /// How many times the mean a host near a busy reader may be wanted.
-const HOT: f64 = 3.0;
+const HOT: f64 = 4.0;
 /// Readers among which the reads of one beginning are spread.
 const HOMES: usize = 4;
 
@@ -655,7 +655,7 @@
     /// who has less than one launch to give, for each task, as most of such dispatchers have none to send.
     fn cold_room(&self, slot: Slot, budget: f64, task: TaskId) -> bool {
         let window = (self.now / self.settings.fall_window) as u64;
-        let thin = budget < 1.0 && !self.hosts.serves(slot, true);
+        let thin = budget < 1.0;
         let key = if thin { u64::from(task.0) } else { window };
         let luck: f64 = WyRand::new_seed(self.seed ^ (key << 20 | slot as u64)).generate();
         let sent = self.hosts.sends[slot].iter().filter(|&&at| at > self.now - self.settings.fall_window);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -234,3 +234,20 @@
     let planned = control.planned() - before;
     assert!((300..300 * 8).contains(&planned), "{planned}");
 }
+
+/// The same for a cold reader that is the home of a beginning which all read.
+#[test]
+fn a_cold_home_gets_its_part_of_the_reads_of_all_and_no_more() {
+    let home = read_at(&mut dispatcher(0), 1.0, 0, idle);
+    let taken = |me: u32| {
+        let mut control = Control::new(settings(me), u64::from(me) * 7919);
+        let mut entries = hosts();
+        for entry in entries.iter_mut().filter(|entry| entry.host == home) {
+            entry.started = Some(1000.0);
+        }
+        control.step(2000.0, &[Event::Listed { kind: ListKind::Full, entries }], &mut Vec::new());
+        read_at(&mut control, 2000.0, u64::from(me), idle) == home
+    };
+    let part = (0..DISPATCHERS).filter(|&me| taken(me)).count() as f64 / f64::from(DISPATCHERS);
+    assert!((0.15..0.35).contains(&part), "it gets {part}");
+}
