--- a/src/control.rs
+++ b/src/control.rs
@@ -237,7 +237,8 @@
         self.emit_timer(actions);
     }
 
-    /// The plain rule, which the lean one is held against: every task but the held is planned at the next step.
+    /// The plain rule, which the lean one is held against: every task but the held is planned at the next
+    /// step.
     pub fn wake_all(&mut self) {
         let free = self.tasks.iter().filter(|(_, task)| task.out.is_some() || task.look_at <= self.now);
         self.queue.awake.extend(free.map(|(id, _)| *id));
@@ -445,7 +446,8 @@
         if task.state.is_some() && held > HOLD_SHARE * self.settings.release {
             return self.give_up(task);
         }
-        // Guards against a jam of held tasks that takes all the processor's time: they are not planned at every step.
+        // Guards against a jam of held tasks that takes all the processor's time: they are not planned at
+        // every step.
         if task.state.is_none() && self.now >= task.idle_since + LOOK * self.quoted_least {
             task.look_at = self.now + look_again;
         }
@@ -485,9 +487,9 @@
         }
     }
 
-    /// The readers that the hash of a beginning names, in the order in which a session tries them: the home of
-    /// all that begin so, then a few next to it, by the session's own hash. Guards against text scattered over
-    /// the fleet: whoever sends a session's prompts finds them kept at one of the same few readers.
+    /// The readers that the hash of a beginning names, in the order in which a session tries them: the home
+    /// of all that begin so, then a few next to it, by the session's own hash. Guards against text scattered
+    /// over the fleet: whoever sends a session's prompts finds them kept at one of the same few readers.
     fn homes(&self, arrival: &Arrival, pool: &[Slot]) -> Vec<Slot> {
         let beginning = arrival.shared.map_or(arrival.session.0, |shared| shared.0);
         let rank = |s: Slot, key: u64| xxh3_64_with_seed(self.hosts.listed[s].host.0.as_bytes(), key);
@@ -531,8 +533,8 @@
         any_out
     }
 
-    /// The reads' rule: the home that the hash names, unless too much waits there; then the next of its few where
-    /// less does.
+    /// The reads' rule: the home that the hash names, unless too much waits there; then the next of its few
+    /// where less does.
     fn choose_reader(&self, task: &Task) -> Option<Slot> {
         let pool = self.pool(task, true);
         let arrival = &task.arrival;
@@ -651,8 +653,9 @@
         }
     }
 
-    /// Every launch counts, also one turned away. A fraction of one is its chance: drawn once a fall window; or, by
-    /// who has less than one launch to give, for each task, as most of such dispatchers have none to send.
+    /// Every launch counts, also one turned away. A fraction of one is its chance: drawn once a fall window;
+    /// or, by who has less than one launch to give, for each task, as most of such dispatchers have none to
+    /// send.
     fn cold_room(&self, slot: Slot, budget: f64, task: TaskId) -> bool {
         let window = (self.now / self.settings.fall_window) as u64;
         let thin = budget < 1.0;
@@ -750,9 +753,10 @@
     }
 }
 
-/// Which tasks a step has to look at. A new task, one that waits for probes and one whose state waits are awake at
-/// every step. One that is held, or whose launch is out, changes with an event of its own or when its time comes;
-/// one that streams, or is over, only with an event. So a step costs by what comes, not by what waits or lives.
+/// Which tasks a step has to look at. A new task, one that waits for probes and one whose state waits are
+/// awake at every step. One that is held, or whose launch is out, changes with an event of its own or when
+/// its time comes; one that streams, or is over, only with an event. So a step costs by what comes, not by
+/// what waits or lives.
 #[derive(Default)]
 struct Turns {
     awake: BTreeSet<TaskId>,
@@ -837,8 +841,9 @@
         mean + (-(now - self.reported_at[slot]) / self.stale).exp() * (what[slot] - mean)
     }
 
-    /// Whether a probe is owed: one is out for longer than a read waits for it, or came back without an answer.
-    /// Guards against a host too busy to say how busy it is, which would pass for one with nothing waiting.
+    /// Whether a probe is owed: one is out for longer than a read waits for it, or came back without an
+    /// answer. Guards against a host too busy to say how busy it is, which would pass for one with nothing
+    /// waiting.
     fn owes(&self, slot: Slot, now: Ms) -> bool {
         let asked = self.asked_at[slot];
         now - asked < self.stale && (self.silent[slot] || asked > self.answered_at[slot])
