--- a/crates/dispatcher/tests/ledger.rs
+++ b/crates/dispatcher/tests/ledger.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use cindercleat_dispatcher::ledger::{ConnId, Input, Output, StreamNo};
+use cindercleat_dispatcher::ledger::{ConnId, Input, Level, Output, StreamNo};
 use cindercleat_dispatcher::{Limits, ProgramSettings};
 use cindercleat_protocol::v1::{Answer, HostCondition, ListKind, Status};
 use cindercleat_protocol::{frame, v1, Body};
@@ -474,3 +474,27 @@
         assert!(!to_hosts(&out).contains(&"release"));
     }
 }
+
+#[test]
+fn the_story_of_a_task_goes_by_its_clients_id_and_is_told_only_where_asked_for() {
+    let story = |asked: bool| {
+        let mut bench = Bench::new();
+        if asked {
+            bench.ledger.tell_stories();
+        }
+        let origin = v1::Origin { id: "9b1f03aa".to_owned(), ..v1::Origin::default() };
+        bench.client(1, Body::Submit(v1::Submit { origin: Some(origin), ..submit("draft") }));
+        let read = bench.launches(&bench.out).remove(0);
+        bench.ended(&read, Status::ReadDone);
+        let told = |o: &Output| match o {
+            Output::Log { level: Level::Debug, text } if text.starts_with("task=") => Some(text.clone()),
+            _ => None,
+        };
+        bench.out.iter().filter_map(told).collect::<Vec<_>>()
+    };
+    let told = story(true);
+    assert!(told.iter().all(|line| line.starts_with("task=0 id=9b1f03aa ")), "{told:#?}");
+    let has = |words: &str| told.iter().filter(|line| line.contains(words)).count();
+    assert_eq!([has(" arrived "), has(" goes out"), has("outcome=ReadDone")], [1, 2, 1], "{told:#?}");
+    assert_eq!(story(false), Vec::<String>::new());
+}
