Reads out are summed once a choice, and a fleet test's read ends in one place

Found on reading the change again: waiting summed all reads out anew for each host of each choice, so that a choice cost by the square of the hosts; it is handed in now, as the mean is.

--- a/src/control.rs
+++ b/src/control.rs
@@ -542,7 +542,8 @@
         let home = *homes.first()?;
         // What is known of few must not hide the home's queue: it is held against the others.
         let mean = self.hosts.mean(true, &self.hosts.reported_tokens, home);
-        let wait = |s: Slot| self.hosts.waiting(s, self.now, mean) / self.age_weight(s);
+        let seen = self.hosts.dispatchers.min(self.hosts.reads.iter().sum());
+        let wait = |s: Slot| self.hosts.waiting(s, self.now, seen, mean) / self.age_weight(s);
         let others = pool.iter().filter(|&&s| s != home).map(|&s| wait(s)).sum::<f64>();
         let mean = (others + arrival.prompt_tokens) / pool.len() as f64;
         let too_much = |s: Slot| wait(s) > HOME_ESCAPE * mean || self.hosts.owes(s, self.now);
@@ -880,8 +881,8 @@
     }
 
     /// Tokens waiting at a reader: as our own part suggests, or what it reports, whichever is more.
-    fn waiting(&self, slot: Slot, now: Ms, mean: f64) -> f64 {
-        let seen = self.dispatchers.min(self.reads.iter().sum());
+    /// `seen`: as many times our part as we have reads out at all, at most the dispatchers.
+    fn waiting(&self, slot: Slot, now: Ms, seen: f64, mean: f64) -> f64 {
         (seen * self.reading[slot]).max(self.aged(slot, now, &self.reported_tokens, mean))
     }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -132,6 +132,12 @@
     launched(&actions).expect("a task with room everywhere is read")
 }
 
+fn read_done(task: TaskId, host: HostId, last: bool) -> Event {
+    let (launch, load, outcome, latency, detail) =
+        (LaunchNo(0), Load::default(), Outcome::ReadDone, 60.0, 4000.0);
+    Event::Ended(Ended { task, launch, host, outcome, latency, last, detail, load })
+}
+
 fn idle(_: &HostId) -> Option<(Outcome, f64)> {
     Some((Outcome::Fulfilled, 0.0))
 }
@@ -140,10 +146,8 @@
 fn seasoned(me: u32) -> Control {
     let mut control = dispatcher(me);
     let host = read_at(&mut control, 1.0, 1, idle);
-    let (task, launch, load) = (TaskId(1), LaunchNo(0), Load::default());
-    let (outcome, latency, detail) = (Outcome::ReadDone, 60.0, 4000.0);
-    let ended = Ended { task, launch, host, outcome, latency, last: true, detail, load };
-    control.step(210.0, &[Event::Left { task }, Event::Ended(ended)], &mut Vec::new());
+    let task = TaskId(1);
+    control.step(210.0, &[Event::Left { task }, read_done(task, host, true)], &mut Vec::new());
     control
 }
 
@@ -193,12 +197,9 @@
         let mut actions = Vec::new();
         control.step(2000.0, &[Event::Listed { kind: ListKind::Full, entries }], &mut actions);
         let host = read_at(&mut control, 2000.0, u64::from(me), idle);
-        let (task, launch, load) = (TaskId(2000), LaunchNo(0), Load::default());
-        let (outcome, latency, detail) = (Outcome::ReadDone, 60.0, 4000.0);
-        let ended = Ended { task, launch, host, outcome, latency, last: false, detail, load };
         actions.clear();
-        control.step(2210.0, &[Event::Ended(ended)], &mut actions);
-        launched(&actions) == Some(HostId("cold".into()))
+        control.step(2210.0, &[read_done(TaskId(2000), host, false)], &mut actions);
+        launched(&actions).is_some_and(|to| &*to.0 == "cold")
     };
     (0..DISPATCHERS).filter(|&me| taken(me)).count()
 }
