--- /dev/null
+++ b/crates/faults/src/duties/mod.rs
@@ -0,0 +1,768 @@
+//! The duties of a fleet on a virtual clock: the members that serve, in memory, with a network that loses, doubles
+//! and holds back, clocks that run apart, processes that sleep, die and come back, and disks that fail.
+//!
+//! The judge sees what receivers of acts obeyed and when, and nothing of what members think of themselves.
+
+pub mod draw;
+mod judge;
+
+pub use draw::{draw, Plan, Shape, Trouble};
+pub use judge::{Breach, Judge};
+
+use cindercleat::fleet::acts::{Receiver, Verdict};
+use cindercleat::fleet::duties::LeaseSettings;
+use cindercleat::fleet::member::{
+    Answer, AskNo, CallNo, FleetSettings, Input, Member, Order, Output, Question, Reply, SaveNo, ROLL_CALL,
+};
+use cindercleat::fleet::register::Kept;
+use cindercleat::fleet::{Address, Duty, Name, Run};
+use cindercleat::interface::Ms;
+use nanorand::{Rng, WyRand};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use xxhash_rust::xxh3::Xxh3;
+
+/// How long a played fleet may take to have a holder again once nothing hinders it, in leases.
+pub const SETTLES_WITHIN: f64 = 6.0;
+
+/// A member's process and what stands around it.
+struct Node {
+    name: Name,
+    zone: String,
+    member: Option<Member>,
+    starts: u64,
+    /// Its clock: how fast, and what it shows at 0.
+    rate: f64,
+    offset: Ms,
+    asleep_until: Ms,
+    /// What came while it slept.
+    inbox: Vec<Input>,
+    /// The next act that it sends is held back so long, and all else it does.
+    stall: Option<Ms>,
+    disk: Disk,
+    /// The wake that counts: others are out of date.
+    wake: u64,
+    calls: BTreeMap<CallNo, Caller>,
+}
+
+/// The voter's file.
+#[derive(Default)]
+struct Disk {
+    file: Option<Kept>,
+    /// What it held at some moments before.
+    before: Vec<(Ms, Option<Kept>)>,
+    fails: bool,
+    damaged: bool,
+    slow: bool,
+}
+
+/// Who waits for an answer.
+#[derive(Clone, Copy)]
+enum Caller {
+    Node { at: usize, run: Run, ask: AskNo },
+    Operator,
+}
+
+/// Whom acts are done to.
+struct Target {
+    receiver: Receiver,
+    rate: f64,
+    offset: Ms,
+    runs: u64,
+    last_read: Ms,
+}
+
+enum What {
+    Wake { node: usize, number: u64 },
+    Question { to: usize, from: Caller, question: Box<Question> },
+    Act { to: usize, from: Caller, act: Box<cindercleat::fleet::acts::Act> },
+    Answer { to: usize, run: Run, ask: AskNo, answer: Option<Box<Answer>> },
+    Saved { node: usize, run: Run, number: SaveNo, kept: Box<Kept>, lasts: bool },
+    Trouble(usize),
+    Over(usize),
+    Start(usize),
+}
+
+struct Event {
+    at: Ms,
+    number: u64,
+    what: What,
+}
+
+impl PartialEq for Event {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Event {}
+
+impl PartialOrd for Event {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Event {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.at.total_cmp(&other.at).then(self.number.cmp(&other.number))
+    }
+}
+
+/// What came of a played plan.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Played {
+    pub breaches: Vec<Breach>,
+    /// How often what was met.
+    pub met: BTreeMap<String, u64>,
+    /// From a trouble that hit the holder to the next act obeyed, by the trouble's name.
+    pub without: Vec<(&'static str, Ms)>,
+    /// Acts obeyed, and messages at the busiest voter, at the holder and at other members.
+    pub obeyed: u64,
+    pub messages: BTreeMap<&'static str, u64>,
+    pub syncs: u64,
+    pub length: Ms,
+    pub digest: u64,
+    /// What the judge saw around the first breach.
+    pub story: Vec<String>,
+}
+
+/// A fleet being played.
+pub struct World {
+    plan: Plan,
+    rng: WyRand,
+    now: Ms,
+    numbers: u64,
+    queue: BinaryHeap<Reverse<Event>>,
+    nodes: Vec<Node>,
+    targets: Vec<Target>,
+    /// Nodes whose messages do not pass: from, to; targets count on after nodes.
+    cuts: BTreeMap<(usize, usize), u32>,
+    loss: f64,
+    twice: f64,
+    slow: Ms,
+    judge: Judge,
+    played: Played,
+    hash: Xxh3,
+    /// A trouble that hit the holder: since when, and the term of then.
+    open: Option<(&'static str, Ms, u64)>,
+    /// Who is hit by each trouble that is not over.
+    hit: BTreeMap<usize, Vec<usize>>,
+}
+
+/// Plays a plan to its end.
+pub fn play(plan: &Plan) -> Played {
+    let mut world = World::new(plan.clone());
+    while let Some(Reverse(event)) = world.queue.pop() {
+        if event.at > world.plan.length {
+            break;
+        }
+        world.now = event.at;
+        world.step(event.what);
+        if world.judge.breaches.len() > 3 {
+            break;
+        }
+    }
+    world.end()
+}
+
+impl World {
+    fn new(plan: Plan) -> Self {
+        let mut rng = WyRand::new_seed(plan.seed ^ 0x5eed);
+        let mut clock = |drift: f64| {
+            let (skew, offset): (f64, f64) = (rng.generate(), rng.generate());
+            // At its most, two clocks run apart by less than what is allowed for.
+            (1.0 + drift * (skew - 0.5) * 0.9, 1e9 * offset)
+        };
+        let nodes = (0..plan.members).map(|at| {
+            let (rate, offset) = clock(plan.drift);
+            Node {
+                name: name_of(at),
+                zone: format!("z{}", at % 3),
+                member: None,
+                starts: 0,
+                rate,
+                offset,
+                asleep_until: 0.0,
+                inbox: Vec::new(),
+                stall: None,
+                disk: Disk::default(),
+                wake: 0,
+                calls: BTreeMap::new(),
+            }
+        });
+        let nodes: Vec<Node> = nodes.collect();
+        let targets = (0..plan.targets).map(|at| {
+            let (rate, offset) = clock(plan.drift);
+            let receiver = Receiver::new(Run(1000 * (at as u64 + 1)), plan.drift);
+            Target { receiver, rate, offset, runs: 0, last_read: 0.0 }
+        });
+        let targets = targets.collect();
+        let mut world = World {
+            judge: Judge::default(),
+            played: Played { length: plan.length, ..Played::default() },
+            loss: plan.loss,
+            twice: plan.twice,
+            slow: 0.0,
+            rng,
+            now: 0.0,
+            numbers: 0,
+            queue: BinaryHeap::new(),
+            nodes,
+            targets,
+            cuts: BTreeMap::new(),
+            hash: Xxh3::new(),
+            open: None,
+            hit: BTreeMap::new(),
+            plan,
+        };
+        for node in 0..world.nodes.len() {
+            let at = world.chance() * 200.0;
+            world.push(at, What::Start(node));
+        }
+        for at in 0..world.plan.troubles.len() {
+            let (begin, end) = (world.plan.troubles[at].begin, world.plan.troubles[at].end);
+            world.push(begin, What::Trouble(at));
+            world.push(end, What::Over(at));
+        }
+        world
+    }
+
+    fn push(&mut self, at: Ms, what: What) {
+        self.numbers += 1;
+        self.queue.push(Reverse(Event { at, number: self.numbers, what }));
+    }
+
+    fn chance(&mut self) -> f64 {
+        self.rng.generate()
+    }
+
+    fn met(&mut self, what: &str) {
+        *self.played.met.entry(what.to_owned()).or_default() += 1;
+    }
+
+    fn settings(&mut self, node: usize) -> FleetSettings {
+        let plan = &self.plan;
+        let voter = |at: usize| (name_of(at), address_of(at));
+        FleetSettings {
+            me: name_of(node),
+            run: Run(node as u64 * 1_000_000 + self.nodes[node].starts),
+            address: address_of(node),
+            zone: self.nodes[node].zone.clone(),
+            label: "v1".to_owned(),
+            voters: (0..plan.voters).map(voter).collect(),
+            // Some more could be let in.
+            may_vote: node < plan.voters + 2,
+            lease: LeaseSettings { lease: plan.lease, drift: plan.drift },
+            answer_within: plan.lease * 0.15,
+            beat: plan.beat,
+            prefers: plan.prefers.clone(),
+            tells: (0..plan.targets).map(|at| Address::from(format!("t{at}").as_str())).collect(),
+            tell_every: plan.tell_every,
+            seed: self.rng.generate(),
+        }
+    }
+
+    fn start(&mut self, node: usize) {
+        if self.nodes[node].member.is_some() {
+            return;
+        }
+        self.nodes[node].starts += 1;
+        let settings = self.settings(node);
+        let votes = settings.may_vote;
+        let this = &mut self.nodes[node];
+        this.member = Some(Member::new(settings));
+        (this.asleep_until, this.stall) = (0.0, None);
+        this.inbox.clear();
+        this.calls.clear();
+        let file = match this.disk.damaged {
+            true => Err("damaged".to_owned()),
+            false => Ok(this.disk.file.clone()),
+        };
+        self.give(node, Input::Fares { ready: true, load: 0.1 });
+        if votes {
+            self.give(node, Input::Loaded(file));
+        }
+    }
+
+    fn kill(&mut self, node: usize) {
+        let this = &mut self.nodes[node];
+        if let Some(member) = this.member.take() {
+            for (what, n) in member.counts() {
+                *self.played.met.entry((*what).to_owned()).or_default() += n;
+            }
+        }
+        self.nodes[node].wake += 1;
+    }
+
+    /// The reading of a node's clock.
+    fn reading(&self, node: usize) -> Ms {
+        let node = &self.nodes[node];
+        node.offset + self.now * node.rate
+    }
+
+    /// Gives a process something, now or when it wakes.
+    fn give(&mut self, node: usize, input: Input) {
+        if self.nodes[node].member.is_none() {
+            return;
+        }
+        if self.now < self.nodes[node].asleep_until {
+            if !matches!(input, Input::Tick) {
+                self.nodes[node].inbox.push(input);
+            }
+            return;
+        }
+        let read = self.reading(node);
+        let Some(member) = &mut self.nodes[node].member else { return };
+        let mut out = Vec::new();
+        member.handle(read, input, &mut out);
+        let wants = member.wants_call_at();
+        let acts = out.iter().any(|o| matches!(o, Output::Ask { question: Question::Act(_), .. }));
+        let mut late = 0.0;
+        if let (true, Some(stall)) = (acts, self.nodes[node].stall) {
+            // Stopped in the middle of an act: it looked at its lease, and then slept before it sent.
+            (late, self.nodes[node].stall) = (stall, None);
+            self.nodes[node].asleep_until = self.now + stall;
+            self.met("stopped in the middle of an act");
+            self.open_trouble("stopped");
+        }
+        for output in out {
+            self.perform(node, output, late);
+        }
+        let this = &mut self.nodes[node];
+        this.wake += 1;
+        let at = ((wants - this.offset) / this.rate).max(self.now + 0.01).max(this.asleep_until);
+        let number = this.wake;
+        if at.is_finite() {
+            self.push(at, What::Wake { node, number });
+        }
+    }
+
+    /// How long a message is under way; none if it is lost.
+    fn way(&mut self, from: usize, to: usize) -> Option<Ms> {
+        let (loss, chance) = (self.loss, self.chance());
+        if self.cuts.contains_key(&(from, to)) || chance < loss {
+            return None;
+        }
+        let (spread, tail) = (self.chance(), self.chance());
+        // Now and then one is under way for long.
+        let long = if tail < 0.002 { self.plan.lease * 1.5 * self.chance() } else { 0.0 };
+        Some(0.2 + spread * self.plan.way + self.slow * spread + long)
+    }
+
+    fn perform(&mut self, node: usize, output: Output, late: Ms) {
+        match output {
+            Output::Ask { ask, to, question } => {
+                let run = Run(node as u64 * 1_000_000 + self.nodes[node].starts);
+                let from = Caller::Node { at: node, run, ask };
+                self.count_message(node);
+                let Some(target) = place_of(&to, self.nodes.len()) else { return };
+                let copies = 1 + usize::from(self.chance() < self.twice);
+                for _ in 0..copies {
+                    if let Some(way) = self.way(node, target) {
+                        let at = self.now + late + way;
+                        let what = match (&question, target.checked_sub(self.nodes.len())) {
+                            (Question::Act(act), Some(to)) => {
+                                What::Act { to, from, act: Box::new(act.clone()) }
+                            }
+                            (_, Some(_)) => return,
+                            (question, None) => {
+                                What::Question { to: target, from, question: Box::new(question.clone()) }
+                            }
+                        };
+                        self.push(at, what);
+                    }
+                }
+            }
+            Output::Answer { call, answer } => match self.nodes[node].calls.remove(&call) {
+                Some(Caller::Node { at, run, ask }) => {
+                    self.count_message(node);
+                    if let Some(way) = self.way(node, at) {
+                        let answer = Some(Box::new(answer));
+                        self.push(self.now + late + way, What::Answer { to: at, run, ask, answer });
+                    }
+                }
+                Some(Caller::Operator) => {
+                    let what = match answer {
+                        Answer::Reply(Reply::Done(_)) => "order done",
+                        _ => "order not done",
+                    };
+                    self.met(what);
+                }
+                None => {}
+            },
+            Output::Save { number, kept } => {
+                self.played.syncs += 1;
+                let disk = &self.nodes[node].disk;
+                let (fails, slow) = (disk.fails, disk.slow);
+                let took = 0.2 + 2.0 * self.chance() + if slow { 80.0 * self.chance() } else { 0.0 };
+                let run = Run(self.nodes[node].starts);
+                self.push(self.now + late + took, What::Saved { node, run, number, kept, lasts: !fails });
+            }
+            Output::Holds { .. } | Output::Warn(_) | Output::Info(_) => {}
+            Output::Stopped => {
+                self.met("stopped in order");
+                self.kill(node);
+            }
+        }
+    }
+
+    fn count_message(&mut self, node: usize) {
+        let holder = self.judge.holder().is_some_and(|h| h.name == self.nodes[node].name);
+        let kind = match (holder, node < self.plan.voters) {
+            (true, _) => "holder",
+            (_, true) => "voters",
+            _ => "members",
+        };
+        *self.played.messages.entry(kind).or_default() += 1;
+    }
+
+    fn step(&mut self, what: What) {
+        match what {
+            What::Wake { node, number } => {
+                if self.nodes[node].wake == number {
+                    let slept = std::mem::take(&mut self.nodes[node].inbox);
+                    // What comes first after a sleep is by chance: an answer, or the clock.
+                    for input in slept {
+                        self.give(node, input);
+                    }
+                    self.give(node, Input::Tick);
+                }
+            }
+            What::Question { to, from, question } => {
+                let alive = self.nodes[to].member.is_some();
+                if let (false, Caller::Node { at, run, ask }) = (alive, from) {
+                    // Nobody listens there: that is told, if the way back is free.
+                    if let Some(way) = self.way(to, at) {
+                        self.push(self.now + way, What::Answer { to: at, run, ask, answer: None });
+                    }
+                    return;
+                }
+                self.numbers += 1;
+                let call = CallNo(self.numbers);
+                self.nodes[to].calls.insert(call, from);
+                self.give(to, Input::Asked { call, question: *question });
+            }
+            What::Answer { to, run, ask, answer } => {
+                let now_run = Run(to as u64 * 1_000_000 + self.nodes[to].starts);
+                if run == now_run {
+                    self.give(to, Input::Answered { ask, answer: answer.map(|a| *a) });
+                }
+            }
+            What::Saved { node, run, number, kept, lasts } => self.saved(node, run, number, *kept, lasts),
+            What::Act { to, from, act } => self.act(to, from, &act),
+            What::Start(node) => self.start(node),
+            What::Trouble(at) => self.trouble(at),
+            What::Over(at) => self.over(at),
+        }
+    }
+
+    fn saved(&mut self, node: usize, run: Run, number: SaveNo, kept: Kept, lasts: bool) {
+        let alive = self.nodes[node].member.is_some() && Run(self.nodes[node].starts) == run;
+        // A process that died while it wrote left the old file or the new one.
+        let written = lasts && (alive || self.chance() < 0.5) && Run(self.nodes[node].starts) == run;
+        if written {
+            let now = self.now;
+            let disk = &mut self.nodes[node].disk;
+            if disk.before.last().is_none_or(|(at, _)| now - at > 500.0) {
+                disk.before.push((now, disk.file.clone()));
+            }
+            disk.file = Some(kept);
+        }
+        if alive {
+            self.give(node, Input::Saved { number, lasts });
+        }
+    }
+
+    fn act(&mut self, to: usize, from: Caller, act: &cindercleat::fleet::acts::Act) {
+        let now = self.now;
+        let target = &mut self.targets[to];
+        let read = target.offset + now * target.rate;
+        if read < target.last_read {
+            target.receiver.clock_went_back();
+        }
+        target.last_read = read;
+        let verdict = target.receiver.receive(read, act);
+        let ticket = target.receiver.ticket(read);
+        self.hash.update(format!("{now:.6} {to} {} {} {verdict:?}", act.term.0, act.number).as_bytes());
+        if verdict == Verdict::Obeyed {
+            self.judge.obeyed(now, to, act);
+            self.played.obeyed += 1;
+            if let Some((name, since, term)) = self.open {
+                if act.term.0 > term {
+                    self.played.without.push((name, now - since));
+                    self.open = None;
+                }
+            }
+        } else {
+            self.met(match verdict {
+                Verdict::OldTerm => "act refused: old term",
+                Verdict::Again => "act refused: again",
+                Verdict::Unknown => "act refused: asked first",
+                _ => "act refused: late",
+            });
+        }
+        if let Caller::Node { at, run, ask } = from {
+            let me = self.nodes.len() + to;
+            if let Some(way) = self.way(me, at) {
+                let answer = Some(Box::new(Answer::Verdict { verdict, ticket }));
+                self.push(now + way, What::Answer { to: at, run, ask, answer });
+            }
+        }
+    }
+
+    fn end(mut self) -> Played {
+        for node in 0..self.nodes.len() {
+            self.kill(node);
+        }
+        let quiet_from = self.plan.quiet_from();
+        let lease = self.plan.lease;
+        self.judge.settled(quiet_from, self.plan.length, SETTLES_WITHIN * lease, self.plan.recovers);
+        let terms = self.judge.terms();
+        self.played.met.insert("terms obeyed".to_owned(), terms);
+        self.played.breaches = self.judge.breaches;
+        self.played.story = self.judge.story;
+        self.played.digest = self.hash.digest();
+        self.played
+    }
+
+    /// A trouble hit the holder: the time until another acts is measured.
+    fn open_trouble(&mut self, name: &'static str) {
+        if let (None, Some(term)) = (self.open, self.judge.term()) {
+            self.open = Some((name, self.now, term));
+        }
+    }
+}
+
+fn name_of(at: usize) -> Name {
+    Name::from(format!("d{at}").as_str())
+}
+
+fn address_of(at: usize) -> Address {
+    Address::from(format!("n{at}").as_str())
+}
+
+fn place_of(address: &Address, nodes: usize) -> Option<usize> {
+    match address.0.strip_prefix('n') {
+        Some(number) => number.parse().ok(),
+        None => address.0.strip_prefix('t')?.parse::<usize>().ok().map(|at| at + nodes),
+    }
+}
+
+/// What troubles do.
+impl World {
+    fn holder(&self) -> Option<usize> {
+        let name = &self.judge.holder()?.name;
+        self.nodes.iter().position(|node| node.name == *name)
+    }
+
+    /// Whom a trouble hits: a node of the plan, or whoever acted last.
+    fn whom(&self, who: draw::Who) -> usize {
+        match who {
+            draw::Who::Node(node) => node % self.nodes.len(),
+            draw::Who::Holder => self.holder().unwrap_or(0),
+        }
+    }
+
+    fn cut(&mut self, from: usize, to: usize, on: bool) {
+        let count = self.cuts.entry((from, to)).or_default();
+        *count = if on { *count + 1 } else { count.saturating_sub(1) };
+        if *count == 0 {
+            self.cuts.remove(&(from, to));
+        }
+    }
+
+    /// Cuts a node off from some others, by a rule on them, one way or both.
+    fn cut_off(&mut self, node: usize, ways: (bool, bool), on: bool, others: impl Fn(&World, usize) -> bool) {
+        for other in 0..self.nodes.len() + self.targets.len() {
+            if other != node && others(self, other) {
+                if ways.0 {
+                    self.cut(node, other, on);
+                }
+                if ways.1 {
+                    self.cut(other, node, on);
+                }
+            }
+        }
+    }
+
+    fn order(&mut self, node: usize, order: Order) {
+        self.numbers += 1;
+        let call = CallNo(self.numbers);
+        self.nodes[node].calls.insert(call, Caller::Operator);
+        self.give(node, Input::Asked { call, question: Question::Order(order) });
+    }
+
+    fn trouble(&mut self, at: usize) {
+        let spell = self.plan.troubles[at].clone();
+        let length = spell.end - spell.begin;
+        self.met(&format!("trouble: {}", spell.trouble.name()));
+        let holder = self.holder();
+        let who = self.whom(spell.who);
+        let hits_holder = holder == Some(who);
+        let mut hit = vec![who];
+        match &spell.trouble {
+            Trouble::Kill | Trouble::FileOld | Trouble::FileLost | Trouble::FileDamaged => {
+                if hits_holder {
+                    self.open_trouble("killed");
+                }
+                self.kill(who);
+                let now = self.now;
+                let disk = &mut self.nodes[who].disk;
+                match spell.trouble {
+                    Trouble::FileLost => disk.file = None,
+                    Trouble::FileDamaged => disk.damaged = true,
+                    Trouble::FileOld => {
+                        if let Some((_, old)) = disk.before.iter().rfind(|(at, _)| now - at > 4_000.0) {
+                            if old.as_ref().is_some_and(|old| old.promised.is_some()) {
+                                disk.file.clone_from(old);
+                                self.met("a file of before was put back");
+                            }
+                        }
+                    }
+                    _ => {}
+                }
+            }
+            Trouble::Stop => {
+                if hits_holder {
+                    self.open_trouble("handed over: stop");
+                }
+                self.give(who, Input::Stop);
+            }
+            Trouble::HandOver { to } => {
+                if let Some(holder) = holder {
+                    self.open_trouble("handed over");
+                    let to = (to % self.nodes.len() != holder).then(|| name_of(to % self.nodes.len()));
+                    let duty = Duty::from(ROLL_CALL);
+                    self.order(holder, Order::HandOver { duty, to });
+                }
+            }
+            Trouble::Sleep => {
+                if hits_holder {
+                    self.open_trouble("stopped");
+                }
+                self.nodes[who].asleep_until = self.now + length;
+                // It wakes by itself.
+                self.nodes[who].wake += 1;
+                let number = self.nodes[who].wake;
+                self.push(self.now + length, What::Wake { node: who, number });
+            }
+            Trouble::Stall => self.nodes[who].stall = Some(length),
+            Trouble::CutOff { out, back } => {
+                if hits_holder {
+                    self.open_trouble("cut off");
+                }
+                self.cut_off(who, (*out, *back), true, |_, _| true);
+            }
+            Trouble::CutFromVoters => {
+                if hits_holder {
+                    self.open_trouble("cut off");
+                }
+                self.cut_off(who, (true, true), true, |w, o| o < w.plan.voters);
+            }
+            Trouble::CutFromTargets => self.cut_off(who, (true, true), true, |w, o| o >= w.nodes.len()),
+            Trouble::Halves { asleep } => {
+                // Voters half and half, by their numbers; one may sleep.
+                let halves = |o: usize| o % 2;
+                for node in 0..self.nodes.len() {
+                    self.cut_off(node, (true, false), true, |w, o| {
+                        o < w.nodes.len() && halves(o) != halves(node)
+                    });
+                }
+                if *asleep {
+                    self.nodes[who % self.plan.voters].asleep_until = self.now + length;
+                }
+            }
+            Trouble::Lossy(part) => self.loss = *part,
+            Trouble::Twice(part) => self.twice = *part,
+            Trouble::Slow(ms) => self.slow = *ms,
+            Trouble::ClockJump(ms) => self.nodes[who].offset += ms,
+            Trouble::DiskFails => self.nodes[who].disk.fails = true,
+            Trouble::DiskSlow => self.nodes[who].disk.slow = true,
+            Trouble::TargetAgain => {
+                let to = who % self.targets.len();
+                let target = &mut self.targets[to];
+                target.runs += 1;
+                let run = Run(1000 * (to as u64 + 1) + target.runs);
+                target.receiver = Receiver::new(run, self.plan.drift);
+            }
+            Trouble::TargetClock(ms) => {
+                let to = who % self.targets.len();
+                self.targets[to].offset += ms;
+            }
+            Trouble::KillMany(part) => {
+                self.open_trouble("killed");
+                let number = (self.nodes.len() as f64 * part).round() as usize;
+                let first = holder.unwrap_or(0);
+                hit = (0..number).map(|n| (first + n) % self.nodes.len()).collect();
+                for node in hit.clone() {
+                    self.kill(node);
+                }
+            }
+            Trouble::KillVoters => {
+                hit = (0..self.plan.voters).collect();
+                for node in hit.clone() {
+                    self.kill(node);
+                }
+            }
+            Trouble::AddVoter(node) => {
+                let node = node % self.nodes.len();
+                let order = Order::AddVoter { name: name_of(node), address: Some(address_of(node)) };
+                self.order(who, order);
+            }
+            Trouble::RemoveVoter(node) => {
+                self.order(who, Order::RemoveVoter { name: name_of(node % self.nodes.len()) });
+            }
+        }
+        self.hit.insert(at, hit);
+    }
+
+    fn over(&mut self, at: usize) {
+        let spell = self.plan.troubles[at].clone();
+        let hit = self.hit.remove(&at).unwrap_or_default();
+        let Some(&who) = hit.first() else { return };
+        match &spell.trouble {
+            Trouble::Kill
+            | Trouble::FileOld
+            | Trouble::FileLost
+            | Trouble::FileDamaged
+            | Trouble::Stop
+            | Trouble::KillMany(_)
+            | Trouble::KillVoters => {
+                for node in hit {
+                    // One that was told to stop and has not ended by now is killed.
+                    self.kill(node);
+                    let after = self.chance() * 50.0;
+                    self.push(self.now + after, What::Start(node));
+                }
+            }
+            Trouble::CutOff { out, back } => self.cut_off(who, (*out, *back), false, |_, _| true),
+            Trouble::CutFromVoters => self.cut_off(who, (true, true), false, |w, o| o < w.plan.voters),
+            Trouble::CutFromTargets => self.cut_off(who, (true, true), false, |w, o| o >= w.nodes.len()),
+            Trouble::Halves { .. } => {
+                for node in 0..self.nodes.len() {
+                    self.cut_off(node, (true, false), false, |w, o| {
+                        o < w.nodes.len() && o % 2 != node % 2
+                    });
+                }
+                let wake = who % self.plan.voters;
+                self.nodes[wake].wake += 1;
+                let number = self.nodes[wake].wake;
+                self.push(self.now + 0.01, What::Wake { node: wake, number });
+            }
+            Trouble::Lossy(_) => self.loss = self.plan.loss,
+            Trouble::Twice(_) => self.twice = self.plan.twice,
+            Trouble::Slow(_) => self.slow = 0.0,
+            Trouble::DiskFails => self.nodes[who].disk.fails = false,
+            Trouble::DiskSlow => self.nodes[who].disk.slow = false,
+            Trouble::HandOver { .. }
+            | Trouble::Sleep
+            | Trouble::Stall
+            | Trouble::ClockJump(_)
+            | Trouble::TargetAgain
+            | Trouble::TargetClock(_)
+            | Trouble::AddVoter(_)
+            | Trouble::RemoveVoter(_) => {}
+        }
+    }
+}
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod draw;
+pub mod duties;
 pub mod fleet;
 pub mod model;
 pub mod plan;
--- /dev/null
+++ b/src/fleet/acts.rs
@@ -0,0 +1,117 @@
+//! Acts of a duty, obeyed only while their sender holds it.
+//!
+//! A term alone keeps an old holder's act out where a newer one came first. To keep it out everywhere, also at a
+//! receiver that heard nothing yet, an act carries a ticket: the receiver's own reading of its own clock, given
+//! with its last answer, and how long after it the sender's lease goes on for certain. The sender got the ticket
+//! after it was given, so the receiver's count ends before the lease does, however long the act was under way or its
+//! sender slept. A receiver that has just started knows no ticket of an earlier process: it asks before it obeys.
+
+use super::agreed::Holder;
+use super::planted::{is, Plant};
+use super::{Duty, Run, Term};
+use crate::interface::Ms;
+use std::collections::BTreeMap;
+
+/// A receiver's word for a moment of its own.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ticket {
+    /// The process that gave it.
+    pub run: Run,
+    /// Its clock when it did.
+    pub at: Ms,
+}
+
+/// One act.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Act {
+    pub duty: Duty,
+    pub term: Term,
+    pub holder: Holder,
+    /// Counts the sender's acts.
+    pub number: u64,
+    pub ticket: Option<Ticket>,
+    /// For how long after the ticket was given the sender's lease goes on.
+    pub good_for: Ms,
+    pub body: Vec<u8>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Verdict {
+    Obeyed,
+    /// A newer term was obeyed here.
+    OldTerm,
+    /// It came before, or after one that was sent later.
+    Again,
+    /// It has no ticket of this process: send it again with the one that comes with this answer.
+    Unknown,
+    /// Its sender's lease is over, or may be.
+    Late,
+}
+
+/// Whoever acts are done to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Receiver {
+    run: Run,
+    last: BTreeMap<Duty, (Term, u64)>,
+    drift: f64,
+}
+
+impl Receiver {
+    /// `drift`: the part by which this clock and a sender's may run apart.
+    pub fn new(run: Run, drift: f64) -> Self {
+        Receiver { run, last: BTreeMap::new(), drift }
+    }
+
+    pub fn ticket(&self, now: Ms) -> Ticket {
+        Ticket { run: self.run, at: now }
+    }
+
+    /// Whether an act is to be obeyed, now.
+    pub fn receive(&mut self, now: Ms, act: &Act) -> Verdict {
+        let last = self.last.get(&act.duty).copied().unwrap_or_default();
+        let forgot = is(Plant::ReceiverForgot) && last == Default::default();
+        if act.term < last.0 && !is(Plant::OldTermObeyed) {
+            return Verdict::OldTerm;
+        }
+        if (act.term, act.number) <= last && !is(Plant::OldTermObeyed) {
+            return Verdict::Again;
+        }
+        match act.ticket.filter(|t| t.run == self.run && t.at <= now) {
+            None if !forgot && !is(Plant::OldTermObeyed) => return Verdict::Unknown,
+            Some(ticket) if now >= ticket.at + act.good_for * (1.0 - self.drift) && !is(Plant::OldTermObeyed) => {
+                return Verdict::Late;
+            }
+            _ => {}
+        }
+        self.last.insert(act.duty.clone(), (act.term, act.number));
+        Verdict::Obeyed
+    }
+
+    /// The clock went back: tickets that were given are worth nothing any more.
+    pub fn clock_went_back(&mut self) {
+        if !is(Plant::ClockBackUnnoticed) {
+            self.run = Run(self.run.0.wrapping_add(1));
+        }
+    }
+}
+
+/// What a holder knows of a receiver.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Known {
+    ticket: Option<(Ticket, Ms)>,
+}
+
+impl Known {
+    /// An answer came with a ticket.
+    pub fn answered(&mut self, now: Ms, ticket: Ticket) {
+        self.ticket = Some((ticket, now));
+    }
+
+    /// The ticket to send, and for how long it is good if the sender's lease ends at `until`.
+    pub fn good_for(&self, until: Ms) -> (Option<Ticket>, Ms) {
+        match self.ticket {
+            Some((ticket, came)) => (Some(ticket), (until - came).max(0.0)),
+            None => (None, 0.0),
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/agreed.rs
@@ -0,0 +1,220 @@
+//! The agreed value, and each change that can be made to it. A change is worked out on the value that a majority
+//! gave, so it sees all that came before it.
+
+use super::planted::{is, Plant};
+use super::{Address, Duty, Name, Run, Term};
+use std::collections::BTreeMap;
+
+/// What tells a voter from an earlier one of its name: drawn when its file is made. One that lost its file comes
+/// back as another, which nobody counts until it is let in.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Life(pub u64);
+
+/// A voter, as the voters' list has it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Seat {
+    pub life: Life,
+    pub address: Address,
+}
+
+/// Who votes. While a change is under way a majority of those before it is wanted as well.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Voters {
+    pub generation: u64,
+    pub set: BTreeMap<Name, Seat>,
+    pub before: Option<BTreeMap<Name, Seat>>,
+}
+
+impl Voters {
+    /// Whether those of whom `has` holds are a majority, of those before a change as well.
+    pub fn majority(&self, has: impl Fn(&Name, &Seat) -> bool) -> bool {
+        let most = |set: &BTreeMap<Name, Seat>| {
+            2 * set.iter().filter(|(name, seat)| has(name, seat)).count() > set.len()
+        };
+        most(&self.set) && self.before.as_ref().is_none_or(most)
+    }
+
+    /// All that are to be asked, once each.
+    pub fn all(&self) -> BTreeMap<Name, Seat> {
+        let mut all = self.before.clone().unwrap_or_default();
+        all.extend(self.set.clone());
+        all
+    }
+}
+
+/// Who holds a duty.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Holder {
+    pub name: Name,
+    pub run: Run,
+    pub address: Address,
+}
+
+/// A duty's row. It stays when nobody holds the duty, as its term must not be given again.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Held {
+    pub term: Term,
+    pub holder: Option<Holder>,
+    /// Counts how often the lease was renewed in this term.
+    pub renewed: u64,
+    /// The holder's lease in whole milliseconds: whoever waits for its end waits no less.
+    pub lease_ms: u64,
+    /// The try that changed it last. A renewal that was not agreed on and is tried again is another one, or a
+    /// contender that saw the first would take its lease for the second's.
+    pub stamp: Stamp,
+    /// Who is to hold it next, after a holder that gave it up in order.
+    pub next: Option<Name>,
+}
+
+/// A try, told from all others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Stamp {
+    pub round: u64,
+    pub run: Run,
+}
+
+/// A duty's row as a contender saw it: no two leases have the same.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Mark {
+    pub term: Term,
+    pub renewed: u64,
+    pub stamp: Stamp,
+}
+
+impl Held {
+    pub fn mark(&self) -> Mark {
+        Mark { term: self.term, renewed: self.renewed, stamp: self.stamp }
+    }
+}
+
+/// The agreed value.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Agreed {
+    /// Counts changes.
+    pub version: u64,
+    pub voters: Voters,
+    pub duties: BTreeMap<Duty, Held>,
+}
+
+/// A change that somebody asks for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Change {
+    /// None, but what is read is agreed on.
+    Read,
+    /// Holds a duty that is as it was last seen, and of which the holder's lease is over.
+    Take { duty: Duty, who: Holder, lease_ms: u64, seen: Mark },
+    /// Counts the leases of duties on; those that are no longer the asker's are passed over.
+    Renew { who: Holder, duties: Vec<(Duty, Term)> },
+    /// Gives a duty up, for `next` if it is named.
+    GiveUp { duty: Duty, term: Term, who: Holder, next: Option<Name> },
+    AddVoter { name: Name, seat: Seat },
+    RemoveVoter { name: Name },
+    /// Ends a change of voters that is known to be agreed on.
+    Settle,
+}
+
+/// Why a change is not made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Refusal {
+    /// The duty is not as it was seen, or not the asker's.
+    Moved,
+    /// A change of voters is under way.
+    Changing,
+    /// Such a voter is there already, or is none.
+    AlreadySo,
+    /// Fewer than three voters would be left.
+    TooFew,
+    /// More than seven voters would be there, or more duties than the value takes.
+    TooMany,
+    /// There is nothing to do.
+    Nothing,
+}
+
+/// Voters at least and at most, but for the moment between two changes.
+pub const LEAST_VOTERS: usize = 3;
+pub const MOST_VOTERS: usize = 7;
+/// Duties of one fleet: the value stays a few kilobytes.
+pub const MOST_DUTIES: usize = 128;
+
+impl Agreed {
+    /// The value after a change. `knows`: a value with the voters as they are now here is known to be agreed on.
+    ///
+    /// # Errors
+    /// Why the change is not made.
+    pub fn after(&self, change: &Change, stamp: Stamp, knows: bool) -> Result<Agreed, Refusal> {
+        let mut new = self.clone();
+        new.version += 1;
+        // Only what is known to be agreed on may end the time in which the voters of before count as well.
+        if knows {
+            new.voters.before = None;
+        }
+        match change {
+            Change::Read => new.version = self.version,
+            Change::Take { duty, who, lease_ms, seen } => {
+                let now = self.duties.get(duty).map(Held::mark).unwrap_or_default();
+                if now != *seen {
+                    return Err(Refusal::Moved);
+                }
+                if !new.duties.contains_key(duty) && new.duties.len() >= MOST_DUTIES {
+                    return Err(Refusal::TooMany);
+                }
+                let term = Term(now.term.0 + u64::from(!is(Plant::TermKept) || now.term.0 == 0));
+                let holder = Some(who.clone());
+                let held = Held { term, holder, renewed: 0, lease_ms: *lease_ms, stamp, next: None };
+                new.duties.insert(duty.clone(), held);
+            }
+            Change::Renew { who, duties } => {
+                let mut any = false;
+                for (duty, term) in duties {
+                    let held = new.duties.get_mut(duty);
+                    let theirs = |h: &&mut Held| h.term == *term && h.holder.as_ref() == Some(who);
+                    if let Some(held) = held.filter(theirs) {
+                        (held.renewed, held.stamp) = (held.renewed + 1, stamp);
+                        any = true;
+                    }
+                }
+                if !any {
+                    return Err(Refusal::Moved);
+                }
+            }
+            Change::GiveUp { duty, term, who, next } => {
+                let held = new.duties.get_mut(duty);
+                let theirs = |h: &&mut Held| h.term == *term && h.holder.as_ref() == Some(who);
+                let held = held.filter(theirs).ok_or(Refusal::Moved)?;
+                (held.holder, held.next, held.stamp) = (None, next.clone(), stamp);
+            }
+            Change::AddVoter { name, seat } => {
+                new.change_voters(|set| match set.insert(name.clone(), seat.clone()) {
+                    Some(_) => Err(Refusal::AlreadySo),
+                    None if set.len() > MOST_VOTERS => Err(Refusal::TooMany),
+                    None => Ok(()),
+                })?;
+            }
+            Change::RemoveVoter { name } => {
+                new.change_voters(|set| match set.remove(name) {
+                    None => Err(Refusal::AlreadySo),
+                    Some(_) if set.len() < LEAST_VOTERS => Err(Refusal::TooFew),
+                    Some(_) => Ok(()),
+                })?;
+            }
+            Change::Settle if self.voters.before.is_none() => return Err(Refusal::Nothing),
+            Change::Settle => {}
+        }
+        Ok(new)
+    }
+
+    fn change_voters(
+        &mut self,
+        change: impl FnOnce(&mut BTreeMap<Name, Seat>) -> Result<(), Refusal>,
+    ) -> Result<(), Refusal> {
+        let unsafe_way = is(Plant::TwoChanges);
+        if self.voters.before.is_some() && !unsafe_way {
+            return Err(Refusal::Changing);
+        }
+        let before = self.voters.set.clone();
+        change(&mut self.voters.set)?;
+        self.voters.generation += 1;
+        self.voters.before = (!unsafe_way).then_some(before);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/fleet/member/beating.rs
@@ -0,0 +1,178 @@
+//! Beats to whoever calls the roll, the roll itself, and its telling.
+
+use super::*;
+use crate::fleet::acts::Verdict;
+use crate::fleet::planted::{is, Plant};
+use nanorand::Rng;
+
+impl Member {
+    pub(super) fn learn_caller(&mut self, caller: (Term, Holder)) {
+        // Nothing that an old holder still says counts.
+        if self.caller.as_ref().is_some_and(|known| known.0 > caller.0) {
+            return;
+        }
+        if self.caller.as_ref().is_none_or(|known| *known != caller) {
+            self.heard = None;
+            // Members learn of it at moments of their own, so its successor is not met by all at once.
+            self.next_beat = self.next_beat.min(self.now);
+            self.caller = Some(caller);
+        }
+    }
+
+    /// A beat came.
+    pub(super) fn hear(&mut self, beat: Beat) -> BeatHeard {
+        let roll_call = Duty::from(ROLL_CALL);
+        let (now, least) = (self.now, self.settings.beat);
+        let holds = self.holds.get(&roll_call).is_some_and(|hold| hold.left(now) > 0.0);
+        let holder = self.caller.clone();
+        let places = match self.roll.as_mut().filter(|_| holds) {
+            Some(roll) => {
+                let name = beat.who.name.clone();
+                roll.heard(now, beat, least);
+                roll.place_of(&roll_call, &name).map(|place| (roll_call, place)).into_iter().collect()
+            }
+            None => Vec::new(),
+        };
+        let every = self.roll.as_ref().map_or(least, |roll| roll.beat_every(least));
+        BeatHeard { heard: holds, holder, every, places }
+    }
+
+    fn my_beat(&self) -> Beat {
+        Beat {
+            who: self.me(),
+            zone: self.settings.zone.clone(),
+            label: self.settings.label.clone(),
+            up: self.now - self.began,
+            ready: self.ready,
+            stopping: self.stopping,
+            load: self.load,
+            holds: self.holds.len() as u32,
+        }
+    }
+
+    /// Beats when it is time, or asks who calls the roll; calls it if that is this dispatcher.
+    pub(super) fn beat(&mut self, out: &mut Vec<Output>) {
+        let roll_call = Duty::from(ROLL_CALL);
+        if self.now < self.next_beat {
+            return;
+        }
+        self.next_beat = self.now + self.every;
+        let beat = self.my_beat();
+        if self.holds.contains_key(&roll_call) {
+            let prefers = self.settings.prefers.clone();
+            let (now, least, me) = (self.now, self.settings.beat, self.settings.me.clone());
+            if let Some(roll) = &mut self.roll {
+                roll.heard(now, beat, least);
+                roll.place(now, least, &[(roll_call, prefers, Some(me))]);
+                self.every = roll.beat_every(least);
+                self.next_beat = self.now + self.every;
+            }
+            return;
+        }
+        match self.caller.as_ref().filter(|(_, holder)| holder.name != self.settings.me) {
+            Some((_, holder)) => {
+                let (to, run) = (holder.address.clone(), holder.run);
+                self.count("beats");
+                self.ask(to, Question::Beat(beat), Errand::Beat { to: run }, out);
+            }
+            None => self.look_somewhere(out),
+        }
+    }
+
+    pub(super) fn beat_answered(&mut self, to: Run, heard: Option<BeatHeard>, out: &mut Vec<Output>) {
+        let roll_call = Duty::from(ROLL_CALL);
+        let current = self.caller.as_ref().is_some_and(|(_, holder)| holder.run == to);
+        let place = match heard {
+            Some(heard) if heard.heard && current => {
+                self.heard = Some(self.now);
+                // A beat is some time away from the last, for each member another.
+                let (spread, every) = (self.rng.generate::<f64>(), heard.every.max(self.settings.beat));
+                if every != self.every {
+                    self.next_beat = self.now + every * spread;
+                }
+                self.every = every;
+                heard.places.iter().find(|(duty, _)| *duty == roll_call).map(|(_, place)| *place)
+            }
+            Some(BeatHeard { heard: false, holder: Some(holder), .. }) if holder.1.run != to => {
+                return self.learn_caller(holder);
+            }
+            // It was not reached, or calls the roll no more: whoever does is asked for, once, and then again
+            // when the next beat is due.
+            _ if current => {
+                self.count("beats lost");
+                return self.look_somewhere(out);
+            }
+            _ => return,
+        };
+        if let Some(watch) = self.watches.get_mut(&roll_call) {
+            watch.place = place;
+        }
+    }
+
+    /// Whether all that was done in the roll-call's name has been answered, or can be obeyed no more.
+    pub(super) fn acts_are_done(&self) -> bool {
+        self.told.iter().all(|told| !told.out && told.unsure_until <= self.now)
+    }
+
+    pub(super) fn tell_at(&self) -> Option<Ms> {
+        let holds = self.holds.contains_key(&Duty::from(ROLL_CALL));
+        let next = || self.told.iter().filter(|t| !t.out).map(|t| t.next).min_by(f64::total_cmp);
+        holds.then(next).flatten()
+    }
+
+    /// Tells the roll to those that the settings name: acts of the duty, each with its term.
+    pub(super) fn tell(&mut self, out: &mut Vec<Output>) {
+        let duty = Duty::from(ROLL_CALL);
+        let Some(hold) = self.holds.get(&duty).copied() else { return };
+        let unnoticed = is(Plant::PauseUnnoticed);
+        if hold.left(self.now) <= 0.0 && !unnoticed {
+            return;
+        }
+        let until = if unnoticed { self.now + self.settings.lease.lease } else { hold.until };
+        for at in 0..self.told.len() {
+            let told = &self.told[at];
+            if told.out || self.now < told.next {
+                continue;
+            }
+            let (ticket, good_for) = told.known.good_for(until);
+            self.acts += 1;
+            let (term, holder, number) = (hold.term, self.me(), self.acts);
+            let act = Act { duty: duty.clone(), term, holder, number, ticket, good_for, body: self.summary() };
+            let told = &mut self.told[at];
+            (told.out, told.next) = (true, self.now + self.settings.tell_every);
+            told.unsure_until = hold.until;
+            self.count("acts");
+            self.ask(self.settings.tells[at].clone(), Question::Act(act), Errand::Act { to: at }, out);
+        }
+    }
+
+    pub(super) fn told(&mut self, to: usize, answer: Option<(Verdict, Ticket)>) {
+        let Some(told) = self.told.get_mut(to) else { return };
+        told.out = false;
+        match answer {
+            Some((verdict, ticket)) => {
+                told.known.answered(self.now, ticket);
+                told.unsure_until = f64::NEG_INFINITY;
+                if verdict == Verdict::Unknown {
+                    // It asks before it obeys; now there is a ticket to send with it.
+                    told.next = self.now;
+                } else if verdict != Verdict::Obeyed {
+                    self.count("acts refused");
+                }
+            }
+            None => self.count("acts unanswered"),
+        }
+    }
+
+    /// The roll in a line: how many stand how, of how many, and for how long it has been called.
+    fn summary(&self) -> Vec<u8> {
+        use crate::fleet::rollcall::Standing;
+        let Some(roll) = &self.roll else { return Vec::new() };
+        let counts = roll.counts(self.now, self.settings.beat);
+        let of = |standing| counts.get(&standing).copied().unwrap_or(0);
+        let (inn, back) = (of(Standing::In), of(Standing::Back));
+        let (suspected, gone) = (of(Standing::Suspected), of(Standing::Out));
+        let since = self.now - roll.since;
+        format!("in {inn} back {back} suspected {suspected} out {gone} called-for-ms {since:.0}").into_bytes()
+    }
+}
--- /dev/null
+++ b/src/fleet/member/holding.rs
@@ -0,0 +1,362 @@
+//! The proposer's side: which change is wanted next, tries of it, and what is held by them.
+
+use super::*;
+use crate::fleet::agreed::{Held, Refusal};
+use crate::fleet::duties::{holder_of, is_mine};
+use crate::fleet::planted::{is, Plant};
+use crate::fleet::register::End;
+use nanorand::Rng;
+
+/// After a try that others were ahead of: the wait before the next in parts of a lease, doubled up to the most.
+/// Whoever loses leaves the voters in peace for longer and longer, so that somebody wins.
+const AGAIN: f64 = 0.01;
+const AGAIN_DOUBLED: u32 = 5;
+/// A job whose operator does not ask for it for this part of a lease is over.
+const JOB_FOR: f64 = 1.5;
+
+impl Member {
+    /// A value was seen at a voter, or agreed on.
+    pub(super) fn saw(&mut self, ballot: Option<Ballot>, value: Agreed) {
+        if let Some(ballot) = &ballot {
+            self.highest = self.highest.max(ballot.round);
+        }
+        if self.newest.as_ref().is_none_or(|(at, _)| *at < ballot) {
+            let caller = holder_of(&value, &Duty::from(ROLL_CALL));
+            let caller = caller.map(|(term, holder)| (term, holder.clone()));
+            self.newest = Some((ballot, value));
+            if let Some(caller) = caller {
+                self.learn_caller(caller);
+            }
+        }
+        self.show_watches();
+    }
+
+    /// Shows the newest value to those that wait for duties.
+    pub(super) fn show_watches(&mut self) {
+        let value = self.newest.as_ref().map(|(_, value)| value);
+        for (duty, watch) in &mut self.watches {
+            let row: Option<&Held> = value.and_then(|v| v.duties.get(duty));
+            watch.saw(self.now, row, &mut self.rng);
+        }
+    }
+
+    /// Whether this dispatcher is to take a duty if it falls free.
+    fn contends(&self, duty: &Duty) -> bool {
+        if self.stopping || self.holds.contains_key(duty) || self.giving.contains_key(duty) {
+            return false;
+        }
+        match duty.0.as_ref() == ROLL_CALL {
+            false => self.jobs.contains_key(duty),
+            // Whoever has no place in the line comes only when the caller does not hear it.
+            true => {
+                let placed = self.watches.get(duty).is_some_and(|w| w.place.is_some());
+                placed || self.is_voter() || !self.caller_hears()
+            }
+        }
+    }
+
+    fn is_voter(&self) -> bool {
+        let me = &self.settings.me;
+        self.voter.is_some() && self.view().is_some_and(|view| view.set.contains_key(me))
+    }
+
+    /// Whether the caller of the roll heard this dispatcher lately.
+    pub(super) fn caller_hears(&self) -> bool {
+        self.caller.is_some() && self.heard.is_some_and(|at| self.now - at < 3.0 * self.every)
+    }
+
+    /// What is over by itself: leases, jobs.
+    pub(super) fn drop_ended(&mut self, out: &mut Vec<Output>) {
+        let now = self.now;
+        if !is(Plant::PauseUnnoticed) {
+            let over = |hold: &Hold| hold.left(now) <= 0.0;
+            let ended: Vec<Duty> =
+                self.holds.iter().filter(|(_, h)| over(h)).map(|(duty, _)| duty.clone()).collect();
+            for duty in ended {
+                self.count("leases over");
+                self.lose(&duty, out);
+            }
+            self.giving.retain(|_, giving| !over(&giving.hold));
+        }
+        let longest = JOB_FOR * self.settings.lease.lease;
+        let gone = |job: &Job| now - job.asked > longest;
+        let idle: Vec<Duty> =
+            self.jobs.iter().filter(|(_, j)| gone(j)).map(|(duty, _)| duty.clone()).collect();
+        for duty in idle {
+            self.let_go(&duty, out);
+        }
+    }
+
+    /// The job is over: the duty is given up, for whoever contends for it.
+    pub(super) fn let_go(&mut self, duty: &Duty, out: &mut Vec<Output>) {
+        self.jobs.remove(duty);
+        self.watches.remove(duty);
+        self.hand_over(duty, None, out);
+    }
+
+    /// Stops acting at once, and then gives the duty up.
+    pub(super) fn hand_over(&mut self, duty: &Duty, next: Option<Name>, out: &mut Vec<Output>) {
+        if let Some(hold) = self.holds.get(duty).copied() {
+            let roll = self.roll.as_ref();
+            let address = |name: &Name| roll.and_then(|r| r.address(name)).or(self.settings.voters.get(name));
+            let to = next.as_ref().and_then(address).cloned();
+            self.lose(duty, out);
+            self.giving.insert(duty.clone(), Giving { hold, next, to });
+        }
+    }
+
+    fn lose(&mut self, duty: &Duty, out: &mut Vec<Output>) {
+        if let Some(hold) = self.holds.remove(duty) {
+            out.push(Output::Holds { duty: duty.clone(), term: hold.term, held: false });
+        }
+        if duty.0.as_ref() == ROLL_CALL {
+            self.roll = None;
+            self.heard = None;
+        }
+        if let Some(watch) = self.watches.get_mut(duty) {
+            watch.place = None;
+        }
+    }
+
+    fn hold(&mut self, duty: &Duty, hold: Hold, out: &mut Vec<Output>) {
+        if self.holds.insert(duty.clone(), hold).is_none() {
+            out.push(Output::Holds { duty: duty.clone(), term: hold.term, held: true });
+            if duty.0.as_ref() == ROLL_CALL {
+                self.roll = Some(RollCall::begin(self.now));
+                self.caller = Some((hold.term, self.me()));
+                self.next_beat = self.now;
+            }
+        }
+    }
+
+    /// When something of this falls due.
+    pub(super) fn go_on_at(&self) -> Vec<Ms> {
+        let mut at = Vec::new();
+        let settings = &self.settings.lease;
+        if self.watches.keys().any(|duty| self.contends(duty)) {
+            at.push(self.next_look.min(self.now + settings.look_every()));
+        }
+        at.extend(self.holds.values().chain(self.giving.values().map(|g| &g.hold)).map(|hold| hold.until));
+        at.extend(self.jobs.values().map(|job| job.asked + JOB_FOR * settings.lease));
+        at.extend(self.wishes.iter().map(|wish| wish.until));
+        if self.trying.is_none() {
+            let renew = self.holds.values().map(|hold| hold.asked + settings.renew_after());
+            let takes = self.watches.iter().filter(|(duty, _)| self.contends(duty)).map(|(_, watch)| {
+                self.now + watch.waits(&self.settings.me, self.is_voter(), settings)
+            });
+            let gives = !self.giving.is_empty() && self.acts_are_done();
+            let now = (gives || !self.wishes.is_empty() || self.settles()).then_some(self.now);
+            let next = renew.chain(takes).chain(now).fold(f64::INFINITY, f64::min);
+            at.push(next.max(self.again_at));
+        }
+        at
+    }
+
+    /// Whether a change of voters is agreed on and is only to be ended.
+    fn settles(&self) -> bool {
+        let changing = |v: &Voters| v.before.is_some() && self.knows.settled.as_ref() == Some(v);
+        self.newest.as_ref().is_some_and(|(_, value)| changing(&value.voters))
+    }
+
+    /// The change that is wanted most, if there is one.
+    fn wanted(&self) -> Option<(Purpose, Change)> {
+        let settings = &self.settings.lease;
+        let who = self.me();
+        let given = |(duty, _): &(&Duty, &Giving)| duty.0.as_ref() != ROLL_CALL || self.acts_are_done();
+        if let Some((duty, giving)) = self.giving.iter().find(given) {
+            let (term, next) = (giving.hold.term, giving.next.clone());
+            let change = Change::GiveUp { duty: duty.clone(), term, who, next };
+            return Some((Purpose::GiveUp(duty.clone()), change));
+        }
+        let due = |hold: &Hold| hold.asked + settings.renew_after() <= self.now;
+        if self.holds.values().any(due) {
+            let duties = self.holds.iter().map(|(duty, hold)| (duty.clone(), hold.term)).collect();
+            return Some((Purpose::Renew, Change::Renew { who, duties }));
+        }
+        let voter = self.is_voter();
+        let free = |(duty, watch): &(&Duty, &Watch)| {
+            self.contends(duty) && watch.waits(&self.settings.me, voter, settings) <= 0.0
+        };
+        if let Some((duty, watch)) = self.watches.iter().find(free) {
+            let (lease_ms, seen) = (settings.lease_ms(), watch.mark());
+            let change = Change::Take { duty: duty.clone(), who, lease_ms, seen };
+            return Some((Purpose::Take(duty.clone()), change));
+        }
+        if let Some(wish) = self.wishes.first() {
+            return Some((Purpose::Voters(wish.call), wish.change.clone()));
+        }
+        self.settles().then_some((Purpose::Settle, Change::Settle))
+    }
+
+    /// Looks where it has to, and begins the try that is wanted.
+    pub(super) fn go_on(&mut self, out: &mut Vec<Output>) {
+        if self.stopping {
+            let next = self.roll.as_ref().and_then(|r| r.first_for(&Duty::from(ROLL_CALL))).cloned();
+            for duty in self.holds.keys().cloned().collect::<Vec<_>>() {
+                let next = next.clone().filter(|_| duty.0.as_ref() == ROLL_CALL);
+                self.hand_over(&duty, next, out);
+            }
+        }
+        let contending: Vec<Duty> =
+            self.watches.keys().filter(|duty| self.contends(duty)).cloned().collect();
+        if !contending.is_empty() && self.now >= self.next_look {
+            let strangers = !self.is_voter() && self.watches.values().all(|w| w.place.is_none());
+            // Those that come only as a last resort look no more often than they beat: there may be hundreds.
+            let least = if strangers { self.every } else { 0.0 };
+            let spread: f64 = self.rng.generate();
+            self.next_look = self.now + self.settings.lease.look_every().max(least) * (0.75 + 0.5 * spread);
+            self.look_somewhere(out);
+        }
+        let lease = self.settings.lease;
+        for duty in &contending {
+            if let Some(watch) = self.watches.get_mut(duty) {
+                watch.count(self.now, &lease);
+            }
+        }
+        self.wishes_too_late(out);
+        if self.trying.is_some() || self.now < self.again_at {
+            return;
+        }
+        let Some(view) = self.view().cloned() else { return };
+        let Some((purpose, change)) = self.wanted() else { return };
+        self.highest += 1;
+        let run = if is(Plant::BallotAgain) { Run(0) } else { self.settings.run };
+        let ballot = Ballot { round: self.highest, by: self.settings.me.clone(), run };
+        let (round, asks) = Round::begin(ballot.clone(), view, change, &self.knows);
+        self.count("tries");
+        self.trying = Some(Try { round, purpose, asked: self.now });
+        self.ask_voters(&ballot, asks, out);
+    }
+
+    /// Asks any one voter what it took last.
+    pub(super) fn look_somewhere(&mut self, out: &mut Vec<Output>) {
+        let all: Vec<_> = self.whom_to_look_at().into_iter().collect();
+        if all.is_empty() {
+            return;
+        }
+        let at = self.rng.generate_range(0..all.len());
+        let (of, to) = all[at].clone();
+        self.count("looks");
+        self.ask(to, Question::Look, Errand::Look { of }, out);
+    }
+
+    fn ask_voters(
+        &mut self,
+        ballot: &Ballot,
+        asks: Vec<(Name, crate::fleet::agreed::Seat, register::Ask)>,
+        out: &mut Vec<Output>,
+    ) {
+        for (from, seat, ask) in asks {
+            let errand = Errand::Vote { from, life: seat.life, ballot: ballot.clone() };
+            self.ask(seat.address, Question::Vote(ask), errand, out);
+        }
+    }
+
+    /// A voter answered a try, or did not.
+    pub(super) fn voted(
+        &mut self,
+        from: &Name,
+        life: Life,
+        ballot: &Ballot,
+        said: Option<&Said>,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(trying) = self.trying.as_mut().filter(|t| t.round.ballot == *ballot) else { return };
+        let (asks, end) = trying.round.heard(from, life, said, &mut self.knows);
+        self.ask_voters(ballot, asks, out);
+        if let Some(end) = end {
+            if let Some(trying) = self.trying.take() {
+                self.tried(trying, end, out);
+            }
+        }
+    }
+
+    fn tried(&mut self, trying: Try, end: End, out: &mut Vec<Output>) {
+        let Try { round, purpose, asked } = trying;
+        match end {
+            End::Agreed(value) => {
+                self.failures = 0;
+                self.count("agreed");
+                self.agreed(purpose, &value, asked, out);
+                self.saw(Some(round.ballot), value);
+            }
+            End::Refused(why, base) => {
+                self.failures = 0;
+                self.count("refused");
+                self.refused(purpose, why, out);
+                // What a majority showed at this ballot is newer than anything seen before.
+                self.saw(Some(round.ballot), base);
+            }
+            End::Outbid(by) => {
+                self.count("outbid");
+                self.highest = self.highest.max(by.map_or(0, |b| b.round));
+                let (doubled, chance) = (self.failures.min(AGAIN_DOUBLED), self.rng.generate::<f64>());
+                let wait = AGAIN * self.settings.lease.lease * f64::from(doubled).exp2();
+                self.again_at = self.now + wait * (0.5 + chance);
+                self.failures += 1;
+            }
+        }
+    }
+
+    fn agreed(&mut self, purpose: Purpose, value: &Agreed, asked: Ms, out: &mut Vec<Output>) {
+        let (me, run) = (self.settings.me.clone(), self.settings.run);
+        let settings = self.settings.lease;
+        match purpose {
+            Purpose::Take(duty) => {
+                let row = value.duties.get(&duty).filter(|row| is_mine(row, &me, run));
+                if let Some(term) = row.map(|row| row.term) {
+                    self.count("terms");
+                    out.push(Output::Info(format!("holds {} in term {}", duty.0, term.0)));
+                    self.hold(&duty, Hold::new(term, asked, self.now, &settings), out);
+                }
+            }
+            Purpose::Renew => {
+                for (duty, hold) in &mut self.holds {
+                    let mine = |row: &&Held| is_mine(row, &me, run) && row.term == hold.term;
+                    if value.duties.get(duty).filter(mine).is_some() {
+                        *hold = Hold::new(hold.term, asked, self.now, &settings);
+                    }
+                }
+            }
+            Purpose::GiveUp(duty) => {
+                let given = self.giving.remove(&duty);
+                self.count("handed over");
+                if let Some(to) = given.and_then(|g| g.to) {
+                    self.ask(to, Question::Nudge { duty }, Errand::Nudge, out);
+                }
+            }
+            Purpose::Voters(call) => self.wish_done(call, Ok(()), out),
+            Purpose::Settle => self.count("settled"),
+        }
+    }
+
+    fn refused(&mut self, purpose: Purpose, why: Refusal, out: &mut Vec<Output>) {
+        match purpose {
+            Purpose::Take(_) => {
+                // Guards against trying the same at once, where what was seen is newer than what is agreed on.
+                self.again_at = self.now + self.settings.lease.gap();
+            }
+            Purpose::Renew => {
+                for duty in self.holds.keys().cloned().collect::<Vec<_>>() {
+                    self.lose(&duty, out);
+                }
+            }
+            Purpose::GiveUp(duty) => {
+                self.giving.remove(&duty);
+            }
+            Purpose::Voters(call) => self.wish_done(call, Err(why), out),
+            Purpose::Settle => self.again_at = self.now + self.settings.lease.gap(),
+        }
+    }
+
+    /// A holder says that it gave a duty up for us: the voters are looked at, at once.
+    pub(super) fn nudged(&mut self, duty: &Duty, out: &mut Vec<Output>) {
+        self.count("nudged");
+        if self.watches.contains_key(duty) {
+            self.again_at = self.now;
+            for (of, to) in self.whom_to_look_at() {
+                self.ask(to, Question::Look, Errand::Look { of }, out);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/member/mod.rs
@@ -0,0 +1,563 @@
+//! One dispatcher's part in the fleet: a voter if its settings say so, a contender for duties, a caller of the roll
+//! or one that answers it. One entry, [`Member::handle`]; what is to be done comes out; [`Member::wants_call_at`]
+//! says when it wants to be called if nothing happens before.
+
+mod beating;
+mod holding;
+mod orders;
+mod voting;
+
+pub use orders::{Order, Reply, RollLine, Status, VoterLine};
+
+use super::acts::{Act, Known, Receiver, Ticket, Verdict};
+use super::agreed::{Agreed, Change, Holder, Life, Voters};
+use super::duties::{Hold, LeaseSettings, Watch};
+use super::register::{self, Ballot, Kept, Knows, Round, Said, Voter};
+use super::rollcall::{Beat, RollCall};
+use super::{Address, Duty, Name, Run, Steady, Term};
+use crate::interface::Ms;
+use nanorand::WyRand;
+use std::collections::BTreeMap;
+
+/// The roll-call's name as a duty.
+pub const ROLL_CALL: &str = "roll-call";
+
+/// What a dispatcher is told of its fleet at its start. Times in milliseconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetSettings {
+    pub me: Name,
+    pub run: Run,
+    /// Where the others reach this dispatcher's fleet service.
+    pub address: Address,
+    pub zone: String,
+    pub label: String,
+    /// The voters of the first start, and whom to ask who votes now.
+    pub voters: BTreeMap<Name, Address>,
+    /// It has a file to vote with.
+    pub may_vote: bool,
+    pub lease: LeaseSettings,
+    /// What is not answered within this is lost.
+    pub answer_within: Ms,
+    /// The least time between two beats.
+    pub beat: Ms,
+    /// The zone whose dispatchers are to call the roll, if there is one.
+    pub prefers: Option<String>,
+    /// Who is told the roll-call, and how often.
+    pub tells: Vec<Address>,
+    pub tell_every: Ms,
+    pub seed: u64,
+}
+
+/// A call that came from outside, as the caller numbers it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallNo(pub u64);
+/// A question that went out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AskNo(pub u64);
+/// A write of the voter's file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SaveNo(pub u64);
+
+/// What members ask each other.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Question {
+    Vote(register::Ask),
+    /// What did you, a voter, take last?
+    Look,
+    /// How many writes of this voter have you heard of?
+    Witness {
+        of: Name,
+        life: Life,
+    },
+    Beat(Beat),
+    /// A duty was given up for you.
+    Nudge {
+        duty: Duty,
+    },
+    Act(Act),
+    Order(Order),
+}
+
+/// What is answered.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    Vote(Said),
+    Seen(Seen),
+    Witnessed { writes: u64 },
+    Heard(BeatHeard),
+    Done,
+    Verdict { verdict: Verdict, ticket: Ticket },
+    Reply(Reply),
+}
+
+/// What a voter shows of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seen {
+    /// None if it is no voter, or has no file that it trusts.
+    pub life: Option<Life>,
+    pub votes: bool,
+    pub founding: Option<Voters>,
+    pub newest: Option<(Ballot, Agreed)>,
+}
+
+/// What a beat is answered with.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BeatHeard {
+    /// It was heard by the holder of the roll-call, of this term; else who that may be.
+    pub heard: bool,
+    pub holder: Option<(Term, Holder)>,
+    /// When the next beat is wanted.
+    pub every: Ms,
+    /// The duties for which the member has a place, and which.
+    pub places: Vec<(Duty, u32)>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// What is in the voter's file; an error is a file that cannot be trusted.
+    Loaded(Result<Option<Kept>, String>),
+    /// A write of the file is over; `lasts`: it lasts for certain.
+    Saved {
+        number: SaveNo,
+        lasts: bool,
+    },
+    Asked {
+        call: CallNo,
+        question: Question,
+    },
+    /// An answer, or none as the one asked was not reached.
+    Answered {
+        ask: AskNo,
+        answer: Option<Answer>,
+    },
+    /// How the dispatcher fares.
+    Fares {
+        ready: bool,
+        load: f64,
+    },
+    Tick,
+    /// Hands over what it holds and contends no more.
+    Stop,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    Ask {
+        ask: AskNo,
+        to: Address,
+        question: Question,
+    },
+    Answer {
+        call: CallNo,
+        answer: Answer,
+    },
+    Save {
+        number: SaveNo,
+        kept: Box<Kept>,
+    },
+    /// A duty is held from now on, or no more.
+    Holds {
+        duty: Duty,
+        term: Term,
+        held: bool,
+    },
+    Warn(String),
+    Info(String),
+    /// What it held is handed over.
+    Stopped,
+}
+
+/// Why a question is out.
+#[derive(Clone, Debug, PartialEq)]
+enum Errand {
+    Vote { from: Name, life: Life, ballot: Ballot },
+    Look { of: Name },
+    /// A look whose answer an order waits for.
+    Inspect { of: Name, call: CallNo },
+    Witness { of: Name },
+    Beat { to: Run },
+    Nudge,
+    Act { to: usize },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Out {
+    errand: Errand,
+    until: Ms,
+}
+
+/// What a try is for.
+#[derive(Clone, Debug, PartialEq)]
+enum Purpose {
+    Take(Duty),
+    Renew,
+    GiveUp(Duty),
+    Voters(CallNo),
+    Settle,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Try {
+    round: Round,
+    purpose: Purpose,
+    asked: Ms,
+}
+
+/// A duty that is being given up: nothing is done in its name any more.
+#[derive(Clone, Debug, PartialEq)]
+struct Giving {
+    hold: Hold,
+    next: Option<Name>,
+    /// Where whoever is named is told.
+    to: Option<Address>,
+}
+
+/// A job of the operators' that wants a duty held for it.
+#[derive(Clone, Debug, PartialEq)]
+struct Job {
+    number: u64,
+    asked: Ms,
+}
+
+/// A change of voters that an operator asked for.
+#[derive(Clone, Debug, PartialEq)]
+struct Wish {
+    call: CallNo,
+    change: Change,
+    until: Ms,
+}
+
+/// A receiver of the roll-call's acts.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Told {
+    known: Known,
+    next: Ms,
+    out: bool,
+    /// Acts that were not answered may still come there before this.
+    unsure_until: Ms,
+}
+
+/// The voter's file.
+#[derive(Clone, Debug, PartialEq)]
+enum File {
+    /// It was not read yet.
+    Unread,
+    /// There is none, and none is wanted.
+    None,
+    Good,
+    /// It cannot be trusted: no voting.
+    Bad(String),
+}
+
+/// One dispatcher in its fleet.
+#[derive(Clone, Debug)]
+pub struct Member {
+    settings: FleetSettings,
+    steady: Steady,
+    now: Ms,
+    rng: WyRand,
+    began: Ms,
+    ready: bool,
+    load: f64,
+    stopping: bool,
+    stopped: bool,
+    // The voter.
+    file: File,
+    voter: Option<Voter>,
+    /// Its file was written at least once, so its life lasts.
+    lasts: bool,
+    saving: Option<SaveNo>,
+    saves: u64,
+    /// Answers for when the write under way, and the one after it, lasts.
+    after_save: Vec<(CallNo, Answer)>,
+    after_next: Vec<(CallNo, Answer)>,
+    next_care: Ms,
+    /// Blank voters of the first start that were heard, and those that confirmed our file.
+    lives: BTreeMap<Name, Life>,
+    confirmed: Vec<Name>,
+    // The proposer.
+    knows: Knows,
+    newest: Option<(Option<Ballot>, Agreed)>,
+    founding: Option<Voters>,
+    highest: u64,
+    trying: Option<Try>,
+    again_at: Ms,
+    failures: u32,
+    wishes: Vec<Wish>,
+    // Duties.
+    watches: BTreeMap<Duty, Watch>,
+    holds: BTreeMap<Duty, Hold>,
+    giving: BTreeMap<Duty, Giving>,
+    jobs: BTreeMap<Duty, Job>,
+    next_look: Ms,
+    // The roll-call.
+    roll: Option<RollCall>,
+    caller: Option<(Term, Holder)>,
+    /// When the caller last heard us.
+    heard: Option<Ms>,
+    next_beat: Ms,
+    every: Ms,
+    told: Vec<Told>,
+    acts: u64,
+    receiver: Receiver,
+    // Questions.
+    asks: u64,
+    out: BTreeMap<AskNo, Out>,
+    inspecting: BTreeMap<CallNo, orders::Inspection>,
+    counts: BTreeMap<&'static str, u64>,
+}
+
+impl Member {
+    pub fn new(settings: FleetSettings) -> Self {
+        let rng = WyRand::new_seed(settings.seed);
+        let receiver = Receiver::new(settings.run, settings.lease.drift);
+        let (told, every) = (vec![Told::default(); settings.tells.len()], settings.beat);
+        Member {
+            steady: Steady::default(),
+            now: 0.0,
+            rng,
+            began: 0.0,
+            ready: false,
+            load: 0.0,
+            stopping: false,
+            stopped: false,
+            file: if settings.may_vote { File::Unread } else { File::None },
+            voter: None,
+            lasts: false,
+            saving: None,
+            saves: 0,
+            after_save: Vec::new(),
+            after_next: Vec::new(),
+            next_care: 0.0,
+            lives: BTreeMap::new(),
+            confirmed: Vec::new(),
+            knows: Knows::default(),
+            newest: None,
+            founding: None,
+            highest: 0,
+            trying: None,
+            again_at: 0.0,
+            failures: 0,
+            wishes: Vec::new(),
+            watches: BTreeMap::new(),
+            holds: BTreeMap::new(),
+            giving: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            next_look: 0.0,
+            roll: None,
+            caller: None,
+            heard: None,
+            next_beat: 0.0,
+            every,
+            told,
+            acts: 0,
+            receiver,
+            asks: 0,
+            out: BTreeMap::new(),
+            inspecting: BTreeMap::new(),
+            counts: BTreeMap::new(),
+            settings,
+        }
+    }
+
+    /// Takes something in at a reading of the clock, and says what is to be done.
+    pub fn handle(&mut self, read: Ms, input: Input, out: &mut Vec<Output>) {
+        let first = self.counts.is_empty();
+        let (now, went_back) = self.steady.take(read);
+        self.now = now;
+        if first {
+            self.begin();
+        }
+        if went_back {
+            self.clock_went_back(out);
+        }
+        // What is over is over before anything else is looked at, however long the process slept.
+        self.drop_ended(out);
+        match input {
+            Input::Loaded(file) => self.loaded(file, out),
+            Input::Saved { number, lasts } => self.saved(number, lasts, out),
+            Input::Asked { call, question } => self.asked(call, question, out),
+            Input::Answered { ask, answer } => {
+                if let Some(asked) = self.out.remove(&ask) {
+                    self.answered(asked.errand, answer, out);
+                }
+            }
+            Input::Fares { ready, load } => (self.ready, self.load) = (ready, load),
+            Input::Tick => {}
+            Input::Stop => self.stopping = true,
+        }
+        self.give_up_waiting(out);
+        self.care_for_voter(out);
+        self.go_on(out);
+        self.beat(out);
+        self.tell(out);
+        self.inspect(out);
+        if self.stopping && !self.stopped && self.holds.is_empty() && self.giving.is_empty() {
+            self.stopped = true;
+            out.push(Output::Stopped);
+        }
+    }
+
+    /// When it wants to be called, on the clock that is read.
+    pub fn wants_call_at(&self) -> Ms {
+        let mut at = f64::INFINITY;
+        let mut sooner = |when: Ms| at = at.min(when);
+        self.out.values().for_each(|o| sooner(o.until));
+        sooner(self.next_beat);
+        self.care_at().into_iter().for_each(&mut sooner);
+        self.go_on_at().into_iter().for_each(&mut sooner);
+        self.tell_at().into_iter().for_each(&mut sooner);
+        self.inspecting.values().for_each(|i| sooner(i.until()));
+        self.steady.reading_at(at.max(self.now))
+    }
+
+    /// The duties held now, with their terms.
+    pub fn held(&self) -> impl Iterator<Item = (&Duty, Term)> {
+        self.holds.iter().filter(|(_, hold)| hold.left(self.now) > 0.0).map(|(duty, hold)| (duty, hold.term))
+    }
+
+    /// How often what happened.
+    pub fn counts(&self) -> &BTreeMap<&'static str, u64> {
+        &self.counts
+    }
+
+    /// The roll-call, where this dispatcher calls it.
+    pub fn roll(&self) -> Option<&RollCall> {
+        self.roll.as_ref()
+    }
+
+    /// The newest value seen, agreed on or not.
+    pub fn newest(&self) -> Option<&Agreed> {
+        self.newest.as_ref().map(|(_, value)| value)
+    }
+
+    fn begin(&mut self) {
+        use nanorand::Rng;
+        self.count("starts");
+        (self.began, self.next_look) = (self.now, self.now);
+        // Hundreds that start at once do not beat at once.
+        let phase: f64 = self.rng.generate();
+        self.next_beat = self.now + phase * self.settings.beat;
+        self.watches.insert(Duty::from(ROLL_CALL), Watch::new(self.now, &mut self.rng));
+    }
+
+    fn count(&mut self, what: &'static str) {
+        *self.counts.entry(what).or_default() += 1;
+    }
+
+    /// Guards against a clock that is set back: what was counted on it would last too long.
+    fn clock_went_back(&mut self, out: &mut Vec<Output>) {
+        self.count("clock went back");
+        self.receiver.clock_went_back();
+        if super::planted::is(super::planted::Plant::ClockBackUnnoticed) {
+            return;
+        }
+        out.push(Output::Warn("the clock went back: no lease that was asked for before counts".to_owned()));
+        let now = self.now;
+        self.holds.values_mut().chain(self.giving.values_mut().map(|g| &mut g.hold)).for_each(|h| h.until = now);
+        self.trying = None;
+    }
+
+    fn ask(&mut self, to: Address, question: Question, errand: Errand, out: &mut Vec<Output>) {
+        self.asks += 1;
+        let ask = AskNo(self.asks);
+        self.out.insert(ask, Out { errand, until: self.now + self.settings.answer_within });
+        out.push(Output::Ask { ask, to, question });
+    }
+
+    fn asked(&mut self, call: CallNo, question: Question, out: &mut Vec<Output>) {
+        let answer = match question {
+            Question::Vote(ask) => return self.vote(call, &ask, out),
+            Question::Look => Answer::Seen(self.seen()),
+            Question::Witness { of, life } => {
+                let who = (of, life);
+                let kept = self.voter.as_ref().and_then(|v| v.kept.heard.get(&who)).copied();
+                let writes = kept.unwrap_or(0).max(self.knows.heard.get(&who).copied().unwrap_or(0));
+                Answer::Witnessed { writes }
+            }
+            Question::Beat(beat) => Answer::Heard(self.hear(beat)),
+            Question::Nudge { duty } => {
+                self.nudged(&duty, out);
+                Answer::Done
+            }
+            Question::Act(act) => {
+                let verdict = self.receiver.receive(self.now, &act);
+                Answer::Verdict { verdict, ticket: self.receiver.ticket(self.now) }
+            }
+            Question::Order(order) => return self.order(call, order, out),
+        };
+        out.push(Output::Answer { call, answer });
+    }
+
+    fn answered(&mut self, errand: Errand, answer: Option<Answer>, out: &mut Vec<Output>) {
+        match (errand, answer) {
+            (Errand::Vote { from, life, ballot }, answer) => {
+                let said = match &answer {
+                    Some(Answer::Vote(said)) => Some(said),
+                    _ => None,
+                };
+                self.voted(&from, life, &ballot, said, out);
+            }
+            (Errand::Look { of }, Some(Answer::Seen(seen))) => self.looked(&of, seen, out),
+            (Errand::Inspect { of, call }, answer) => {
+                let seen = match answer {
+                    Some(Answer::Seen(seen)) => Some(seen),
+                    _ => None,
+                };
+                if let Some(seen) = &seen {
+                    self.looked(&of, seen.clone(), out);
+                }
+                self.inspected(call, &of, seen, out);
+            }
+            (Errand::Witness { of }, Some(Answer::Witnessed { writes })) => self.witnessed(of, writes, out),
+            (Errand::Beat { to }, answer) => {
+                let heard = match answer {
+                    Some(Answer::Heard(heard)) => Some(heard),
+                    _ => None,
+                };
+                self.beat_answered(to, heard, out);
+            }
+            (Errand::Act { to }, answer) => {
+                let verdict = match answer {
+                    Some(Answer::Verdict { verdict, ticket }) => Some((verdict, ticket)),
+                    _ => None,
+                };
+                self.told(to, verdict);
+            }
+            (Errand::Look { .. } | Errand::Witness { .. } | Errand::Nudge, _) => {}
+        }
+    }
+
+    /// What was not answered in time is lost.
+    fn give_up_waiting(&mut self, out: &mut Vec<Output>) {
+        let late = |o: &Out| o.until <= self.now;
+        let lost: Vec<AskNo> = self.out.iter().filter(|(_, o)| late(o)).map(|(ask, _)| *ask).collect();
+        for ask in lost {
+            if let Some(asked) = self.out.remove(&ask) {
+                self.count("unanswered");
+                self.answered(asked.errand, None, out);
+            }
+        }
+    }
+
+    /// The voters as known: by the newest value, else those of the first start.
+    fn view(&self) -> Option<&Voters> {
+        let founding = self.voter.as_ref().and_then(|v| v.kept.founding.as_ref()).or(self.founding.as_ref());
+        self.newest.as_ref().map(|(_, value)| &value.voters).or(founding)
+    }
+
+    /// Where to ask who votes: the voters as known, and those of the settings.
+    fn whom_to_look_at(&self) -> BTreeMap<Name, Address> {
+        let mut all = self.settings.voters.clone();
+        if let Some(view) = self.view() {
+            all.extend(view.all().into_iter().map(|(name, seat)| (name, seat.address)));
+        }
+        all.remove(&self.settings.me);
+        all
+    }
+
+    fn me(&self) -> Holder {
+        let FleetSettings { me, run, address, .. } = &self.settings;
+        Holder { name: me.clone(), run: *run, address: address.clone() }
+    }
+}
--- /dev/null
+++ b/src/fleet/member/orders.rs
@@ -0,0 +1,327 @@
+//! What operators ask: who is there, who holds what, changes of voters, duties for their own jobs.
+
+use super::*;
+use crate::fleet::agreed::{Refusal, Seat};
+use crate::fleet::duties::holder_of;
+use crate::fleet::rollcall::Standing;
+
+/// An operator's wish, at any dispatcher.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    Status,
+    /// Gives the duty to another: to `to`, or to whoever comes next.
+    HandOver { duty: Duty, to: Option<Name> },
+    /// The address may be left out for a member that the roll-call knows.
+    AddVoter { name: Name, address: Option<Address> },
+    RemoveVoter { name: Name },
+    /// Wants the duty held for a job, or goes on to.
+    Hold { duty: Duty, job: u64 },
+    /// The job is over.
+    LetGo { duty: Duty, job: u64 },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    Status(Box<Status>),
+    /// Done, in words.
+    Done(String),
+    /// Not done, and why.
+    No(String),
+    /// Ask there: whoever is there can do it.
+    Elsewhere(Address),
+    /// The duty is held in this term for so long, counted from before it was asked for; none yet.
+    Holds { term: Option<Term>, good_for: Ms },
+}
+
+/// A voter, as it was asked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct VoterLine {
+    pub name: Name,
+    pub address: Address,
+    pub answers: bool,
+    pub votes: bool,
+    /// What it took last is of this version.
+    pub version: u64,
+}
+
+/// A member, as the roll-call has it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RollLine {
+    pub name: Name,
+    pub zone: String,
+    pub label: String,
+    pub standing: Standing,
+    pub ready: bool,
+    pub up: Ms,
+    pub age: Ms,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Status {
+    pub by: Option<Name>,
+    /// A majority of the voters answered.
+    pub majority: bool,
+    pub generation: u64,
+    pub changing: bool,
+    pub version: u64,
+    pub voters: Vec<VoterLine>,
+    pub duties: Vec<(Duty, Term, Option<Holder>)>,
+    /// Whether this dispatcher calls the roll, and for how long it has.
+    pub roll_for: Option<Ms>,
+    pub roll: Vec<RollLine>,
+    /// Where the roll is called, if elsewhere.
+    pub caller: Option<Address>,
+}
+
+/// Voters that are being looked at for an order.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Inspection {
+    asked: BTreeMap<Name, Address>,
+    found: BTreeMap<Name, Option<Seen>>,
+    until: Ms,
+    wish: Option<(Name, Address)>,
+}
+
+impl Inspection {
+    pub(super) fn until(&self) -> Ms {
+        self.until
+    }
+}
+
+/// An order is answered within this, whatever is not there.
+const WITHIN: Ms = 800.0;
+/// Jobs that one dispatcher holds duties for.
+const MOST_JOBS: usize = 32;
+/// Longest name of a duty or of a member.
+pub const LONGEST_NAME: usize = 64;
+
+impl Member {
+    pub(super) fn order(&mut self, call: CallNo, order: Order, out: &mut Vec<Output>) {
+        let reply = match order {
+            Order::Status => {
+                let all = self.whom_to_look_at();
+                return self.begin_inspection(call, all, None, out);
+            }
+            Order::HandOver { duty, to } => self.order_hand_over(&duty, to, out),
+            Order::AddVoter { name, address } => {
+                let known = self.roll.as_ref().and_then(|roll| roll.address(&name)).cloned();
+                let own = (name == self.settings.me).then(|| self.settings.address.clone());
+                match address.or(known).or(own).or(self.settings.voters.get(&name).cloned()) {
+                    Some(address) => {
+                        let all = BTreeMap::from([(name.clone(), address.clone())]);
+                        return self.begin_inspection(call, all, Some((name, address)), out);
+                    }
+                    None => match self.caller.as_ref().filter(|(_, h)| h.name != self.settings.me) {
+                        Some((_, holder)) => Reply::Elsewhere(holder.address.clone()),
+                        None => Reply::No(format!("nobody knows where {} is: name its address", name.0)),
+                    },
+                }
+            }
+            Order::RemoveVoter { name } => return self.wish(call, Change::RemoveVoter { name }),
+            Order::Hold { duty, job } => self.order_hold(duty, job),
+            Order::LetGo { duty, job } => {
+                if self.jobs.get(&duty).is_some_and(|j| j.number == job) {
+                    self.let_go(&duty, out);
+                }
+                Reply::Done(format!("{} let go", duty.0))
+            }
+        };
+        out.push(Output::Answer { call, answer: Answer::Reply(reply) });
+    }
+
+    fn order_hand_over(&mut self, duty: &Duty, to: Option<Name>, out: &mut Vec<Output>) -> Reply {
+        if self.holds.contains_key(duty) {
+            let roll = self.roll.as_ref();
+            let first = || roll.and_then(|roll| roll.first_for(duty)).cloned();
+            let Some(next) = to.or_else(first) else {
+                return Reply::No(format!("nobody is known that could hold {}", duty.0));
+            };
+            if next == self.settings.me {
+                return Reply::No(format!("{} holds {} already", next.0, duty.0));
+            }
+            if roll.is_some_and(|roll| roll.address(&next).is_none()) {
+                return Reply::No(format!("the roll-call knows no {}", next.0));
+            }
+            self.hand_over(duty, Some(next.clone()), out);
+            return Reply::Done(format!("{} is given up for {}", duty.0, next.0));
+        }
+        let newest = self.newest();
+        let row = newest.and_then(|value| value.duties.get(duty));
+        match (newest.and_then(|value| holder_of(value, duty)), row) {
+            (Some((_, holder)), _) if holder.run != self.settings.run => {
+                Reply::Elsewhere(holder.address.clone())
+            }
+            (_, Some(_)) => Reply::No(format!("nobody holds {} now", duty.0)),
+            (_, None) => Reply::No(format!("there is no duty {}", duty.0)),
+        }
+    }
+
+    fn order_hold(&mut self, duty: Duty, job: u64) -> Reply {
+        if duty.0.as_ref() == ROLL_CALL {
+            return Reply::No(format!("{ROLL_CALL} is the dispatchers' own"));
+        }
+        if duty.0.is_empty() || duty.0.len() > LONGEST_NAME {
+            return Reply::No(format!("a duty's name has 1 to {LONGEST_NAME} bytes"));
+        }
+        if self.stopping {
+            return Reply::No("this dispatcher stops".to_owned());
+        }
+        let (now, full) = (self.now, self.jobs.len() >= MOST_JOBS);
+        match self.jobs.get_mut(&duty) {
+            Some(other) if other.number != job => {
+                return Reply::No(format!("{} is wanted here by another job", duty.0));
+            }
+            Some(same) => same.asked = now,
+            None if full => return Reply::No(format!("{MOST_JOBS} jobs are held for here already")),
+            None => {
+                self.jobs.insert(duty.clone(), Job { number: job, asked: now });
+                self.watches.insert(duty.clone(), Watch::new(now, &mut self.rng));
+                // Whoever asks first for a new duty comes first.
+                if let Some(watch) = self.watches.get_mut(&duty) {
+                    watch.place = Some(0);
+                }
+                self.next_look = now;
+            }
+        }
+        match self.holds.get(&duty).filter(|hold| hold.left(now) > 0.0) {
+            Some(hold) => Reply::Holds { term: Some(hold.term), good_for: hold.left(now) },
+            None => Reply::Holds { term: None, good_for: 0.0 },
+        }
+    }
+
+    fn begin_inspection(
+        &mut self,
+        call: CallNo,
+        asked: BTreeMap<Name, Address>,
+        wish: Option<(Name, Address)>,
+        out: &mut Vec<Output>,
+    ) {
+        let until = self.now + WITHIN;
+        let inspection = Inspection { asked: asked.clone(), found: BTreeMap::new(), until, wish };
+        self.inspecting.insert(call, inspection);
+        for (of, to) in asked {
+            if of == self.settings.me {
+                let seen = self.seen();
+                self.inspected(call, &of, Some(seen), out);
+            } else {
+                self.ask(to, Question::Look, Errand::Inspect { of, call }, out);
+            }
+        }
+    }
+
+    pub(super) fn inspected(&mut self, call: CallNo, of: &Name, seen: Option<Seen>, _: &mut [Output]) {
+        if let Some(inspection) = self.inspecting.get_mut(&call) {
+            inspection.found.insert(of.clone(), seen);
+        }
+    }
+
+    /// Answers the orders whose voters have been looked at.
+    pub(super) fn inspect(&mut self, out: &mut Vec<Output>) {
+        let now = self.now;
+        let over = |i: &Inspection| i.found.len() >= i.asked.len() || now >= i.until;
+        let ended: Vec<CallNo> =
+            self.inspecting.iter().filter(|(_, i)| over(i)).map(|(call, _)| *call).collect();
+        for call in ended {
+            let Some(inspection) = self.inspecting.remove(&call) else { continue };
+            let reply = match &inspection.wish {
+                None => Reply::Status(Box::new(self.status(&inspection))),
+                Some((name, address)) => {
+                    let life = inspection.found.get(name).and_then(|seen| seen.as_ref()?.life);
+                    let Some(life) = life else {
+                        let why = format!("{} does not answer as a voter at {}", name.0, address.0);
+                        out.push(Output::Answer { call, answer: Answer::Reply(Reply::No(why)) });
+                        continue;
+                    };
+                    let seat = Seat { life, address: address.clone() };
+                    self.wish(call, Change::AddVoter { name: name.clone(), seat });
+                    self.go_on(out);
+                    continue;
+                }
+            };
+            out.push(Output::Answer { call, answer: Answer::Reply(reply) });
+        }
+    }
+
+    /// What this dispatcher can tell of the fleet.
+    fn status(&self, inspection: &Inspection) -> Status {
+        let newest = self.newest();
+        let view = self.view();
+        let seats = view.map(Voters::all).unwrap_or_default();
+        let line = |(name, address): (&Name, &Address)| {
+            let seen = match *name == self.settings.me {
+                true => Some(self.seen()),
+                false => inspection.found.get(name).cloned().flatten(),
+            };
+            let life = seats.get(name).map(|seat| seat.life);
+            let (answers, voted) = (seen.is_some(), seen.as_ref().and_then(|s| s.newest.as_ref()));
+            let version = voted.map_or(0, |(_, value)| value.version);
+            let votes = seen.as_ref().is_some_and(|s| s.votes && s.life == life && life.is_some());
+            VoterLine { name: name.clone(), address: address.clone(), answers, votes, version }
+        };
+        let voters: Vec<VoterLine> = match seats.is_empty() {
+            false => seats.iter().map(|(name, seat)| line((name, &seat.address))).collect(),
+            true => self.settings.voters.iter().map(line).collect(),
+        };
+        let answered = |name: &Name, _: &Seat| voters.iter().any(|v| v.name == *name && v.votes);
+        let duty = |(duty, row): (&Duty, &super::super::agreed::Held)| {
+            (duty.clone(), row.term, row.holder.clone())
+        };
+        let least = self.settings.beat;
+        let roll = self.roll.as_ref();
+        let member = |(name, member): (&Name, &crate::fleet::rollcall::Member)| RollLine {
+            name: name.clone(),
+            zone: member.beat.zone.clone(),
+            label: member.beat.label.clone(),
+            standing: roll.map_or(Standing::Out, |roll| roll.standing(self.now, member, least)),
+            ready: member.beat.ready,
+            up: member.beat.up + self.now - member.heard,
+            age: self.now - member.heard,
+        };
+        Status {
+            by: Some(self.settings.me.clone()),
+            majority: view.is_some_and(|view| view.majority(answered)),
+            generation: view.map_or(0, |view| view.generation),
+            changing: view.is_some_and(|view| view.before.is_some()),
+            version: newest.map_or(0, |value| value.version),
+            voters,
+            duties: newest.iter().flat_map(|value| value.duties.iter()).map(duty).collect(),
+            roll_for: roll.map(|roll| self.now - roll.since),
+            roll: roll.iter().flat_map(|roll| roll.members()).map(member).collect(),
+            caller: self.caller.as_ref().filter(|(_, h)| h.run != self.settings.run).map(|(_, h)| h.address.clone()),
+        }
+    }
+
+    fn wish(&mut self, call: CallNo, change: Change) {
+        let until = self.now + WITHIN;
+        self.wishes.push(Wish { call, change, until });
+    }
+
+    pub(super) fn wish_done(&mut self, call: CallNo, done: Result<(), Refusal>, out: &mut Vec<Output>) {
+        let Some(at) = self.wishes.iter().position(|w| w.call == call) else { return };
+        let wish = self.wishes.remove(at);
+        let (name, what) = match &wish.change {
+            Change::AddVoter { name, .. } => (name.0.clone(), "votes from now on"),
+            Change::RemoveVoter { name } => (name.0.clone(), "votes no more"),
+            _ => return,
+        };
+        let reply = match done {
+            Ok(()) => Reply::Done(format!("{name} {what}")),
+            Err(Refusal::Changing) => Reply::No("another change of voters is under way".to_owned()),
+            Err(Refusal::AlreadySo) => Reply::No(format!("{name} {what} already, or is none")),
+            Err(Refusal::TooFew) => Reply::No("fewer than 3 voters would be left: add one first".to_owned()),
+            Err(Refusal::TooMany) => Reply::No("7 voters are the most: remove one first".to_owned()),
+            Err(Refusal::Moved | Refusal::Nothing) => Reply::No("nothing was changed".to_owned()),
+        };
+        out.push(Output::Answer { call, answer: Answer::Reply(reply) });
+    }
+
+    pub(super) fn wishes_too_late(&mut self, out: &mut Vec<Output>) {
+        let now = self.now;
+        let late: Vec<CallNo> = self.wishes.iter().filter(|w| w.until <= now).map(|w| w.call).collect();
+        for call in late {
+            self.wishes.retain(|w| w.call != call);
+            let why = "no majority of the voters answers; it may still have been done: look again".to_owned();
+            out.push(Output::Answer { call, answer: Answer::Reply(Reply::No(why)) });
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/planted.rs
@@ -0,0 +1,75 @@
+//! Faults that tests plant, one at a time and for one thread, to see that they are found. Without the feature
+//! `planted` there are none, and nothing is looked up.
+
+/// A fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plant {
+    /// A voter answers before what it says lasts.
+    SaidBeforeKept,
+    /// A process that starts again uses the ballots of the one before.
+    BallotAgain,
+    /// The lease is counted from the answer, not from before it was asked for.
+    LeaseFromAnswer,
+    /// A duty is taken without waiting for its holder's lease.
+    NoWait,
+    /// The term stays when the holder changes.
+    TermKept,
+    /// A receiver obeys an older term.
+    OldTermObeyed,
+    /// A receiver that started again obeys whatever comes.
+    ReceiverForgot,
+    /// The voters are changed while a change is under way, and without the voters of before.
+    TwoChanges,
+    /// A holder does not look at what is left of its lease when it acts.
+    PauseUnnoticed,
+    /// A voter takes a value of a ballot lower than it promised.
+    PromiseBroken,
+    /// A proposer puts its own value in place of the one that was taken.
+    ValueOverlooked,
+    /// A voter that lost its file votes under its old name.
+    LossUnnoticed,
+    /// A contender counts the time that it slept through as waited.
+    SleptWaiting,
+    /// A clock that went back leaves a lease as it was.
+    ClockBackUnnoticed,
+}
+
+impl Plant {
+    pub const ALL: [Plant; 14] = [
+        Plant::SaidBeforeKept,
+        Plant::BallotAgain,
+        Plant::LeaseFromAnswer,
+        Plant::NoWait,
+        Plant::TermKept,
+        Plant::OldTermObeyed,
+        Plant::ReceiverForgot,
+        Plant::TwoChanges,
+        Plant::PauseUnnoticed,
+        Plant::PromiseBroken,
+        Plant::ValueOverlooked,
+        Plant::LossUnnoticed,
+        Plant::SleptWaiting,
+        Plant::ClockBackUnnoticed,
+    ];
+}
+
+#[cfg(feature = "planted")]
+thread_local! {
+    static PLANTED: std::cell::Cell<Option<Plant>> = const { std::cell::Cell::new(None) };
+}
+
+/// Plants a fault in all that this thread runs, or takes it out.
+#[cfg(feature = "planted")]
+pub fn plant(plant: Option<Plant>) {
+    PLANTED.set(plant);
+}
+
+#[cfg(feature = "planted")]
+pub fn is(plant: Plant) -> bool {
+    PLANTED.get() == Some(plant)
+}
+
+#[cfg(not(feature = "planted"))]
+pub const fn is(_: Plant) -> bool {
+    false
+}
--- /dev/null
+++ b/src/fleet/rollcall.rs
@@ -0,0 +1,171 @@
+//! The roll-call: who is there, as the one dispatcher that holds this duty hears it from the others' beats.
+
+use super::agreed::Holder;
+use super::duties::{places, Fit};
+use super::{Address, Duty, Name, Run};
+use crate::interface::Ms;
+use std::collections::BTreeMap;
+
+/// What a dispatcher says of itself in a beat.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Beat {
+    pub who: Holder,
+    pub zone: String,
+    /// The version that it runs, or another label of its operators'.
+    pub label: String,
+    /// How long it has run.
+    pub up: Ms,
+    pub ready: bool,
+    pub stopping: bool,
+    pub load: f64,
+    pub holds: u32,
+}
+
+/// How a member stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// Heard in time.
+    In,
+    /// Not heard for several beats.
+    Suspected,
+    /// Not heard for long, or it said that it stops and went silent.
+    Out,
+    /// Heard again lately, as another process or after a silence.
+    Back,
+}
+
+/// A member, as heard.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    pub beat: Beat,
+    /// When it was heard last, and since when it has been heard without a gap.
+    pub heard: Ms,
+    pub since: Ms,
+    /// It was out or had another run before.
+    again: bool,
+}
+
+/// Beats that may be missing before a member is suspected, and before it is out.
+const SUSPECTED_AFTER: f64 = 3.0;
+const OUT_AFTER: f64 = 10.0;
+/// A member counts as back for this many beats.
+const BACK_FOR: f64 = 10.0;
+/// Beats a second that the holder hears at most; with more members each beats less often.
+const MOST_BEATS_PER_S: f64 = 500.0;
+/// Members that are kept in the view; one more is not taken in.
+pub const MOST_MEMBERS: usize = 8192;
+/// Members that have been out for this many beats are forgotten.
+const FORGOTTEN_AFTER: f64 = 600.0;
+
+/// The fleet's one view.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RollCall {
+    members: BTreeMap<Name, Member>,
+    /// Since when this dispatcher calls the roll.
+    pub since: Ms,
+    duties: BTreeMap<Duty, BTreeMap<Name, u32>>,
+    placed: Option<Ms>,
+}
+
+impl RollCall {
+    pub fn begin(now: Ms) -> Self {
+        RollCall { since: now, ..RollCall::default() }
+    }
+
+    /// How long members wait between two beats.
+    pub fn beat_every(&self, least: Ms) -> Ms {
+        least.max(self.members.len() as f64 * 1000.0 / MOST_BEATS_PER_S)
+    }
+
+    /// Takes a beat in.
+    pub fn heard(&mut self, now: Ms, beat: Beat, least: Ms) {
+        let every = self.beat_every(least);
+        let full = self.members.len() >= MOST_MEMBERS;
+        match self.members.get_mut(&beat.who.name) {
+            Some(member) => {
+                let other = member.beat.who.run != beat.who.run;
+                if other || now - member.heard > OUT_AFTER * every {
+                    (member.since, member.again) = (now, true);
+                }
+                (member.heard, member.beat) = (now, beat);
+            }
+            None if full => {}
+            None => {
+                let member = Member { heard: now, since: now, again: false, beat };
+                self.members.insert(member.beat.who.name.clone(), member);
+            }
+        }
+    }
+
+    pub fn standing(&self, now: Ms, member: &Member, least: Ms) -> Standing {
+        let every = self.beat_every(least);
+        let silent = now - member.heard;
+        let gone = member.beat.stopping && silent > SUSPECTED_AFTER * every;
+        if silent > OUT_AFTER * every || gone {
+            Standing::Out
+        } else if silent > SUSPECTED_AFTER * every {
+            Standing::Suspected
+        } else if member.again && now - member.since <= BACK_FOR * every {
+            Standing::Back
+        } else {
+            Standing::In
+        }
+    }
+
+    /// All members, by name.
+    pub fn members(&self) -> impl Iterator<Item = (&Name, &Member)> {
+        self.members.iter()
+    }
+
+    pub fn address(&self, name: &Name) -> Option<&Address> {
+        self.members.get(name).map(|m| &m.beat.who.address)
+    }
+
+    /// How many stand so: in, suspected, out, back.
+    pub fn counts(&self, now: Ms, least: Ms) -> BTreeMap<Standing, u32> {
+        let mut counts = BTreeMap::new();
+        for member in self.members.values() {
+            *counts.entry(self.standing(now, member, least)).or_insert(0) += 1;
+        }
+        counts
+    }
+
+    /// Who may hold each duty next; worked out anew once a beat, and those that are long gone are forgotten.
+    pub fn place(&mut self, now: Ms, least: Ms, duties: &[(Duty, Option<String>, Option<Name>)]) {
+        let every = self.beat_every(least);
+        if self.placed.is_some_and(|at| now - at < every) {
+            return;
+        }
+        self.placed = Some(now);
+        self.members.retain(|_, member| now - member.heard <= FORGOTTEN_AFTER * every);
+        let fit = |member: &Member| Fit {
+            ready: member.beat.ready && !member.beat.stopping,
+            zone: member.beat.zone.clone(),
+            load: member.beat.load,
+            holds: member.beat.holds,
+        };
+        let there = || {
+            let stands = |m: &Member| matches!(self.standing(now, m, least), Standing::In | Standing::Back);
+            self.members.iter().filter(move |(_, m)| stands(m)).map(|(name, m)| (name, fit(m)))
+        };
+        let placed = duties.iter().map(|(duty, prefers, holder)| {
+            (duty.clone(), places(duty, prefers.as_deref(), holder.as_ref(), there()))
+        });
+        self.duties = placed.collect();
+    }
+
+    /// A member's place for a duty, if it has one.
+    pub fn place_of(&self, duty: &Duty, name: &Name) -> Option<u32> {
+        self.duties.get(duty)?.get(name).copied()
+    }
+
+    /// Who comes first for a duty.
+    pub fn first_for(&self, duty: &Duty) -> Option<&Name> {
+        self.duties.get(duty)?.iter().min_by_key(|(_, place)| **place).map(|(name, _)| name)
+    }
+
+    /// Whether a process of a member was heard.
+    pub fn has(&self, name: &Name, run: Run) -> bool {
+        self.members.get(name).is_some_and(|m| m.beat.who.run == run)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod callers;
 pub mod channels;
 pub mod control;
+pub mod fleet;
 pub mod interface;
 pub mod single;
 pub mod status;
