--- /dev/null
+++ b/crates/cindercleat-cli/src/fleet.rs
@@ -0,0 +1,325 @@
+//! `cindercleat fleet`: what operators see and do of a fleet's duties.
+
+use crate::serve::block_on;
+use cindercleat::fleet::member::{Order, Reply, Status};
+use cindercleat::fleet::rollcall::Standing;
+use cindercleat::fleet::{Address, Duty, Name};
+use cindercleat_fleet::ask::order;
+use cindercleat_net::{Clock, SystemClock, Tcp};
+use clap::{Args, Subcommand};
+use rustix::process::{kill_process, Pid, Signal};
+use std::hash::{BuildHasher, RandomState};
+use std::io;
+use std::process::Child;
+
+#[derive(Args, Debug)]
+pub struct FleetArgs {
+    /// A dispatcher's fleet address; any one will do. More are tried in turn.
+    #[arg(long, required = true, global = false)]
+    at: Vec<String>,
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand, Debug)]
+enum What {
+    /// Voters, duties with their terms, the roll-call.
+    Status {
+        #[arg(long)]
+        json: bool,
+    },
+    /// Gives a duty to another dispatcher, or to whoever comes next.
+    HandOver { duty: String, to: Option<String> },
+    /// Changes who votes, one at a time.
+    Voters {
+        #[command(subcommand)]
+        change: Change,
+    },
+    /// Holds a duty, prints its term, and keeps it until told to stop; or runs a command only while it is held.
+    Hold {
+        duty: String,
+        /// The command, after `--`. It finds the term in CINDERCLEAT_TERM.
+        #[arg(last = true)]
+        command: Vec<String>,
+    },
+}
+
+#[derive(Subcommand, Debug)]
+enum Change {
+    /// Lets a dispatcher vote that has a voter's file. Its address can be left out if the roll-call knows it.
+    Add {
+        name: String,
+        address: Option<String>,
+    },
+    Remove {
+        name: String,
+    },
+}
+
+/// An order is answered within this, or nobody is there.
+const WITHIN: f64 = 950.0;
+/// How often a duty that is not held yet is asked for, and in which part of a lease one that is.
+const AGAIN: f64 = 50.0;
+const AGAIN_PART: f64 = 0.25;
+/// A command is told to end when so much of what is sure is left, and killed when this much is.
+const END_AT: f64 = 0.45;
+const KILL_AT: f64 = 0.15;
+
+/// Tells whether it was done.
+///
+/// # Errors
+/// The runtime's, or a command that does not start.
+pub fn run(args: FleetArgs) -> io::Result<bool> {
+    block_on(async {
+        let clock = SystemClock::system();
+        match args.what {
+            What::Hold { duty, command } => hold(&clock, &args.at, &duty, &command).await,
+            What::Status { json } => status(&clock, &args.at, json).await,
+            What::HandOver { duty, to } => {
+                let to = to.as_deref().map(Name::from);
+                say(give(&clock, &args.at, &Order::HandOver { duty: Duty::from(duty.as_str()), to }).await)
+            }
+            What::Voters { change: Change::Add { name, address } } => {
+                let address = address.as_deref().map(Address::from);
+                say(give(&clock, &args.at, &Order::AddVoter { name: Name::from(name.as_str()), address })
+                    .await)
+            }
+            What::Voters { change: Change::Remove { name } } => {
+                say(give(&clock, &args.at, &Order::RemoveVoter { name: Name::from(name.as_str()) }).await)
+            }
+        }
+    })
+}
+
+/// Gives an order to the first dispatcher that answers.
+async fn give(clock: &SystemClock, at: &[String], what: &Order) -> Result<Reply, String> {
+    let mut why = String::new();
+    for address in at {
+        match order(&Tcp, clock, address, what, WITHIN).await {
+            Ok(reply) => return Ok(reply),
+            Err(problem) => why = problem,
+        }
+    }
+    Err(why)
+}
+
+fn say(reply: Result<Reply, String>) -> io::Result<bool> {
+    match reply {
+        Ok(Reply::Done(words)) => {
+            println!("{words}");
+            Ok(true)
+        }
+        Ok(Reply::No(why)) | Err(why) => {
+            eprintln!("cindercleat: {why}");
+            Ok(false)
+        }
+        Ok(_) => Err(io::Error::other("another answer than was asked for")),
+    }
+}
+
+async fn status(clock: &SystemClock, at: &[String], json: bool) -> io::Result<bool> {
+    let found = match give(clock, at, &Order::Status).await {
+        Ok(Reply::Status(status)) => *status,
+        Ok(_) => return Err(io::Error::other("another answer than was asked for")),
+        Err(why) => return say(Err(why)),
+    };
+    // The roll is where it is called.
+    let mut full = found.clone();
+    if let Some(caller) = &found.caller {
+        let there = [caller.0.to_string()];
+        if let Ok(Reply::Status(status)) = give(clock, &there, &Order::Status).await {
+            (full.roll, full.roll_for) = (status.roll, status.roll_for);
+        }
+    }
+    if json {
+        println!("{}", as_json(&full));
+    } else {
+        print!("{}", as_text(&full));
+    }
+    if !full.majority {
+        eprintln!("cindercleat: no majority of the voters answers: what is shown may be old");
+    }
+    Ok(full.majority)
+}
+
+fn standing(standing: Standing) -> &'static str {
+    match standing {
+        Standing::In => "in",
+        Standing::Suspected => "suspected",
+        Standing::Out => "out",
+        Standing::Back => "back",
+    }
+}
+
+fn as_json(status: &Status) -> serde_json::Value {
+    use serde_json::json;
+    let voters = status.voters.iter().map(|v| {
+        json!({"name": *v.name.0, "address": *v.address.0, "answers": v.answers, "votes": v.votes, "version": v.version})
+    });
+    let duties = status.duties.iter().map(|(duty, term, holder)| {
+        let name = holder.as_ref().map(|h| h.name.0.to_string());
+        let address = holder.as_ref().map(|h| h.address.0.to_string());
+        json!({"duty": *duty.0, "term": term.0, "holder": name, "address": address})
+    });
+    let roll = status.roll.iter().map(|l| {
+        json!({
+            "name": *l.name.0, "zone": l.zone, "label": l.label, "standing": standing(l.standing),
+            "ready": l.ready, "up_ms": l.up, "age_ms": l.age
+        })
+    });
+    json!({
+        "by": status.by.as_ref().map(|n| n.0.to_string()),
+        "majority": status.majority,
+        "generation": status.generation,
+        "changing": status.changing,
+        "version": status.version,
+        "voters": voters.collect::<Vec<_>>(),
+        "duties": duties.collect::<Vec<_>>(),
+        "roll_for_ms": status.roll_for,
+        "roll": roll.collect::<Vec<_>>(),
+    })
+}
+
+fn as_text(status: &Status) -> String {
+    let mut out = format!(
+        "voters (generation {}{}), {}\n",
+        status.generation,
+        if status.changing { ", changing" } else { "" },
+        if status.majority { "a majority answers" } else { "NO MAJORITY ANSWERS" }
+    );
+    for v in &status.voters {
+        let state = match (v.answers, v.votes) {
+            (true, true) => "votes",
+            (true, false) => "does not vote",
+            (false, _) => "does not answer",
+        };
+        out += &format!("  {:<20} {:<22} {:<16} version {}\n", v.name.0, v.address.0, state, v.version);
+    }
+    out += "duties\n";
+    for (duty, term, holder) in &status.duties {
+        let holder =
+            holder.as_ref().map_or("nobody".to_owned(), |h| format!("{} at {}", h.name.0, h.address.0));
+        out += &format!("  {:<20} term {:<6} {holder}\n", duty.0, term.0);
+    }
+    match status.roll_for {
+        Some(ms) => out += &format!("roll, called for {:.1} s\n", ms / 1000.0),
+        None => out += "roll: nobody who calls it answers\n",
+    }
+    for l in &status.roll {
+        out += &format!(
+            "  {:<20} {:<10} {:<12} {:<10} {:<10} up {:.0} s, heard {:.0} ms ago\n",
+            l.name.0,
+            l.zone,
+            l.label,
+            standing(l.standing),
+            if l.ready { "ready" } else { "not ready" },
+            l.up / 1000.0,
+            l.age
+        );
+    }
+    out
+}
+
+/// Tells a child of ours something; one that has ended by itself cannot be told.
+fn signal(child: &Child, what: Signal) {
+    if let Some(pid) = i32::try_from(child.id()).ok().and_then(Pid::from_raw) {
+        let _ = kill_process(pid, what);
+    }
+}
+
+/// Holds a duty until a signal, the command's end, or its loss.
+async fn hold(clock: &SystemClock, at: &[String], duty: &str, command: &[String]) -> io::Result<bool> {
+    let stop = crate::serve::ends()?;
+    tokio::pin!(stop);
+    let (job, duty) = (RandomState::new().hash_one(std::process::id()), Duty::from(duty));
+    let mut child: Option<Child> = None;
+    let (mut term, mut sure_until, mut length) = (None, 0.0, 0.0_f64);
+    let mut told = false;
+    loop {
+        let asked = clock.now();
+        let wish = Order::Hold { duty: duty.clone(), job };
+        let asking = give(clock, at, &wish);
+        let within = if term.is_some() { AGAIN_PART * length } else { WITHIN };
+        // What is sure does not wait for an answer that may not come.
+        let reply = tokio::select! { biased;
+            reply = asking => reply,
+            () = clock.sleep_until(asked + within) => Err("no answer in time".to_owned()),
+            () = &mut stop => {
+                end(child.as_mut(), clock, sure_until).await?;
+                let _ = give(clock, at, &Order::LetGo { duty, job }).await;
+                return Ok(true);
+            }
+        };
+        match reply {
+            Ok(Reply::Holds { term: Some(now), good_for }) => {
+                if term.is_some_and(|before| before != now) {
+                    end(child.as_mut(), clock, sure_until).await?;
+                    return lost(&duty);
+                }
+                // Counted from before it was asked for.
+                (sure_until, length) = (asked + good_for, length.max(good_for));
+                if term.is_none() {
+                    term = Some(now);
+                    println!("term {}", now.0);
+                    if let Some((program, rest)) = command.split_first() {
+                        let mut command = std::process::Command::new(program);
+                        command.args(rest).env("CINDERCLEAT_TERM", now.0.to_string());
+                        command.env("CINDERCLEAT_DUTY", &*duty.0);
+                        child = Some(command.spawn()?);
+                    }
+                }
+            }
+            Ok(Reply::No(why)) => {
+                end(child.as_mut(), clock, sure_until).await?;
+                return say(Ok(Reply::No(why)));
+            }
+            // Not held yet, or any more; or nobody answers.
+            Ok(_) | Err(_) if term.is_none() => {
+                if let Err(why) = &reply {
+                    if !std::mem::replace(&mut told, true) {
+                        eprintln!("cindercleat: waiting: {why}");
+                    }
+                }
+            }
+            Ok(_) | Err(_) => {}
+        }
+        let left = sure_until - clock.now();
+        if term.is_some() && left < END_AT * length {
+            end(child.as_mut(), clock, sure_until - KILL_AT * length).await?;
+            return lost(&duty);
+        }
+        if let Some(status) = child.as_mut().map(Child::try_wait).transpose()?.flatten() {
+            let _ = give(clock, at, &Order::LetGo { duty, job }).await;
+            return Ok(status.success());
+        }
+        let wait = if term.is_some() { (AGAIN_PART * length / 4.0).min(AGAIN) } else { AGAIN };
+        tokio::select! { biased;
+            () = &mut stop => {
+                end(child.as_mut(), clock, sure_until).await?;
+                let _ = give(clock, at, &Order::LetGo { duty, job }).await;
+                return Ok(true);
+            }
+            () = clock.sleep_until(clock.now() + wait) => {}
+        }
+    }
+}
+
+fn lost(duty: &Duty) -> io::Result<bool> {
+    eprintln!("cindercleat: {} is lost", duty.0);
+    Ok(false)
+}
+
+/// Tells the command to end, and kills it when the time is up.
+async fn end(child: Option<&mut Child>, clock: &SystemClock, by: f64) -> io::Result<()> {
+    let Some(child) = child else { return Ok(()) };
+    signal(child, Signal::TERM);
+    while child.try_wait()?.is_none() {
+        if clock.now() >= by {
+            child.kill()?;
+            child.wait()?;
+            break;
+        }
+        clock.sleep_until(clock.now() + 2.0).await;
+    }
+    Ok(())
+}
--- a/crates/cindercleat-cli/src/lib.rs
+++ b/crates/cindercleat-cli/src/lib.rs
@@ -3,7 +3,10 @@
 pub mod bench_day;
 pub mod conf;
 pub mod day;
+pub mod drill;
 pub mod duties;
+pub mod fleet;
+pub mod fleet_settings;
 pub mod node;
 pub mod price;
 pub mod script;
--- a/crates/cindercleat-cli/src/main.rs
+++ b/crates/cindercleat-cli/src/main.rs
@@ -1,6 +1,8 @@
 //! The program `cindercleat`. Exit codes: 0 as wanted, 1 a rule was broken or the work failed, 2 bad input.
 
-use cindercleat_cli::{bench_day, day, duties, node, price, script, seeds, send, serve, settings, try_it};
+use cindercleat_cli::{
+    bench_day, day, drill, duties, fleet, node, price, script, seeds, send, serve, settings, try_it,
+};
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use std::hash::{BuildHasher, RandomState};
 use std::path::{Path, PathBuf};
@@ -49,6 +51,10 @@
     Seeds(seeds::SeedsArgs),
     /// Plays the day of one seed.
     Seed(seeds::SeedArgs),
+    /// Plays a drill: several processes of this program, with faults between them, judged from outside.
+    Drill(drill::DrillArgs),
+    /// What a fleet's dispatchers agree on: duties and who holds them, voters, the roll-call.
+    Fleet(fleet::FleetArgs),
     /// Measures what a dispatcher adds, against the same clients straight to the stand-ins.
     Price(price::PriceArgs),
 }
@@ -95,6 +101,7 @@
         Command::Day(_)
             | Command::Price(_)
             | Command::Send(_)
+            | Command::Fleet(_)
             | Command::Seeds(_)
             | Command::Seed(_)
             | Command::Try { .. }
@@ -132,7 +139,7 @@
             // Chance from the system: no two processes of a dispatcher may be taken for one another.
             let run = RandomState::new().hash_one(std::process::id());
             let read = read_settings(&settings, run)?;
-            serve::serve(read.program, read.places, &read.listen, run)?;
+            serve::serve(read, run)?;
         }
         Command::Node => {
             let path = std::env::var_os("GW_CONFIG")
@@ -194,6 +201,8 @@
             let shape = seeds::shape(&args.profile).map_err(Failure::Input)?;
             return Ok(seeds::seed(&args, shape)?);
         }
+        Command::Drill(args) => return drill::run(&args)?.map_err(Failure::Input),
+        Command::Fleet(args) => return Ok(fleet::run(args)?),
         Command::Price(args) => print!("{}", price::measure(&args)?),
     }
     Ok(true)
--- a/crates/cindercleat-cli/src/serve.rs
+++ b/crates/cindercleat-cli/src/serve.rs
@@ -1,26 +1,55 @@
 //! Runs a dispatcher on a thread of its own, and tells what it cost.
 
+use crate::settings::Serve;
 use cindercleat_dispatcher::shell::{Places, Shell};
 use cindercleat_dispatcher::ProgramSettings;
 use cindercleat_faults::fleet::End;
-use cindercleat_net::{Listener, Tcp, TokioClock, Transport};
+use cindercleat_fleet::file::Folder;
+use cindercleat_net::{Listener, Tcp, TcpFrom, TokioClock, Transport};
 use std::future::Future;
 use std::io;
+use std::rc::Rc;
 use std::thread::JoinHandle;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::LocalSet;
 
-/// Serves on TCP until a signal to end, on this thread.
+/// Serves on TCP until a signal to end, on this thread; takes part in a fleet if the settings say so.
 ///
 /// # Errors
 /// The address cannot be had, or the runtime.
-pub fn serve(settings: ProgramSettings, places: Places, listen: &str, seed: u64) -> io::Result<()> {
+pub fn serve(settings: Serve, seed: u64) -> io::Result<()> {
     block_on(async {
         let stop = ends()?;
-        let listener = Tcp.listen(listen).await?;
-        tracing::info!(name = settings.name, address = listener.address(), "serving");
-        let shell = Shell::new(settings, places, Tcp, TokioClock::system(), seed);
+        let listener = Tcp.listen(&settings.listen).await?;
+        tracing::info!(name = settings.program.name, address = listener.address(), "serving");
+        let clock = TokioClock::system();
+        let shell = Shell::new(settings.program, settings.places, Tcp, clock, seed);
+        // Duties are handed over at once, and what is open runs on meanwhile.
+        let (told, mut hears) = tokio::sync::watch::channel(false);
+        let mut beside = None;
+        if let Some(fleet) = settings.fleet {
+            let transport = TcpFrom { from: fleet.from };
+            let listener = transport.listen(&fleet.listen).await?;
+            tracing::info!(address = listener.address(), "in the fleet");
+            let fares = shell.clone();
+            let fares: cindercleat_fleet::Fares = Rc::new(move || fares.fares());
+            let disk = fleet.file.map(Folder::new);
+            let member = cindercleat_fleet::Shell::new(fleet.member, transport, clock, disk, fares);
+            beside = Some(tokio::task::spawn_local(async move {
+                // A channel that is gone is a stop, too.
+                let stop = async { while !*hears.borrow() && hears.changed().await.is_ok() {} };
+                tokio::pin!(stop);
+                member.run(listener, stop).await;
+            }));
+        }
+        let stop = async {
+            stop.await;
+            told.send_replace(true);
+        };
         shell.serve(listener, stop).await?;
+        if let Some(beside) = beside {
+            let _ = beside.await;
+        }
         tracing::info!("stopped");
         Ok(())
     })
--- a/crates/cindercleat-cli/src/settings.rs
+++ b/crates/cindercleat-cli/src/settings.rs
@@ -1,13 +1,14 @@
 //! A dispatcher's settings file. Its keywords are described in `docs/operating.md`.
 
 use crate::conf::{Line, Problem, Section, Time};
+use crate::fleet_settings::{self, Fleet};
 use cindercleat::interface::*;
 use cindercleat_dispatcher::shell::Places;
 use cindercleat_dispatcher::{Limits, ProgramSettings, Service};
 use std::path::PathBuf;
 
 /// The keywords that open blocks.
-pub const BLOCKS: [&str; 4] = ["profile", "tenant", "kind", "limits"];
+pub const BLOCKS: [&str; 5] = ["profile", "tenant", "kind", "limits", "fleet"];
 
 /// All that `serve` needs.
 #[derive(Clone, Debug)]
@@ -15,6 +16,8 @@
     pub listen: String,
     pub program: ProgramSettings,
     pub places: Places,
+    /// What it does in its fleet, if it is in one.
+    pub fleet: Option<Fleet>,
 }
 
 /// # Errors
@@ -42,10 +45,15 @@
     let keep = section.maybe_value::<String>("keep")?.map(PathBuf::from);
     let peer = |line: &&Line| Ok((line.value::<u32>(1)?, line.value::<String>(2)?));
     let peers = section.all("peer").iter().map(peer).collect::<Result<_, Problem>>()?;
+    let fleet = match section.blocks("fleet")[..] {
+        [] => None,
+        [block] => Some(fleet_settings::read(block, &name, &service.zones[zone as usize], run)?),
+        [_, second, ..] => return Err(second.head.wrong("'fleet' once")),
+    };
     section.nothing_else()?;
     let listen = listen.only()?;
     let program = service.dispatcher(&name, zone, (me, of), run);
-    Ok(Serve { listen, program, places: Places { feeds, keep, peers } })
+    Ok(Serve { listen, program, places: Places { feeds, keep, peers }, fleet })
 }
 
 fn place(line: &Line, at: usize, names: &[String], what: &str) -> Result<u32, Problem> {
--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -236,6 +236,13 @@
         self.timers.next_at()
     }
 
+    /// Whether a list is there and no stop has begun, and which part of the tasks that it may have open is.
+    pub fn fares(&self) -> (bool, f64) {
+        let ready = self.fleet.is_known() && self.stopping.is_none();
+        let most = self.settings.limits.most_tasks.max(1);
+        (ready, self.held().tasks as f64 / most as f64)
+    }
+
     /// How much is held, for logs and for tests of what must not grow.
     pub fn held(&self) -> Holding {
         Holding {
@@ -332,7 +339,7 @@
             // Whether tasks can be routed: the list is there, and no stop has begun.
             Some(Body::Ping(_)) if stream.0 > 0 => {
                 self.client_asks(conn);
-                let ready = self.fleet.is_known() && self.stopping.is_none();
+                let ready = self.fares().0;
                 let no = || v1::Goodbye { reason: "not ready".to_owned(), never_ran: true };
                 let body = if ready { Body::Pong(v1::Pong {}) } else { Body::Goodbye(no()) };
                 let frame = Frame { stream: stream.0, body: Some(body) };
--- a/crates/dispatcher/src/shell.rs
+++ b/crates/dispatcher/src/shell.rs
@@ -160,6 +160,11 @@
         self.inner.ledger.borrow().held()
     }
 
+    /// Whether it is ready for tasks, and how much of it is used, 0 to 1.
+    pub fn fares(&self) -> (bool, f64) {
+        self.inner.ledger.borrow().fares()
+    }
+
     /// Clients' connections now.
     pub fn clients(&self) -> usize {
         self.inner.clients.borrow().len()
--- a/crates/faults/src/duties/draw.rs
+++ b/crates/faults/src/duties/draw.rs
@@ -156,8 +156,7 @@
 }
 
 /// The profiles of `cindercleat seeds` that play duties.
-pub const SHAPES: [Shape; 1] =
-    [Shape { name: "duties", large_every: 100, troubles: (4, 12), changes: true }];
+pub const SHAPES: [Shape; 1] = [Shape { name: "duties", large_every: 100, troubles: (4, 12), changes: true }];
 
 /// Troubles come within this.
 const BUSY: Ms = 15_000.0;
--- a/crates/faults/src/duties/judge.rs
+++ b/crates/faults/src/duties/judge.rs
@@ -34,7 +34,8 @@
     /// of a newer term was obeyed anywhere.
     pub fn obeyed(&mut self, now: Ms, by: usize, act: &Act) {
         let (term, name) = (act.term.0, &act.holder.name.0);
-        self.last.push(format!("{now:.3} ms: receiver {by} obeyed act {} of term {term} by {name}", act.number));
+        self.last
+            .push(format!("{now:.3} ms: receiver {by} obeyed act {} of term {term} by {name}", act.number));
         if self.last.len() > STORY {
             self.last.remove(0);
         }
@@ -68,7 +69,9 @@
         }
         let acted = self.at.iter().any(|at| (quiet_from..quiet_from + within).contains(at));
         if !acted {
-            let what = format!("nobody acted within {within:.0} ms of {quiet_from:.0} ms, when all troubles were over");
+            let what = format!(
+                "nobody acted within {within:.0} ms of {quiet_from:.0} ms, when all troubles were over"
+            );
             self.breach("nobody", what);
         }
     }
--- a/crates/faults/src/duties/mod.rs
+++ b/crates/faults/src/duties/mod.rs
@@ -742,9 +742,7 @@
             Trouble::CutFromTargets => self.cut_off(who, (true, true), false, |w, o| o >= w.nodes.len()),
             Trouble::Halves { .. } => {
                 for node in 0..self.nodes.len() {
-                    self.cut_off(node, (true, false), false, |w, o| {
-                        o < w.nodes.len() && o % 2 != node % 2
-                    });
+                    self.cut_off(node, (true, false), false, |w, o| o < w.nodes.len() && o % 2 != node % 2);
                 }
                 let wake = who % self.plan.voters;
                 self.nodes[wake].wake += 1;
--- a/crates/faults/src/duties/small.rs
+++ b/crates/faults/src/duties/small.rs
@@ -236,7 +236,8 @@
             (Message::Said { from, to, .. }, Carried::Said(life, ballot, said)) => {
                 let (from, to) = (usize::from(*from), usize::from(*to));
                 let contender = &mut self.contenders[to];
-                let Some((round, asked)) = contender.round.as_mut().filter(|(r, _)| r.ballot == ballot) else {
+                let Some((round, asked)) = contender.round.as_mut().filter(|(r, _)| r.ballot == ballot)
+                else {
                     return;
                 };
                 let asked = *asked;
@@ -362,7 +363,8 @@
                 ("lets a voter in", Change::AddVoter { name: voter_name(new), seat: seat(new) })
             } else if let Some(hold) = contender.hold.filter(|hold| hold.left(state.now) > 0.0) {
                 ("renews", Change::Renew { who, duties: vec![(duty(), hold.term)] })
-            } else if contender.watch.waits(&contender_name(at), true, &LEASE) <= LEASE.gap() || self.changes {
+            } else if contender.watch.waits(&contender_name(at), true, &LEASE) <= LEASE.gap() || self.changes
+            {
                 let seen = contender.watch.mark();
                 ("takes", Change::Take { duty: duty(), who, lease_ms: 1000, seen })
             } else {
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod draw;
+pub mod drill;
 pub mod duties;
 pub mod explore;
 pub mod fleet;
--- a/crates/faults/tests/duties.rs
+++ b/crates/faults/tests/duties.rs
@@ -1,7 +1,7 @@
 //! Duties on a virtual clock: drawn seeds break nothing.
 
-use cindercleat_faults::duties::{draw, play, Plan};
 use cindercleat_faults::duties::draw::SHAPES;
+use cindercleat_faults::duties::{draw, play, Plan};
 
 #[test]
 fn a_quiet_fleet_has_one_caller_of_the_roll() {
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,11 @@
+//! Carries out what `cindercleat::fleet` decides: messages over the schema's `Fleet` service ([`words`]), the voter's
+//! file ([`file`]), and the loop that joins both with a transport and a clock ([`shell`]). [`ask`] is the operators'
+//! end of it.
+#![forbid(unsafe_code)]
+
+pub mod ask;
+pub mod file;
+pub mod shell;
+pub mod words;
+
+pub use shell::{Fares, Shell};
--- /dev/null
+++ b/crates/fleet/src/shell.rs
@@ -0,0 +1,396 @@
+//! Joins a [`Member`] with a transport, a clock and a disk, beside the dispatcher's shell: its own listener, its own
+//! connections, nothing that serving waits for. All runs on the thread that it is started on, but for the syncs of the
+//! voter's file.
+
+use crate::file::{self, Disk};
+use crate::words::{answer_in, answer_out, question_in, question_out};
+use cindercleat::fleet::member::{AskNo, CallNo, FleetSettings, Input, Member, Output, Question, SaveNo};
+use cindercleat::fleet::register::Kept;
+use cindercleat::fleet::{Address, Duty, Term};
+use cindercleat::interface::Ms;
+use cindercleat_grpc::{connect, serve, Event, Out, Session, Setup};
+use cindercleat_net::{Clock, Listener, Transport};
+use cindercleat_protocol::{frame, v1, Body, Frame};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::rc::Rc;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+/// The largest message between members: a value of a few kilobytes, or a roll of thousands for operators.
+pub const MOST_MESSAGE: usize = 4 << 20;
+/// Calls of one member that are open at once on a connection, and connections taken in.
+const MOST_CALLS: u32 = 256;
+const MOST_CONNECTIONS: usize = 8192;
+/// A connection that was not used for this long is closed.
+const IDLE: Ms = 30_000.0;
+/// Messages that cannot be right are warned of once in so long.
+const WARN_EVERY: Ms = 10_000.0;
+/// How often the dispatcher is asked how it fares.
+const FARES_EVERY: Ms = 100.0;
+
+/// How the dispatcher fares: whether it is ready, and how much of it is used.
+pub type Fares = Rc<dyn Fn() -> (bool, f64)>;
+
+struct Peer {
+    out: Out,
+    used: Cell<Ms>,
+    /// Questions that are out on it, by their streams, and since when.
+    asked: RefCell<BTreeMap<u64, (AskNo, Ms)>>,
+    streams: Cell<u64>,
+}
+
+struct Inner<T, C, D> {
+    settings: FleetSettings,
+    transport: T,
+    clock: C,
+    disk: Option<D>,
+    member: RefCell<Member>,
+    fares: Fares,
+    peers: RefCell<BTreeMap<Address, Rc<Peer>>>,
+    /// What is to go out once the connection is up.
+    dialling: RefCell<BTreeMap<Address, Vec<(AskNo, v1::FleetCall)>>>,
+    /// Who waits for the answer to a call.
+    calls: RefCell<BTreeMap<CallNo, (Out, u64)>>,
+    numbers: Cell<u64>,
+    connections: Cell<usize>,
+    armed: Cell<Ms>,
+    timer: Notify,
+    stopped: Cell<bool>,
+    stopping: Notify,
+    dropped: Cell<u64>,
+    warned: Cell<Ms>,
+}
+
+/// One dispatcher's part in its fleet; clones are the same one.
+pub struct Shell<T, C, D> {
+    inner: Rc<Inner<T, C, D>>,
+}
+
+impl<T, C, D> Clone for Shell<T, C, D> {
+    fn clone(&self) -> Self {
+        Shell { inner: self.inner.clone() }
+    }
+}
+
+impl<T: Transport, C: Clock, D: Disk> Shell<T, C, D> {
+    pub fn new(settings: FleetSettings, transport: T, clock: C, disk: Option<D>, fares: Fares) -> Self {
+        let inner = Inner {
+            member: RefCell::new(Member::new(settings.clone())),
+            settings,
+            transport,
+            clock,
+            disk,
+            fares,
+            peers: RefCell::default(),
+            dialling: RefCell::default(),
+            calls: RefCell::default(),
+            numbers: Cell::new(0),
+            connections: Cell::new(0),
+            armed: Cell::new(f64::INFINITY),
+            timer: Notify::new(),
+            stopped: Cell::new(false),
+            stopping: Notify::new(),
+            dropped: Cell::new(0),
+            warned: Cell::new(f64::NEG_INFINITY),
+        };
+        Shell { inner: Rc::new(inner) }
+    }
+
+    /// Takes part until `stop` is there, and what it holds is handed over or its lease is over. Runs within a
+    /// `LocalSet`, beside whatever serves.
+    pub async fn run(&self, listener: T::Listener, stop: impl Future<Output = ()>) {
+        let inner = &self.inner;
+        self.input(Input::Tick);
+        self.look_at_fares();
+        if let Some(disk) = &inner.disk {
+            let kept = match disk.read() {
+                Ok(None) => Ok(None),
+                Ok(Some(bytes)) => file::read(&bytes).map(Some).map_err(|e| e.to_string()),
+                Err(problem) => Err(problem.to_string()),
+            };
+            self.input(Input::Loaded(kept));
+        }
+        let accepting = spawn_local(self.clone().accept(listener));
+        let timing = spawn_local(self.clone().keep_time());
+        stop.await;
+        self.input(Input::Stop);
+        let until = inner.clock.now() + inner.settings.lease.lease;
+        while !inner.stopped.get() && inner.clock.now() < until {
+            tokio::select! { biased;
+                () = inner.stopping.notified() => {}
+                () = inner.clock.sleep_until(until) => {}
+            }
+        }
+        // A last word to whoever was named goes out.
+        let moment = inner.clock.now() + inner.settings.answer_within.min(50.0);
+        inner.clock.sleep_until(moment).await;
+        accepting.abort();
+        timing.abort();
+        inner.peers.borrow().values().for_each(|peer| peer.out.close());
+    }
+
+    /// The duties held now, with their terms.
+    pub fn held(&self) -> Vec<(Duty, Term)> {
+        self.inner.member.borrow().held().map(|(duty, term)| (duty.clone(), term)).collect()
+    }
+
+    /// How often what happened.
+    pub fn counts(&self) -> BTreeMap<&'static str, u64> {
+        self.inner.member.borrow().counts().clone()
+    }
+
+    fn look_at_fares(&self) {
+        let (ready, load) = (self.inner.fares)();
+        self.input(Input::Fares { ready, load });
+    }
+
+    fn input(&self, input: Input) {
+        let mut outputs = Vec::new();
+        let now = self.inner.clock.now();
+        let mut member = self.inner.member.borrow_mut();
+        member.handle(now, input, &mut outputs);
+        let wants = member.wants_call_at();
+        drop(member);
+        for output in outputs {
+            self.perform(output);
+        }
+        if wants < self.inner.armed.get() {
+            self.inner.timer.notify_one();
+        }
+    }
+
+    fn perform(&self, output: Output) {
+        match output {
+            Output::Ask { ask, to, question } => self.ask(ask, to, &question),
+            Output::Answer { call, answer } => {
+                if let Some((out, stream)) = self.inner.calls.borrow_mut().remove(&call) {
+                    out.send(frame(stream, Body::FleetAnswer(answer_out(&answer))));
+                }
+            }
+            Output::Save { number, kept } => {
+                spawn_local(self.clone().save(number, kept));
+            }
+            Output::Holds { duty, term, held: true } => {
+                tracing::info!(duty = %duty.0, term = term.0, "duty held");
+            }
+            Output::Holds { duty, term, held: false } => {
+                tracing::info!(duty = %duty.0, term = term.0, "duty no more held");
+            }
+            Output::Warn(text) => tracing::warn!("{text}"),
+            Output::Info(text) => tracing::debug!("{text}"),
+            Output::Stopped => {
+                self.inner.stopped.set(true);
+                self.inner.stopping.notify_one();
+            }
+        }
+    }
+
+    async fn save(self, number: SaveNo, kept: Box<Kept>) {
+        let lasts = match &self.inner.disk {
+            Some(disk) => disk.replace(file::write(&kept)).await,
+            None => Err(std::io::ErrorKind::Unsupported.into()),
+        };
+        if let Err(problem) = &lasts {
+            tracing::warn!(%problem, "voter's file not written");
+        }
+        self.input(Input::Saved { number, lasts: lasts.is_ok() });
+    }
+
+    async fn keep_time(self) {
+        let mut fares_at = 0.0;
+        loop {
+            let now = self.inner.clock.now();
+            if now >= fares_at {
+                fares_at = now + FARES_EVERY;
+                self.look_at_fares();
+                self.close_idle(now);
+            }
+            let wants = self.inner.member.borrow().wants_call_at().min(fares_at);
+            self.inner.armed.set(wants);
+            tokio::select! { biased;
+                () = self.inner.timer.notified() => {}
+                () = self.inner.clock.sleep_until(wants) => self.input(Input::Tick),
+            }
+        }
+    }
+
+    /// Closes connections that rest, and calls off what was given up long ago: neither side keeps it.
+    fn close_idle(&self, now: Ms) {
+        let longest = 2.0 * self.inner.settings.answer_within;
+        let mut peers = self.inner.peers.borrow_mut();
+        peers.retain(|_, peer| {
+            peer.asked.borrow_mut().retain(|stream, (_, since)| {
+                let keeps = now - *since <= longest;
+                if !keeps {
+                    peer.out.send(frame(*stream, Body::Cancel(v1::Cancel {})));
+                }
+                keeps
+            });
+            let rests = peer.asked.borrow().is_empty() && now - peer.used.get() > IDLE;
+            if rests {
+                peer.out.close();
+            }
+            !rests
+        });
+    }
+
+    fn setup(&self, expects: &str) -> Setup {
+        Setup {
+            party: v1::Party::Fleet,
+            name: self.inner.settings.me.0.to_string(),
+            expects: expects.to_owned(),
+            run: self.inner.settings.run.0,
+            most_message: MOST_MESSAGE,
+            most_calls: MOST_CALLS,
+        }
+    }
+
+    fn ask(&self, ask: AskNo, to: Address, question: &Question) {
+        let call = question_out(question);
+        let peer = self.inner.peers.borrow().get(&to).cloned();
+        if let Some(peer) = peer {
+            return self.send(&peer, ask, call);
+        }
+        let mut dialling = self.inner.dialling.borrow_mut();
+        match dialling.get_mut(&to) {
+            Some(waiting) => waiting.push((ask, call)),
+            None => {
+                dialling.insert(to.clone(), vec![(ask, call)]);
+                spawn_local(self.clone().dial(to));
+            }
+        }
+    }
+
+    fn send(&self, peer: &Rc<Peer>, ask: AskNo, call: v1::FleetCall) {
+        let stream = peer.streams.get() + 1;
+        peer.streams.set(stream);
+        peer.used.set(self.inner.clock.now());
+        peer.asked.borrow_mut().insert(stream, (ask, self.inner.clock.now()));
+        peer.out.send(frame(stream, Body::FleetCall(call)));
+    }
+
+    /// One connection to another member, from the dialling to its end.
+    async fn dial(self, to: Address) {
+        let until = self.inner.clock.now() + self.inner.settings.answer_within;
+        let dialled = async {
+            let stream = self.inner.transport.connect(&to.0).await.map_err(|e| e.to_string())?;
+            connect(stream, v1::Party::Fleet, self.setup("")).await
+        };
+        let dialled = tokio::select! { biased;
+            dialled = dialled => dialled,
+            () = self.inner.clock.sleep_until(until) => Err("no greeting in time".to_owned()),
+        };
+        let waiting = self.inner.dialling.borrow_mut().remove(&to).unwrap_or_default();
+        let Session { mut events, out, .. } = match dialled {
+            Ok(session) => session,
+            Err(reason) => {
+                tracing::debug!(address = %to.0, reason, "member not reached");
+                // Not at once: the core asked this very moment, and answers to what it asks come later.
+                for (ask, _) in waiting {
+                    self.input(Input::Answered { ask, answer: None });
+                }
+                return;
+            }
+        };
+        let used = Cell::new(self.inner.clock.now());
+        let peer = Rc::new(Peer { out, used, asked: RefCell::default(), streams: Cell::new(0) });
+        self.inner.peers.borrow_mut().insert(to.clone(), peer.clone());
+        for (ask, call) in waiting {
+            self.send(&peer, ask, call);
+        }
+        while let Some(event) = events.recv().await {
+            match event {
+                Event::Frame(Frame { stream, body }) => {
+                    let Some((ask, _)) = peer.asked.borrow_mut().remove(&stream) else { continue };
+                    let answer = match body {
+                        Some(Body::FleetAnswer(said)) => self.understood(answer_in(said)),
+                        _ => None,
+                    };
+                    self.input(Input::Answered { ask, answer });
+                }
+                Event::GoingAway => break,
+                Event::Flushed { .. } | Event::Partly => {}
+            }
+        }
+        let mut peers = self.inner.peers.borrow_mut();
+        if peers.get(&to).is_some_and(|now| Rc::ptr_eq(now, &peer)) {
+            peers.remove(&to);
+        }
+        drop(peers);
+        let lost = std::mem::take(&mut *peer.asked.borrow_mut());
+        for (ask, _) in lost.into_values() {
+            self.input(Input::Answered { ask, answer: None });
+        }
+    }
+
+    /// Counts what cannot be right, and says so once in a while.
+    fn understood<M>(&self, message: Option<M>) -> Option<M> {
+        if message.is_none() {
+            self.inner.dropped.set(self.inner.dropped.get() + 1);
+            let now = self.inner.clock.now();
+            if now - self.inner.warned.get() >= WARN_EVERY {
+                self.inner.warned.set(now);
+                let dropped = self.inner.dropped.get();
+                tracing::warn!(dropped, "messages of the fleet that cannot be right are dropped");
+            }
+        }
+        message
+    }
+
+    async fn accept(self, mut listener: T::Listener) {
+        loop {
+            match listener.accept().await {
+                // Guards against more connections than descriptors bear: members come again.
+                Ok(stream) if self.inner.connections.get() < MOST_CONNECTIONS => {
+                    self.inner.connections.set(self.inner.connections.get() + 1);
+                    spawn_local(self.clone().caller(stream));
+                }
+                Ok(_) => {}
+                Err(problem) => {
+                    tracing::warn!(%problem, "connection of the fleet not taken");
+                    let again = self.inner.clock.now() + FARES_EVERY;
+                    self.inner.clock.sleep_until(again).await;
+                }
+            }
+        }
+    }
+
+    /// One connection that was taken in.
+    async fn caller(self, stream: T::Stream) {
+        let until = self.inner.clock.now() + 10.0 * self.inner.settings.answer_within;
+        let met = tokio::select! { biased;
+            met = serve(stream, self.setup("")) => met,
+            () = self.inner.clock.sleep_until(until) => Err("nothing was asked in time".to_owned()),
+        };
+        if let Ok(Session { mut events, out, .. }) = met {
+            while let Some(event) = events.recv().await {
+                if let Event::Frame(Frame { stream, body: Some(body) }) = event {
+                    self.called(&out, stream, body);
+                }
+            }
+        }
+        self.inner.connections.set(self.inner.connections.get() - 1);
+    }
+
+    fn called(&self, out: &Out, stream: u64, body: Body) {
+        match body {
+            Body::FleetCall(said) => match self.understood(question_in(said)) {
+                Some(question) => {
+                    let call = CallNo(self.inner.numbers.get() + 1);
+                    self.inner.numbers.set(call.0);
+                    self.inner.calls.borrow_mut().insert(call, (out.clone(), stream));
+                    self.input(Input::Asked { call, question });
+                }
+                None => out.reset(stream, 2),
+            },
+            // It waits no more.
+            Body::Cancel(_) => {
+                let mine = |(o, s): &(Out, u64)| *s == stream && o.same(out);
+                self.inner.calls.borrow_mut().retain(|_, waits| !mine(waits));
+            }
+            _ => out.reset(stream, 2),
+        }
+    }
+}
--- a/crates/grpc/src/call.rs
+++ b/crates/grpc/src/call.rs
@@ -18,6 +18,7 @@
         Body::Fetch(_) => "/cindercleat.v1.Host/Fetch",
         Body::Follow(_) => "/cindercleat.v1.List/Follow",
         Body::Peer(_) => "/cindercleat.v1.Peers/Tell",
+        Body::FleetCall(_) => "/cindercleat.v1.Fleet/Call",
         _ => return None,
     })
 }
@@ -27,6 +28,7 @@
     match party {
         v1::Party::Host => "/cindercleat.v1.Host/Greet",
         v1::Party::Feed => "/cindercleat.v1.List/Greet",
+        v1::Party::Fleet => "/cindercleat.v1.Fleet/Greet",
         _ => "/cindercleat.v1.Router/Greet",
     }
 }
@@ -44,7 +46,10 @@
         "Host/Fetch" => v1::Fetch::decode(bytes).map(Body::Fetch),
         "List/Follow" => v1::Follow::decode(bytes).map(Body::Follow),
         "Peers/Tell" => v1::PeerMessage::decode(bytes).map(Body::Peer),
-        "Router/Greet" | "Host/Greet" | "List/Greet" => v1::Hello::decode(bytes).map(Body::Hello),
+        "Fleet/Call" => v1::FleetCall::decode(bytes).map(Body::FleetCall),
+        "Router/Greet" | "Host/Greet" | "List/Greet" | "Fleet/Greet" => {
+            v1::Hello::decode(bytes).map(Body::Hello)
+        }
         _ => return None,
     })
 }
@@ -68,7 +73,10 @@
         "Host/Release" => Some(Body::Done(v1::Done::decode(bytes)?)),
         "Host/Fetch" => Some(Body::State(v1::State::decode(bytes)?)),
         "List/Follow" => Some(Body::List(v1::HostList::decode(bytes)?)),
-        "Router/Greet" | "Host/Greet" | "List/Greet" => Some(Body::Hello(v1::Hello::decode(bytes)?)),
+        "Fleet/Call" => Some(Body::FleetAnswer(v1::FleetAnswer::decode(bytes)?)),
+        "Router/Greet" | "Host/Greet" | "List/Greet" | "Fleet/Greet" => {
+            Some(Body::Hello(v1::Hello::decode(bytes)?))
+        }
         _ => None,
     })
 }
@@ -107,6 +115,7 @@
         // Said by whoever let the state go, never in its name: a release that is lost is to be said again.
         ("Host/Release", Body::Done(m)) => (Some(encode(&m)), ok()),
         ("Host/Fetch", Body::State(m)) => (Some(encode(&m)), ok()),
+        ("Fleet/Call", Body::FleetAnswer(m)) => (Some(encode(&m)), ok()),
         ("List/Follow", Body::List(m)) => (Some(encode(&m)), None),
         (_, Body::Hello(m)) => (Some(encode(&m)), ok()),
         // What was taken may have run, so the end of a task without an answer is never one to try again.
--- a/crates/grpc/src/client.rs
+++ b/crates/grpc/src/client.rs
@@ -189,6 +189,7 @@
         Body::Fetch(m) => encode(m),
         Body::Follow(m) => encode(m),
         Body::Peer(m) => encode(m),
+        Body::FleetCall(m) => encode(m),
         _ => return not_sent(),
     };
     tokio::pin!(response);
@@ -244,6 +245,7 @@
                             | Body::Place(_)
                             | Body::State(_)
                             | Body::Done(_)
+                            | Body::FleetAnswer(_)
                     );
                     if last {
                         shared.calls.borrow_mut().remove(&stream);
--- a/crates/grpc/src/lib.rs
+++ b/crates/grpc/src/lib.rs
@@ -207,6 +207,11 @@
         true
     }
 
+    /// Whether both are of one connection.
+    pub fn same(&self, other: &Out) -> bool {
+        Rc::ptr_eq(&self.shared, &other.shared)
+    }
+
     /// Ends a call of the other side by a reset with an HTTP/2 error code, in place of a last word.
     pub fn reset(&self, stream: u64, code: u32) {
         if let Some(call) = self.shared.calls.borrow().get(&stream) {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,9 +11,10 @@
 
 use std::future::Future;
 use std::io;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::Instant;
 
 /// Milliseconds with fractions.
@@ -71,6 +72,31 @@
     }
 }
 
+/// TCP sockets whose connections go out from a given address of this machine, if one is given.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TcpFrom {
+    pub from: Option<IpAddr>,
+}
+
+impl Transport for TcpFrom {
+    type Stream = TcpStream;
+    type Listener = TcpListener;
+
+    async fn connect(&self, address: &str) -> io::Result<TcpStream> {
+        let Some(from) = self.from else { return Tcp.connect(address).await };
+        let to: SocketAddr = address.parse().map_err(|_| io::ErrorKind::InvalidInput)?;
+        let socket = if to.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.bind(SocketAddr::new(from, 0))?;
+        let stream = socket.connect(to).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+
+    async fn listen(&self, address: &str) -> io::Result<TcpListener> {
+        Tcp.listen(address).await
+    }
+}
+
 impl Listener for TcpListener {
     type Stream = TcpStream;
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -52,6 +52,8 @@
         Some(Body::Ping(_)) => "ping",
         Some(Body::Pong(_)) => "pong",
         Some(Body::Done(_)) => "done",
+        Some(Body::FleetCall(_)) => "fleet-call",
+        Some(Body::FleetAnswer(_)) => "fleet-answer",
     }
 }
 
--- a/src/fleet/acts.rs
+++ b/src/fleet/acts.rs
@@ -78,7 +78,9 @@
         }
         match act.ticket.filter(|t| t.run == self.run && t.at <= now) {
             None if !forgot && !is(Plant::OldTermObeyed) => return Verdict::Unknown,
-            Some(ticket) if now >= ticket.at + act.good_for * (1.0 - self.drift) && !is(Plant::OldTermObeyed) => {
+            Some(ticket)
+                if now >= ticket.at + act.good_for * (1.0 - self.drift) && !is(Plant::OldTermObeyed) =>
+            {
                 return Verdict::Late;
             }
             _ => {}
--- a/src/fleet/agreed.rs
+++ b/src/fleet/agreed.rs
@@ -102,13 +102,31 @@
     /// None, but what is read is agreed on.
     Read,
     /// Holds a duty that is as it was last seen, and of which the holder's lease is over.
-    Take { duty: Duty, who: Holder, lease_ms: u64, seen: Mark },
+    Take {
+        duty: Duty,
+        who: Holder,
+        lease_ms: u64,
+        seen: Mark,
+    },
     /// Counts the leases of duties on; those that are no longer the asker's are passed over.
-    Renew { who: Holder, duties: Vec<(Duty, Term)> },
+    Renew {
+        who: Holder,
+        duties: Vec<(Duty, Term)>,
+    },
     /// Gives a duty up, for `next` if it is named.
-    GiveUp { duty: Duty, term: Term, who: Holder, next: Option<Name> },
-    AddVoter { name: Name, seat: Seat },
-    RemoveVoter { name: Name },
+    GiveUp {
+        duty: Duty,
+        term: Term,
+        who: Holder,
+        next: Option<Name>,
+    },
+    AddVoter {
+        name: Name,
+        seat: Seat,
+    },
+    RemoveVoter {
+        name: Name,
+    },
     /// Ends a change of voters that is known to be agreed on.
     Settle,
 }
--- a/src/fleet/member/beating.rs
+++ b/src/fleet/member/beating.rs
@@ -137,7 +137,8 @@
             let (ticket, good_for) = told.known.good_for(until);
             self.acts += 1;
             let (term, holder, number) = (hold.term, self.me(), self.acts);
-            let act = Act { duty: duty.clone(), term, holder, number, ticket, good_for, body: self.summary() };
+            let act =
+                Act { duty: duty.clone(), term, holder, number, ticket, good_for, body: self.summary() };
             let told = &mut self.told[at];
             (told.out, told.next) = (true, self.now + self.settings.tell_every);
             told.unsure_until = hold.until;
--- a/src/fleet/member/holding.rs
+++ b/src/fleet/member/holding.rs
@@ -142,9 +142,11 @@
         at.extend(self.wishes.iter().map(|wish| wish.until));
         if self.trying.is_none() {
             let renew = self.holds.values().map(|hold| hold.asked + settings.renew_after());
-            let takes = self.watches.iter().filter(|(duty, _)| self.contends(duty)).map(|(_, watch)| {
-                self.now + watch.waits(&self.settings.me, self.is_voter(), settings)
-            });
+            let takes = self
+                .watches
+                .iter()
+                .filter(|(duty, _)| self.contends(duty))
+                .map(|(_, watch)| self.now + watch.waits(&self.settings.me, self.is_voter(), settings));
             let gives = !self.giving.is_empty() && self.acts_are_done();
             let now = (gives || !self.wishes.is_empty() || self.settles()).then_some(self.now);
             let next = renew.chain(takes).chain(now).fold(f64::INFINITY, f64::min);
@@ -198,8 +200,7 @@
                 self.hand_over(&duty, next, out);
             }
         }
-        let contending: Vec<Duty> =
-            self.watches.keys().filter(|duty| self.contends(duty)).cloned().collect();
+        let contending: Vec<Duty> = self.watches.keys().filter(|duty| self.contends(duty)).cloned().collect();
         if !contending.is_empty() && self.now >= self.next_look {
             let strangers = !self.is_voter() && self.watches.values().all(|w| w.place.is_none());
             // Those that come only as a last resort look no more often than they beat: there may be hundreds.
--- a/src/fleet/member/mod.rs
+++ b/src/fleet/member/mod.rs
@@ -7,7 +7,7 @@
 mod orders;
 mod voting;
 
-pub use orders::{Order, Reply, RollLine, Status, VoterLine};
+pub use orders::{Order, Reply, RollLine, Status, VoterLine, LONGEST_NAME};
 
 use super::acts::{Act, Known, Receiver, Ticket, Verdict};
 use super::agreed::{Agreed, Change, Holder, Life, Voters};
@@ -170,14 +170,29 @@
 /// Why a question is out.
 #[derive(Clone, Debug, PartialEq)]
 enum Errand {
-    Vote { from: Name, life: Life, ballot: Ballot },
-    Look { of: Name },
+    Vote {
+        from: Name,
+        life: Life,
+        ballot: Ballot,
+    },
+    Look {
+        of: Name,
+    },
     /// A look whose answer an order waits for.
-    Inspect { of: Name, call: CallNo },
-    Witness { of: Name },
-    Beat { to: Run },
+    Inspect {
+        of: Name,
+        call: CallNo,
+    },
+    Witness {
+        of: Name,
+    },
+    Beat {
+        to: Run,
+    },
     Nudge,
-    Act { to: usize },
+    Act {
+        to: usize,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -454,7 +469,10 @@
         }
         out.push(Output::Warn("the clock went back: no lease that was asked for before counts".to_owned()));
         let now = self.now;
-        self.holds.values_mut().chain(self.giving.values_mut().map(|g| &mut g.hold)).for_each(|h| h.until = now);
+        self.holds
+            .values_mut()
+            .chain(self.giving.values_mut().map(|g| &mut g.hold))
+            .for_each(|h| h.until = now);
         self.trying = None;
     }
 
--- a/src/fleet/member/orders.rs
+++ b/src/fleet/member/orders.rs
@@ -10,14 +10,28 @@
 pub enum Order {
     Status,
     /// Gives the duty to another: to `to`, or to whoever comes next.
-    HandOver { duty: Duty, to: Option<Name> },
+    HandOver {
+        duty: Duty,
+        to: Option<Name>,
+    },
     /// The address may be left out for a member that the roll-call knows.
-    AddVoter { name: Name, address: Option<Address> },
-    RemoveVoter { name: Name },
+    AddVoter {
+        name: Name,
+        address: Option<Address>,
+    },
+    RemoveVoter {
+        name: Name,
+    },
     /// Wants the duty held for a job, or goes on to.
-    Hold { duty: Duty, job: u64 },
+    Hold {
+        duty: Duty,
+        job: u64,
+    },
     /// The job is over.
-    LetGo { duty: Duty, job: u64 },
+    LetGo {
+        duty: Duty,
+        job: u64,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -30,7 +44,10 @@
     /// Ask there: whoever is there can do it.
     Elsewhere(Address),
     /// The duty is held in this term for so long, counted from before it was asked for; none yet.
-    Holds { term: Option<Term>, good_for: Ms },
+    Holds {
+        term: Option<Term>,
+        good_for: Ms,
+    },
 }
 
 /// A voter, as it was asked.
@@ -263,9 +280,8 @@
             true => self.settings.voters.iter().map(line).collect(),
         };
         let answered = |name: &Name, _: &Seat| voters.iter().any(|v| v.name == *name && v.votes);
-        let duty = |(duty, row): (&Duty, &super::super::agreed::Held)| {
-            (duty.clone(), row.term, row.holder.clone())
-        };
+        let duty =
+            |(duty, row): (&Duty, &super::super::agreed::Held)| (duty.clone(), row.term, row.holder.clone());
         let least = self.settings.beat;
         let roll = self.roll.as_ref();
         let member = |(name, member): (&Name, &crate::fleet::rollcall::Member)| RollLine {
@@ -287,7 +303,11 @@
             duties: newest.iter().flat_map(|value| value.duties.iter()).map(duty).collect(),
             roll_for: roll.map(|roll| self.now - roll.since),
             roll: roll.iter().flat_map(|roll| roll.members()).map(member).collect(),
-            caller: self.caller.as_ref().filter(|(_, h)| h.run != self.settings.run).map(|(_, h)| h.address.clone()),
+            caller: self
+                .caller
+                .as_ref()
+                .filter(|(_, h)| h.run != self.settings.run)
+                .map(|(_, h)| h.address.clone()),
         }
     }
 
--- a/src/fleet/member/voting.rs
+++ b/src/fleet/member/voting.rs
@@ -196,7 +196,9 @@
     /// hears of a first start that was takes that; it votes if that names its life, else it waits to be let in.
     fn found(&mut self, of: &Name, life: Option<Life>, out: &mut Vec<Output>) {
         let founding = self.founding.clone();
-        let Some(voter) = self.voter.as_mut().filter(|v| self.lasts && v.kept.founding.is_none()) else { return };
+        let Some(voter) = self.voter.as_mut().filter(|v| self.lasts && v.kept.founding.is_none()) else {
+            return;
+        };
         let me = (self.settings.me.clone(), voter.kept.life);
         if !self.settings.voters.contains_key(&me.0) || voter.kept.promised.is_some() {
             return;
--- a/src/fleet/register.rs
+++ b/src/fleet/register.rs
@@ -44,10 +44,19 @@
 /// What a voter answers.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Said {
-    Promise { ballot: Ballot, taken: Option<(Ballot, Agreed)>, writes: u64 },
-    Took { ballot: Ballot, writes: u64 },
+    Promise {
+        ballot: Ballot,
+        taken: Option<(Ballot, Agreed)>,
+        writes: u64,
+    },
+    Took {
+        ballot: Ballot,
+        writes: u64,
+    },
     /// It promised another.
-    Outbid { promised: Ballot },
+    Outbid {
+        promised: Ballot,
+    },
     /// It does not vote, or not under this life.
     NoVote,
 }
