--- a/crates/faults/src/drill/mod.rs
+++ b/crates/faults/src/drill/mod.rs
@@ -357,6 +357,8 @@
                     most_message: 1 << 20,
                     most_calls: 64,
                 };
+                // A socket that is gone already is found so by what follows.
+                let _ = stream.set_nodelay(true);
                 let Ok(Session { mut events, out, .. }) = serve(stream, setup).await else { return };
                 while let Some(event) = events.recv().await {
                     let Event::Frame(Frame { stream, body: Some(Body::FleetCall(said)) }) = event else {
--- /dev/null
+++ b/crates/fleet/tests/words.rs
@@ -0,0 +1,190 @@
+//! The fleet's words on the wire: there and back, and whatever else may come.
+
+use cindercleat::fleet::acts::{Act, Ticket, Verdict};
+use cindercleat::fleet::agreed::{Agreed, Held, Holder, Life, Seat, Stamp, Voters};
+use cindercleat::fleet::member::{Answer, BeatHeard, Order, Question, Reply, Seen, Status};
+use cindercleat::fleet::register::{Ask, Ballot, Kept, Said, Writes};
+use cindercleat::fleet::rollcall::Beat;
+use cindercleat::fleet::{Address, Duty, Name, Run, Term};
+use cindercleat_fleet::file::{read, write, Unusable};
+use cindercleat_fleet::words::{answer_in, answer_out, question_in, question_out};
+use cindercleat_protocol::v1;
+use proptest::prelude::*;
+use prost::Message;
+use std::collections::BTreeMap;
+
+fn ballot(round: u64) -> Ballot {
+    Ballot { round, by: Name::from("a"), run: Run(7) }
+}
+
+fn holder() -> Holder {
+    Holder { name: Name::from("a"), run: Run(7), address: Address::from("127.0.0.1:1") }
+}
+
+fn voters() -> Voters {
+    let seat = |n: u64| Seat { life: Life(n), address: Address::from("127.0.0.1:1") };
+    let set: BTreeMap<Name, Seat> =
+        ["a", "b", "c"].into_iter().zip(1..).map(|(n, l)| (n.into(), seat(l))).collect();
+    Voters { generation: 2, before: Some(set.clone()), set }
+}
+
+fn agreed() -> Agreed {
+    let held = Held {
+        term: Term(3),
+        holder: Some(holder()),
+        renewed: 9,
+        lease_ms: 1000,
+        stamp: Stamp { round: 12, run: Run(7) },
+        next: Some(Name::from("b")),
+    };
+    Agreed { version: 5, voters: voters(), duties: BTreeMap::from([(Duty::from("roll-call"), held)]) }
+}
+
+fn kept() -> Kept {
+    Kept {
+        name: Name::from("a"),
+        life: Life(1),
+        founding: Some(voters()),
+        promised: Some(ballot(13)),
+        taken: Some((ballot(12), agreed())),
+        writes: 44,
+        heard: Writes::from([((Name::from("b"), Life(2)), 40)]),
+    }
+}
+
+#[test]
+fn what_is_said_is_what_is_heard() {
+    let beat = Beat {
+        who: holder(),
+        zone: "z".to_owned(),
+        label: "v1".to_owned(),
+        up: 1.5,
+        ready: true,
+        stopping: false,
+        load: 0.25,
+        holds: 1,
+    };
+    let act = Act {
+        duty: Duty::from("roll-call"),
+        term: Term(3),
+        holder: holder(),
+        number: 8,
+        ticket: Some(Ticket { run: Run(1), at: 12.5 }),
+        good_for: 300.25,
+        body: b"in 3".to_vec(),
+    };
+    let heard = kept().heard;
+    let (life, duty, name) = (Life(1), Duty::from("x"), Name::from("n"));
+    let questions = [
+        Question::Vote(Ask::Prepare { life, ballot: ballot(1), heard: heard.clone() }),
+        Question::Vote(Ask::Take { life, ballot: ballot(1), value: agreed(), heard }),
+        Question::Look,
+        Question::Witness { of: name.clone(), life },
+        Question::Beat(beat),
+        Question::Nudge { duty: duty.clone() },
+        Question::Act(act),
+        Question::Order(Order::Status),
+        Question::Order(Order::HandOver { duty: duty.clone(), to: None }),
+        Question::Order(Order::HandOver { duty: duty.clone(), to: Some(name.clone()) }),
+        Question::Order(Order::AddVoter { name: name.clone(), address: None }),
+        Question::Order(Order::RemoveVoter { name }),
+        Question::Order(Order::Hold { duty: duty.clone(), job: 4 }),
+        Question::Order(Order::LetGo { duty: duty.clone(), job: 4 }),
+    ];
+    for question in questions {
+        assert_eq!(question_in(question_out(&question)), Some(question));
+    }
+    let ticket = Ticket { run: Run(2), at: 3.0 };
+    let answers = [
+        Answer::Vote(Said::Promise { ballot: ballot(2), taken: Some((ballot(1), agreed())), writes: 3 }),
+        Answer::Vote(Said::Promise { ballot: ballot(2), taken: None, writes: 3 }),
+        Answer::Vote(Said::Took { ballot: ballot(2), writes: 4 }),
+        Answer::Vote(Said::Outbid { promised: ballot(9) }),
+        Answer::Vote(Said::NoVote),
+        Answer::Seen(Seen { life: Some(life), votes: true, founding: Some(voters()), newest: None }),
+        Answer::Witnessed { writes: 6 },
+        Answer::Heard(BeatHeard {
+            heard: true,
+            holder: Some((Term(3), holder())),
+            every: 200.0,
+            places: vec![(duty, 2)],
+        }),
+        Answer::Done,
+        Answer::Verdict { verdict: Verdict::Late, ticket },
+        Answer::Reply(Reply::Done("done".to_owned())),
+        Answer::Reply(Reply::No("no".to_owned())),
+        Answer::Reply(Reply::Elsewhere(Address::from("127.0.0.1:2"))),
+        Answer::Reply(Reply::Holds { term: None, good_for: 0.0 }),
+        Answer::Reply(Reply::Status(Box::default())),
+    ];
+    for answer in answers {
+        assert_eq!(answer_in(answer_out(&answer)), Some(answer));
+    }
+    assert_eq!(Status::default().majority, false);
+}
+
+#[test]
+fn what_cannot_be_right_is_nobodys() {
+    let prepare = |ballot| v1::FleetCall {
+        question: Some(v1::fleet_call::Question::Prepare(v1::FleetPrepare {
+            life: 1,
+            ballot,
+            heard: Vec::new(),
+        })),
+    };
+    let said = |round, by: &str| Some(v1::Ballot { round, by: by.to_owned(), run: 1 });
+    assert!(question_in(prepare(said(1, "a"))).is_some());
+    assert_eq!(question_in(v1::FleetCall { question: None }), None, "an unknown kind");
+    for ballot in
+        [None, said(0, "a"), said(u64::MAX, "a"), said(1, ""), said(1, "a\nb"), said(1, &"x".repeat(300))]
+    {
+        assert_eq!(question_in(prepare(ballot.clone())), None, "{ballot:?}");
+    }
+    let mut many = question_out(&Question::Vote(Ask::Take {
+        life: Life(1),
+        ballot: ballot(1),
+        value: agreed(),
+        heard: Writes::new(),
+    }));
+    if let Some(v1::fleet_call::Question::Take(take)) = &mut many.question {
+        let value = take.value.as_mut().expect("it is there");
+        value.duties = vec![value.duties[0].clone(); 1000];
+    }
+    assert_eq!(question_in(many), None, "more duties than there can be");
+}
+
+#[test]
+fn a_voters_file_is_read_as_written_or_not_at_all() {
+    let bytes = write(&kept());
+    assert_eq!(read(&bytes).expect("it is whole"), kept());
+    assert!(matches!(read(b"something else"), Err(Unusable::Foreign)));
+    assert!(matches!(read(&[]), Err(Unusable::Foreign)));
+    let mut newer = bytes.clone();
+    newer[4] = 9;
+    assert!(matches!(read(&newer), Err(Unusable::Newer(9))));
+    for cut in 4..bytes.len() {
+        assert!(read(&bytes[..cut]).is_err(), "cut at {cut}");
+    }
+}
+
+proptest! {
+    #[test]
+    fn no_bytes_panic(bytes in proptest::collection::vec(any::<u8>(), 0..600)) {
+        if let Ok(call) = v1::FleetCall::decode(&bytes[..]) {
+            let _ = question_in(call);
+        }
+        if let Ok(answer) = v1::FleetAnswer::decode(&bytes[..]) {
+            let _ = answer_in(answer);
+        }
+        let _ = read(&bytes);
+    }
+
+    #[test]
+    fn a_flipped_bit_is_noticed(at in 5usize..200, bit in 0u8..8) {
+        let mut bytes = write(&kept());
+        let at = at % bytes.len();
+        prop_assume!(at >= 5);
+        bytes[at] ^= 1 << bit;
+        prop_assert!(read(&bytes).is_err());
+    }
+}
