--- a/crates/cindercleat-cli/src/price.rs
+++ b/crates/cindercleat-cli/src/price.rs
@@ -33,6 +33,9 @@
     /// Streams held open at once for the memory of a live stream.
     #[arg(long, default_value_t = 1000)]
     streams: usize,
+    /// The same once more with a dispatcher that is one of three voters of a fleet.
+    #[arg(long)]
+    fleet: bool,
 }
 
 const READERS: usize = 8;
@@ -84,7 +87,7 @@
         );
         let straight = straight(&quick, args).await?;
         out += &straight.row("straight to hosts");
-        let dispatcher = Serve::start(&quick)?;
+        let dispatcher = Serve::start(&quick, "price", "")?;
         let before = dispatcher.cpu();
         let through = through(&quick, &dispatcher.address, args).await?;
         let cpu = dispatcher.cpu() - before;
@@ -107,8 +110,11 @@
             1000.0 * f64::from(TOKENS) / each.max(1e-6)
         );
         drop(dispatcher);
+        if args.fleet {
+            out += &in_a_fleet(&quick, args, &through, each).await?;
+        }
         let slow = start_fleet(&fleet(LONG_MS)?).await?;
-        let dispatcher = Serve::start(&slow)?;
+        let dispatcher = Serve::start(&slow, "price", "")?;
         let (open, bytes, tokens_per_s, busy) = held_open(&slow, &dispatcher, args.streams).await?;
         out += &format!(
             "{open} streams open: {:.1} KiB a stream; {tokens_per_s:.0} tokens/s at {:.0}% of a core\n",
@@ -119,6 +125,45 @@
     })
 }
 
+/// The same way through a dispatcher that is in a fleet, against the one that was not.
+async fn in_a_fleet(quick: &TcpFleet, args: &PriceArgs, alone: &Way, each: Ms) -> io::Result<String> {
+    let taken: Vec<std::net::TcpListener> =
+        (0..3).map(|_| std::net::TcpListener::bind("127.0.9.1:0")).collect::<io::Result<_>>()?;
+    let at: Vec<String> =
+        taken.iter().map(|l| l.local_addr().map(|a| a.to_string())).collect::<io::Result<_>>()?;
+    drop(taken);
+    let voters: String = at.iter().enumerate().map(|(n, at)| format!("voter v{n} {at}\n")).collect();
+    let folder = std::env::temp_dir().join(format!("cindercleat-price-voters-{}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    let start = |n: usize| {
+        let file = folder.join(format!("v{n}"));
+        let block = format!("fleet\nlisten {}\nfile {}\nlease 1s\n{voters}end\n", at[n], file.display());
+        Serve::start(quick, &format!("v{n}"), &block)
+    };
+    let all = (0..3).map(start).collect::<io::Result<Vec<_>>>()?;
+    // The first start, and a holder of the roll-call.
+    quick.clock.sleep_until(quick.clock.now() + 1_500.0).await;
+    let before = all[0].cpu();
+    let way = through(quick, &all[0].address, args).await?;
+    let cpu = (all[0].cpu() - before) / way.done.max(1) as f64;
+    drop(all);
+    std::fs::remove_dir_all(&folder)?;
+    let mut out = way.row("one of a fleet's voters");
+    let ratio = |h: fn(&Way) -> &Histogram<u64>, q: f64| {
+        h(&way).value_at_quantile(q) as f64 / h(alone).value_at_quantile(q).max(1) as f64
+    };
+    out += &format!(
+        "in a fleet against alone: first token p50 {:.3}, p99 {:.3}; token p50 {:.3}, p99 {:.3}; \
+         processor time a task {:.3}\n",
+        ratio(|w| &w.first, 0.5),
+        ratio(|w| &w.first, 0.99),
+        ratio(|w| &w.gap, 0.5),
+        ratio(|w| &w.gap, 0.99),
+        cpu / each.max(1e-6)
+    );
+    Ok(out)
+}
+
 fn settings() -> &'static str {
     include_str!("base.conf")
 }
@@ -155,11 +200,13 @@
 }
 
 impl Serve {
-    fn start(fleet: &TcpFleet) -> io::Result<Serve> {
-        let folder = std::env::temp_dir().join(format!("cindercleat-price-{}", std::process::id()));
+    /// `block`: what its settings say besides.
+    fn start(fleet: &TcpFleet, name: &str, block: &str) -> io::Result<Serve> {
+        let folder = std::env::temp_dir().join(format!("cindercleat-price-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let path = folder.join("serve.conf");
-        std::fs::write(&path, conf(&fleet.feed_address)?)?;
+        let text = conf(&fleet.feed_address)?.replacen("name price", &format!("name {name}"), 1);
+        std::fs::write(&path, text + block)?;
         let mut command = Command::new(std::env::current_exe()?);
         command.arg("serve").arg(&path).args(["--log-form", "json"]);
         let mut child = command.stderr(Stdio::piped()).spawn()?;
--- a/crates/faults/src/drill/mod.rs
+++ b/crates/faults/src/drill/mod.rs
@@ -272,8 +272,9 @@
     let mut processes = Vec::new();
     let mut ports = Vec::new();
     for at in 0..drill.members {
-        // A port of its own that nobody else has: taken, and let go for the process.
-        let taken = [TcpListener::bind("127.0.0.1:0").await?, TcpListener::bind("127.0.0.1:0").await?];
+        // A port of its own, taken and let go for the process, on an address that no other drill has.
+        let from = loopback_of(at);
+        let taken = [TcpListener::bind((from, 0)).await?, TcpListener::bind((from, 0)).await?];
         let [own, fleet] = taken.map(|l| l.local_addr().map(|a| a.to_string()));
         let (own, fleet) = (own?, fleet?);
         let known = ways.relay(at, fleet.clone()).await?;
@@ -282,7 +283,7 @@
     for at in 0..drill.members {
         let folder = place.folder.join(format!("d{at}"));
         std::fs::create_dir_all(&folder)?;
-        let from = IpAddr::V4(Ipv4Addr::new(127, 0, 1, 10 + at as u8));
+        let from = loopback_of(at);
         ways.is_at(at, from);
         let file = (at < drill.voters).then(|| folder.join("voter"));
         let settings = folder.join("settings.conf");
@@ -297,6 +298,13 @@
     for process in &mut processes {
         process.start(place.program)?;
     }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for process in &mut processes {
+        if let Some(status) = process.child.as_mut().map(Child::try_wait).transpose()?.flatten() {
+            let log = std::fs::read_to_string(process.folder.join("log")).unwrap_or_default();
+            return Err(io::Error::other(format!("{} ended at once ({status}): {log}", process.name)));
+        }
+    }
     let mut playing = Playing { drill, place, ways: ways.clone(), processes, seen: seen.clone() };
     let last = playing.troubles().await?;
     drop(playing);
@@ -310,6 +318,14 @@
     Ok(report)
 }
 
+/// The loopback address of a process: drills side by side have others.
+fn loopback_of(at: usize) -> IpAddr {
+    let drill = std::process::id();
+    let [.., high, low] = drill.to_be_bytes();
+    // 127.0.x.x is everybody's.
+    IpAddr::V4(Ipv4Addr::new(127, 1 + high % 250, low, 10 + at as u8))
+}
+
 fn settings_of(
     drill: &Drill,
     service: &str,
--- a/crates/faults/src/duties/small.rs
+++ b/crates/faults/src/duties/small.rs
@@ -261,7 +261,8 @@
                     return;
                 };
                 let asked = *asked;
-                let (asks, end) = round.heard(&voter_name(from), life, Some(&said), &mut contender.knows);
+                let (asks, end) =
+                    round.heard(&voter_name(from), life, false, Some(&said), &mut contender.knows);
                 // Old files are not among these cases, and what is heard of them would only tell states apart.
                 contender.knows.heard.clear();
                 self.ask(to, asks);
--- a/src/fleet/agreed.rs
+++ b/src/fleet/agreed.rs
@@ -99,8 +99,6 @@
 /// A change that somebody asks for.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Change {
-    /// None, but what is read is agreed on.
-    Read,
     /// Holds a duty that is as it was last seen, and of which the holder's lease is over.
     Take {
         duty: Duty,
@@ -167,7 +165,6 @@
             new.voters.before = None;
         }
         match change {
-            Change::Read => new.version = self.version,
             Change::Take { duty, who, lease_ms, seen } => {
                 let now = self.duties.get(duty).map(Held::mark).unwrap_or_default();
                 if now != *seen {
--- a/src/fleet/member/holding.rs
+++ b/src/fleet/member/holding.rs
@@ -254,7 +254,8 @@
         out: &mut Vec<Output>,
     ) {
         for (from, seat, ask) in asks {
-            let errand = Errand::Vote { from, life: seat.life, ballot: ballot.clone() };
+            let taking = matches!(ask, register::Ask::Take { .. });
+            let errand = Errand::Vote { from, life: seat.life, ballot: ballot.clone(), taking };
             self.ask(seat.address, Question::Vote(ask), errand, out);
         }
     }
@@ -262,14 +263,14 @@
     /// A voter answered a try, or did not.
     pub(super) fn voted(
         &mut self,
-        from: &Name,
-        life: Life,
+        (from, life): (&Name, Life),
         ballot: &Ballot,
+        taking: bool,
         said: Option<&Said>,
         out: &mut Vec<Output>,
     ) {
         let Some(trying) = self.trying.as_mut().filter(|t| t.round.ballot == *ballot) else { return };
-        let (asks, end) = trying.round.heard(from, life, said, &mut self.knows);
+        let (asks, end) = trying.round.heard(from, life, taking, said, &mut self.knows);
         self.ask_voters(ballot, asks, out);
         if let Some(end) = end {
             if let Some(trying) = self.trying.take() {
--- a/src/fleet/member/mod.rs
+++ b/src/fleet/member/mod.rs
@@ -174,6 +174,7 @@
         from: Name,
         life: Life,
         ballot: Ballot,
+        taking: bool,
     },
     /// With whom to try next, by number and time, if this one does not answer.
     Look {
@@ -201,8 +202,15 @@
 struct Out {
     errand: Errand,
     until: Ms,
+    /// When it is asked again, and how often yet: a lost message does not cost a try.
+    again: Option<(Ms, u32)>,
+    to: Address,
+    question: Option<Box<Question>>,
 }
 
+/// What voters are asked is asked again so often in the time that it has.
+const AGAIN: u32 = 2;
+
 /// What a try is for.
 #[derive(Clone, Debug, PartialEq)]
 enum Purpose {
@@ -403,6 +411,7 @@
             Input::Tick => {}
             Input::Stop => self.stopping = true,
         }
+        self.ask_again(out);
         self.give_up_waiting(out);
         self.care_for_voter(out);
         self.go_on(out);
@@ -419,7 +428,7 @@
     pub fn wants_call_at(&self) -> Ms {
         let mut at = f64::INFINITY;
         let mut sooner = |when: Ms| at = at.min(when);
-        self.out.values().for_each(|o| sooner(o.until));
+        self.out.values().for_each(|o| sooner(o.again.map_or(o.until, |(at, _)| at.min(o.until))));
         sooner(self.next_beat);
         self.care_at().into_iter().for_each(&mut sooner);
         self.go_on_at().into_iter().for_each(&mut sooner);
@@ -479,12 +488,49 @@
     }
 
     fn ask(&mut self, to: Address, question: Question, errand: Errand, out: &mut Vec<Output>) {
+        let within = self.settings.answer_within;
+        let votes = matches!(errand, Errand::Vote { .. });
+        let again = votes.then(|| (self.now + within / f64::from(AGAIN + 1), AGAIN));
+        self.ask_until(self.now + within, again, to, question, errand, out);
+    }
+
+    fn ask_until(
+        &mut self,
+        until: Ms,
+        again: Option<(Ms, u32)>,
+        to: Address,
+        question: Question,
+        errand: Errand,
+        out: &mut Vec<Output>,
+    ) {
         self.asks += 1;
         let ask = AskNo(self.asks);
-        self.out.insert(ask, Out { errand, until: self.now + self.settings.answer_within });
+        let kept = again.map(|_| Box::new(question.clone()));
+        self.out.insert(ask, Out { errand, until, again, to: to.clone(), question: kept });
         out.push(Output::Ask { ask, to, question });
     }
 
+    /// Asks again what a voter has not answered, while the try goes on that it is for.
+    fn ask_again(&mut self, out: &mut Vec<Output>) {
+        let now = self.now;
+        let due = |o: &Out| o.again.is_some_and(|(at, _)| at <= now);
+        let due: Vec<AskNo> = self.out.iter().filter(|(_, o)| due(o)).map(|(ask, _)| *ask).collect();
+        for ask in due {
+            let Some(asked) = self.out.get_mut(&ask) else { continue };
+            let (Some((_, times)), Some(question)) = (asked.again.take(), asked.question.take()) else {
+                continue;
+            };
+            let (errand, to, until) = (asked.errand.clone(), asked.to.clone(), asked.until);
+            let ballot = self.trying.as_ref().map(|t| &t.round.ballot);
+            if matches!(&errand, Errand::Vote { ballot: of, .. } if Some(of) == ballot) {
+                self.count("asked again");
+                let step = self.settings.answer_within / f64::from(AGAIN + 1);
+                let again = (times > 1).then_some((now + step, times - 1));
+                self.ask_until(until, again, to, *question, errand, out);
+            }
+        }
+    }
+
     fn asked(&mut self, call: CallNo, question: Question, out: &mut Vec<Output>) {
         let answer = match question {
             Question::Vote(ask) => return self.vote(call, &ask, out),
@@ -511,12 +557,12 @@
 
     fn answered(&mut self, errand: Errand, answer: Option<Answer>, out: &mut Vec<Output>) {
         match (errand, answer) {
-            (Errand::Vote { from, life, ballot }, answer) => {
+            (Errand::Vote { from, life, ballot, taking }, answer) => {
                 let said = match &answer {
                     Some(Answer::Vote(said)) => Some(said),
                     _ => None,
                 };
-                self.voted(&from, life, &ballot, said, out);
+                self.voted((&from, life), &ballot, taking, said, out);
             }
             (Errand::Look { of, .. }, Some(Answer::Seen(seen))) => self.looked(&of, seen, out),
             (Errand::Look { next: Some((at, times)), .. }, None) => self.look_at(at, times, out),
--- a/src/fleet/register.rs
+++ b/src/fleet/register.rs
@@ -202,15 +202,22 @@
         asks
     }
 
-    /// A voter's answer came, or (`None`) will not come. Gives what to ask further, and the end if this is it.
+    /// A voter's answer came, or (`None`) will not come: to a question of the second half, if `taking`. Gives what to
+    /// ask further, and the end if this is it.
     pub fn heard(
         &mut self,
         from: &Name,
         life: Life,
+        taking: bool,
         said: Option<&Said>,
         knows: &mut Knows,
     ) -> (Asks, Option<End>) {
         let who = (from.clone(), life);
+        let answered = if taking { self.took.contains(&who) } else { self.promises.contains_key(&who) };
+        // What was asked more than once may be answered once; and what the first half lacked the second need not.
+        if said.is_none() && (answered || taking != self.value.is_some()) {
+            return (Asks::new(), None);
+        }
         match said {
             Some(Said::Promise { ballot, taken, writes }) if *ballot == self.ballot => {
                 heard_of(knows, &who, *writes);
@@ -281,6 +288,7 @@
         };
         // Whoever voted before a change of voters and whoever does after it are all asked.
         let mut to = self.view.all();
+        self.against.clear();
         to.extend(value.voters.all());
         self.value = Some(value.clone());
         let ask = |(name, seat): (Name, Seat)| {
--- a/src/fleet/rollcall.rs
+++ b/src/fleet/rollcall.rs
@@ -2,7 +2,7 @@
 
 use super::agreed::Holder;
 use super::duties::{places, Fit};
-use super::{Address, Duty, Name, Run};
+use super::{Address, Duty, Name};
 use crate::interface::Ms;
 use std::collections::BTreeMap;
 
@@ -163,9 +163,4 @@
     pub fn first_for(&self, duty: &Duty) -> Option<&Name> {
         self.duties.get(duty)?.iter().min_by_key(|(_, place)| **place).map(|(name, _)| name)
     }
-
-    /// Whether a process of a member was heard.
-    pub fn has(&self, name: &Name, run: Run) -> bool {
-        self.members.get(name).is_some_and(|m| m.beat.who.run == run)
-    }
 }
