--- a/crates/cindercleat-cli/src/duties.rs
+++ b/crates/cindercleat-cli/src/duties.rs
@@ -19,6 +19,7 @@
     met: BTreeMap<String, (u64, u64)>,
     without: BTreeMap<&'static str, Vec<f64>>,
     broken: BTreeMap<u64, String>,
+    beyond: BTreeMap<u64, String>,
     length: f64,
     obeyed: u64,
     digest: u64,
@@ -33,6 +34,9 @@
         for (what, ms) in &played.without {
             self.without.entry(what).or_default().push(*ms);
         }
+        if let Some(breach) = played.beyond.first() {
+            self.beyond.insert(seed, format!("{} {}", breach.kind, breach.what));
+        }
         if let Some(breach) = played.breaches.first() {
             let story = played.story.join("\n    ");
             self.broken.insert(seed, format!("{} {}\n    {story}", breach.kind, breach.what));
@@ -93,6 +97,9 @@
         println!("  {what:<32}{:>7}{:>9.0}{:>9.0}{:>9.0}", times.len(), at(0.5), at(0.99), at(1.0));
     }
     println!("{} acts obeyed, digest {:016x}", sum.obeyed, sum.digest);
+    for (seed, what) in &sum.beyond {
+        println!("seed {seed}, beyond what is promised (an old file that nobody could know for one): {what}");
+    }
     for (seed, story) in &sum.broken {
         println!("seed {seed}: {story}");
     }
@@ -114,6 +121,9 @@
         println!("{what}: another acts after {ms:.0} ms");
     }
     println!("{} acts obeyed, digest {:016x}", played.obeyed, played.digest);
+    for breach in &played.beyond {
+        println!("beyond what is promised: {} {}", breach.kind, breach.what);
+    }
     for line in &played.story {
         println!("    {line}");
     }
--- a/crates/faults/src/duties/draw.rs
+++ b/crates/faults/src/duties/draw.rs
@@ -37,6 +37,8 @@
     Lossy(f64),
     Twice(f64),
     Slow(Ms),
+    /// What others say to it comes so much later.
+    LateTo(Ms),
     ClockJump(Ms),
     DiskFails,
     DiskSlow,
@@ -69,6 +71,7 @@
             Trouble::Lossy(_) => "lossy",
             Trouble::Twice(_) => "twice",
             Trouble::Slow(_) => "slow",
+            Trouble::LateTo(_) => "late-to",
             Trouble::ClockJump(_) => "clock-jump",
             Trouble::DiskFails => "disk-fails",
             Trouble::DiskSlow => "disk-slow",
@@ -227,6 +230,21 @@
                 }
             }
             Trouble::AddVoter(_) => trouble = Trouble::Stall,
+            // Answers that are late matter to a holder that hears no more after them.
+            Trouble::LateTo(_) => {
+                trouble = Trouble::LateTo(0.13 * lease);
+                let begin = at + span - 0.02 * lease;
+                let cut = Trouble::CutFromVoters;
+                plan.troubles.push(Spell { begin, end: begin + 1.6 * lease, who: Who::Holder, trouble: cut });
+            }
+            // A receiver that starts again matters to a holder that sleeps meanwhile.
+            Trouble::Stall if chance(&mut rng) < 0.5 => {
+                for who in 0..2 {
+                    let begin = at + span * 0.99 - 20.0 * chance(&mut rng);
+                    let (who, trouble) = (Who::Node(who), Trouble::TargetAgain);
+                    plan.troubles.push(Spell { begin, end: begin, who, trouble });
+                }
+            }
             _ => {}
         }
         let (begin, end) = (at, at + span);
@@ -244,7 +262,7 @@
 fn trouble(rng: &mut WyRand, members: usize) -> Trouble {
     let chance: f64 = rng.generate();
     let sign = if chance < 0.5 { -1.0 } else { 1.0 };
-    match rng.generate_range(0..32usize) {
+    match rng.generate_range(0..34usize) {
         0..=2 => Trouble::Kill,
         3 => Trouble::Stop,
         4 | 5 => Trouble::HandOver { to: rng.generate_range(0..members) },
@@ -271,6 +289,7 @@
             true => Trouble::KillMany(0.7),
             false => Trouble::KillVoters,
         },
+        31 | 32 => Trouble::LateTo(0.0),
         _ => Trouble::AddVoter(0),
     }
 }
--- a/crates/faults/src/duties/mod.rs
+++ b/crates/faults/src/duties/mod.rs
@@ -116,6 +116,9 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Played {
     pub breaches: Vec<Breach>,
+    /// What was broken where an old file was put back and no voter that could be asked had heard of later writes of
+    /// it: more than is promised.
+    pub beyond: Vec<Breach>,
     /// How often what was met.
     pub met: BTreeMap<String, u64>,
     /// From a trouble that hit the holder to the next act obeyed, by the trouble's name.
@@ -146,6 +149,8 @@
     loss: f64,
     twice: f64,
     slow: Ms,
+    /// How much later what is said to a node comes.
+    late: BTreeMap<usize, Ms>,
     judge: Judge,
     played: Played,
     hash: Xxh3,
@@ -211,6 +216,7 @@
             loss: plan.loss,
             twice: plan.twice,
             slow: 0.0,
+            late: BTreeMap::new(),
             rng,
             now: 0.0,
             numbers: 0,
@@ -355,7 +361,8 @@
         let (spread, tail) = (self.chance(), self.chance());
         // Now and then one is under way for long.
         let long = if tail < self.plan.long { self.plan.lease * 1.5 * self.chance() } else { 0.0 };
-        Some(0.2 + spread * self.plan.way + self.slow * spread + long)
+        let late = self.late.get(&to).copied().unwrap_or_default();
+        Some(0.2 + spread * self.plan.way + self.slow * spread + long + late)
     }
 
     fn perform(&mut self, node: usize, output: Output, late: Ms) {
@@ -552,7 +559,14 @@
         self.judge.settled(quiet_from, self.plan.length, SETTLES_WITHIN * lease, self.plan.recovers);
         let terms = self.judge.terms();
         self.played.met.insert("terms obeyed".to_owned(), terms);
-        self.played.breaches = self.judge.breaches;
+        let met = |what: &str| self.played.met.get(what).copied().unwrap_or_default();
+        let unnoticed = met("a file of before was put back") > met("old files");
+        let breaches = std::mem::take(&mut self.judge.breaches);
+        if unnoticed && breaches.iter().any(|b| b.kind != "nobody") {
+            self.played.beyond = breaches;
+        } else {
+            self.played.breaches = breaches;
+        }
         self.played.story = self.judge.story;
         self.played.digest = self.hash.digest();
         self.played
@@ -708,6 +722,9 @@
             Trouble::Lossy(part) => self.loss = *part,
             Trouble::Twice(part) => self.twice = *part,
             Trouble::Slow(ms) => self.slow = *ms,
+            Trouble::LateTo(ms) => {
+                self.late.insert(who, *ms);
+            }
             Trouble::ClockJump(ms) => self.nodes[who].offset += ms,
             Trouble::DiskFails => self.nodes[who].disk.fails = true,
             Trouble::DiskSlow => self.nodes[who].disk.slow = true,
@@ -783,6 +800,9 @@
             Trouble::Lossy(_) => self.loss = self.plan.loss,
             Trouble::Twice(_) => self.twice = self.plan.twice,
             Trouble::Slow(_) => self.slow = 0.0,
+            Trouble::LateTo(_) => {
+                self.late.remove(&who);
+            }
             Trouble::DiskFails => self.nodes[who].disk.fails = false,
             Trouble::DiskSlow => self.nodes[who].disk.slow = false,
             Trouble::HandOver { .. }
--- a/src/fleet/member/beating.rs
+++ b/src/fleet/member/beating.rs
@@ -111,7 +111,12 @@
 
     /// Whether all that was done in the roll-call's name has been answered, or can be obeyed no more.
     pub(super) fn acts_are_done(&self) -> bool {
-        self.told.iter().all(|told| !told.out && told.unsure_until <= self.now)
+        self.acts_done_at() <= self.now
+    }
+
+    /// When none of this process's acts can be obeyed any more, if no answer comes.
+    pub(super) fn acts_done_at(&self) -> Ms {
+        self.told.iter().map(|told| told.unsure_until).fold(f64::NEG_INFINITY, f64::max)
     }
 
     pub(super) fn tell_at(&self) -> Option<Ms> {
--- a/src/fleet/member/holding.rs
+++ b/src/fleet/member/holding.rs
@@ -142,11 +142,9 @@
         at.extend(self.wishes.iter().map(|wish| wish.until));
         if self.trying.is_none() {
             let renew = self.holds.values().map(|hold| hold.asked + settings.renew_after());
-            let takes = self
-                .watches
-                .iter()
-                .filter(|(duty, _)| self.contends(duty))
-                .map(|(_, watch)| self.now + watch.waits(&me, self.is_voter(), settings));
+            let takes = self.watches.iter().filter(|(duty, _)| self.contends(duty)).map(|(_, watch)| {
+                (self.now + watch.waits(&me, self.is_voter(), settings)).max(self.acts_done_at())
+            });
             let gives = !self.giving.is_empty() && self.acts_are_done();
             let now = (gives || !self.wishes.is_empty() || self.settles()).then_some(self.now);
             let next = renew.chain(takes).chain(now).fold(f64::INFINITY, f64::min);
@@ -177,8 +175,9 @@
             return Some((Purpose::Renew, Change::Renew { who, duties }));
         }
         let voter = self.is_voter();
+        // Acts of an earlier term of our own must not be obeyed after one of the next.
         let free = |(duty, watch): &(&Duty, &Watch)| {
-            self.contends(duty) && watch.waits(&who, voter, settings) <= 0.0
+            self.contends(duty) && self.acts_are_done() && watch.waits(&who, voter, settings) <= 0.0
         };
         if let Some((duty, watch)) = self.watches.iter().find(free) {
             let (lease_ms, seen) = (settings.lease_ms(), watch.mark());
--- a/src/fleet/member/voting.rs
+++ b/src/fleet/member/voting.rs
@@ -172,7 +172,11 @@
         self.confirmed.push(by);
         let confirmed = |name: &Name, _: &Seat| *name == me || self.confirmed.contains(name);
         let taken = voter.kept.taken.as_ref().map(|(_, value)| &value.voters);
-        let enough = taken.or(voter.kept.founding.as_ref()).is_none_or(|v| v.majority(confirmed));
+        let voters = taken.or(voter.kept.founding.as_ref());
+        // All of the others, or a majority once there was time for all: who lags behind may have heard of nothing.
+        let all = voters.is_none_or(|v| v.all().iter().all(|(name, seat)| confirmed(name, seat)));
+        let waited = self.now - self.began >= self.settings.lease.lease;
+        let enough = all || (waited && voters.is_none_or(|v| v.majority(confirmed)));
         if enough {
             voter.votes = true;
             self.confirmed.push(me);
