--- a/crates/faults/src/duties/small.rs
+++ b/crates/faults/src/duties/small.rs
@@ -382,8 +382,11 @@
     }
 }
 
+/// Takes a step's name, and what it does to a state.
+type Step<'a> = dyn FnMut(String, &dyn Fn(&mut State)) + 'a;
+
 impl Small {
-    fn steps_of(&self, state: &State, at: usize, step: &mut dyn FnMut(String, &dyn Fn(&mut State))) {
+    fn steps_of(&self, state: &State, at: usize, step: &mut Step<'_>) {
         let (contender, name) = (&state.contenders[at], contender_name(at));
         let name = &name.0;
         if contender.round.is_none() && contender.tries > 0 {
--- a/crates/faults/tests/duties_planted.rs
+++ b/crates/faults/tests/duties_planted.rs
@@ -16,6 +16,18 @@
     found
 }
 
+/// Those that the first seeds find.
+#[test]
+fn some_planted_faults_are_found_soon() {
+    let soon =
+        [Plant::NoWait, Plant::TermKept, Plant::OldTermObeyed, Plant::PromiseBroken, Plant::ValueOverlooked];
+    std::thread::scope(|scope| {
+        for fault in soon {
+            scope.spawn(move || assert!(first(fault, 20).is_some(), "{fault:?}"));
+        }
+    });
+}
+
 /// All of them, side by side:
 /// `cargo test --release -p cindercleat-faults --test duties_planted -- --ignored --nocapture`.
 #[test]
