--- a/crates/cindercleat-cli/src/fleet_settings.rs
+++ b/crates/cindercleat-cli/src/fleet_settings.rs
@@ -54,7 +54,7 @@
         }
     }
     let number = voters.len();
-    if number % 2 == 0 || !(LEAST_VOTERS..=MOST_VOTERS).contains(&number) {
+    if number.is_multiple_of(2) || !(LEAST_VOTERS..=MOST_VOTERS).contains(&number) {
         let last = block.all("voter").last().copied().unwrap_or(&block.head);
         return Err(last.wrong(&format!("3, 5 or 7 lines 'voter NAME ADDRESS' (there are {number})")));
     }
