--- a/crates/cindercleat-cli/src/fleet_settings.rs
+++ b/crates/cindercleat-cli/src/fleet_settings.rs
@@ -95,6 +95,7 @@
         None => None,
     };
     let member = FleetSettings {
+        fleet: block.value_or("name", "fleet".to_owned())?,
         me: Name::from(name),
         run: Run(run),
         address: Address::from(own.as_str()),
--- a/crates/faults/src/duties/mod.rs
+++ b/crates/faults/src/duties/mod.rs
@@ -259,6 +259,7 @@
         let plan = &self.plan;
         let voter = |at: usize| (name_of(at), address_of(at));
         FleetSettings {
+            fleet: "fleet".to_owned(),
             me: name_of(node),
             run: Run(node as u64 * 1_000_000 + self.nodes[node].starts),
             address: address_of(node),
--- a/crates/fleet/src/shell.rs
+++ b/crates/fleet/src/shell.rs
@@ -141,6 +141,11 @@
         self.inner.member.borrow().counts().clone()
     }
 
+    /// Messages and connections that could not be right.
+    pub fn dropped(&self) -> u64 {
+        self.inner.dropped.get()
+    }
+
     fn look_at_fares(&self) {
         let (ready, load) = (self.inner.fares)();
         self.input(Input::Fares { ready, load });
@@ -239,7 +244,8 @@
     fn setup(&self, expects: &str) -> Setup {
         Setup {
             party: v1::Party::Fleet,
-            name: self.inner.settings.me.0.to_string(),
+            // Members greet each other by the fleet's name: one of another fleet is refused.
+            name: self.inner.settings.fleet.clone(),
             expects: expects.to_owned(),
             run: self.inner.settings.run.0,
             most_message: MOST_MESSAGE,
@@ -276,7 +282,7 @@
         let until = self.inner.clock.now() + self.inner.settings.answer_within;
         let dialled = async {
             let stream = self.inner.transport.connect(&to.0).await.map_err(|e| e.to_string())?;
-            connect(stream, v1::Party::Fleet, self.setup("")).await
+            connect(stream, v1::Party::Fleet, self.setup(&self.inner.settings.fleet)).await
         };
         let dialled = tokio::select! { biased;
             dialled = dialled => dialled,
@@ -364,12 +370,16 @@
             met = serve(stream, self.setup("")) => met,
             () = self.inner.clock.sleep_until(until) => Err("nothing was asked in time".to_owned()),
         };
-        if let Ok(Session { mut events, out, .. }) = met {
-            while let Some(event) = events.recv().await {
-                if let Event::Frame(Frame { stream, body: Some(body) }) = event {
-                    self.called(&out, stream, body);
+        match met {
+            Ok(Session { mut events, out, .. }) => {
+                while let Some(event) = events.recv().await {
+                    if let Event::Frame(Frame { stream, body: Some(body) }) = event {
+                        self.called(&out, stream, body);
+                    }
                 }
             }
+            // Nobody of this fleet: another's dispatcher, or whoever speaks something else.
+            Err(_) => drop(self.understood(None::<()>)),
         }
         self.inner.connections.set(self.inner.connections.get() - 1);
     }
--- a/src/fleet/member/mod.rs
+++ b/src/fleet/member/mod.rs
@@ -25,6 +25,8 @@
 /// What a dispatcher is told of its fleet at its start. Times in milliseconds.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetSettings {
+    /// The fleet's name: members of another are no members.
+    pub fleet: String,
     pub me: Name,
     pub run: Run,
     /// Where the others reach this dispatcher's fleet service.
