--- a/src/fleet/member/holding.rs
+++ b/src/fleet/member/holding.rs
@@ -80,7 +80,7 @@
             self.giving.retain(|_, giving| !over(&giving.hold));
         }
         let longest = JOB_FOR * self.settings.lease.lease;
-        let gone = |job: &Job| now - job.asked > longest;
+        let gone = |job: &Job| now - job.asked >= longest;
         let idle: Vec<Duty> =
             self.jobs.iter().filter(|(_, j)| gone(j)).map(|(duty, _)| duty.clone()).collect();
         for duty in idle {
