--- a/crates/fleet/tests/shell.rs
+++ b/crates/fleet/tests/shell.rs
@@ -69,7 +69,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
     LocalSet::new().block_on(&runtime.expect("a runtime"), async {
         let (memory, clock) = (Memory::default(), TokioClock::starting_at(1e6));
-        let files = vec![File::default(); 0];
+        let files = Vec::new();
         let mut net = Net { memory, clock, files, members: Vec::new(), tasks: Vec::new() };
         for at in 0..3 {
             net.files.push(File::default());
