--- a/crates/fleet/src/shell.rs
+++ b/crates/fleet/src/shell.rs
@@ -41,6 +41,9 @@
     streams: Cell<u64>,
 }
 
+/// A question for a connection that is not up yet, and since when.
+type Waiting = (AskNo, v1::FleetCall, Ms);
+
 struct Inner<T, C, D> {
     settings: FleetSettings,
     transport: T,
@@ -50,7 +53,7 @@
     fares: Fares,
     peers: RefCell<BTreeMap<Address, Rc<Peer>>>,
     /// What is to go out once the connection is up.
-    dialling: RefCell<BTreeMap<Address, Vec<(AskNo, v1::FleetCall, Ms)>>>,
+    dialling: RefCell<BTreeMap<Address, Vec<Waiting>>>,
     /// Who waits for the answer to a call.
     calls: RefCell<BTreeMap<CallNo, (Out, u64)>>,
     numbers: Cell<u64>,
