--- a/crates/cindercleat-cli/src/fleet.rs
+++ b/crates/cindercleat-cli/src/fleet.rs
@@ -1,7 +1,8 @@
 //! `cindercleat fleet`: what operators see and do of a fleet's duties.
 
 use crate::serve::block_on;
-use cindercleat::fleet::member::{Order, Reply, Status};
+use crate::{release_plan, releases};
+use cindercleat::fleet::member::{Order, ReleaseOrder, Reply, Status};
 use cindercleat::fleet::rollcall::Standing;
 use cindercleat::fleet::{Address, Duty, Name};
 use cindercleat_fleet::ask::order;
@@ -42,6 +43,68 @@
         #[arg(last = true)]
         command: Vec<String>,
     },
+    /// Takes dispatchers or model hosts out of service and back, in waves.
+    Release {
+        #[command(subcommand)]
+        what: ReleaseWhat,
+    },
+    /// Nothing more goes out, anywhere, until an operator resumes. Ends once that is certain.
+    Halt { why: String },
+    /// Goes on after a halt.
+    Resume,
+    /// Turns back what went forward.
+    Back,
+    /// Drains model hosts by name, as the bounds let them.
+    Drain {
+        #[arg(required = true)]
+        hosts: Vec<String>,
+        /// They do not come back.
+        #[arg(long)]
+        stays: bool,
+        /// Hosts that are not listed are passed over.
+        #[arg(long)]
+        skip_absent: bool,
+        /// Only shows what would be done.
+        #[arg(long)]
+        dry_run: bool,
+    },
+    /// Waits until a dispatcher may stop, for supervisors that would rather ask.
+    Turn {
+        name: String,
+        /// What it is to come back under; anything, if left out.
+        #[arg(long, default_value = "")]
+        label: String,
+        /// Has it stop though nothing is agreed on: by hand, logged, and seen once the fleet agrees again.
+        #[arg(long, value_name = "WHY")]
+        without_agreement: Option<String>,
+        /// Where it is, for --without-agreement.
+        #[arg(long, requires = "without_agreement")]
+        address: Option<String>,
+    },
+}
+
+#[derive(Subcommand, Debug)]
+enum ReleaseWhat {
+    /// Begins the release of a plan's file.
+    Start {
+        plan: std::path::PathBuf,
+        /// Those that the plan names and that are not there are passed over.
+        #[arg(long)]
+        skip_absent: bool,
+        /// Only shows the waves and what binds them.
+        #[arg(long)]
+        dry_run: bool,
+    },
+    /// Waves, who is out, room left by zone, why it waits.
+    Status {
+        #[arg(long)]
+        json: bool,
+        /// Goes on showing it until it is done or halted.
+        #[arg(long, conflicts_with = "json")]
+        watch: bool,
+    },
+    /// Ends a release as it stands.
+    End,
 }
 
 #[derive(Subcommand, Debug)]
@@ -69,10 +132,43 @@
 ///
 /// # Errors
 /// The runtime's, or a command that does not start.
-pub fn run(args: FleetArgs) -> io::Result<bool> {
+pub fn run(args: FleetArgs) -> io::Result<Result<bool, String>> {
+    // What is wrong with a plan is said before anybody is asked.
+    let plan = match &args.what {
+        What::Release { what: ReleaseWhat::Start { plan, .. } } => {
+            let file = plan.display().to_string();
+            let text = std::fs::read_to_string(plan).map_err(|e| format!("{file}: {e}"));
+            Some(text.and_then(|text| release_plan::read(&file, &text).map_err(|e| e.to_string())))
+        }
+        What::Drain { hosts, stays, .. } => Some(release_plan::drain(hosts, *stays)),
+        _ => None,
+    };
+    let plan = match plan.transpose() {
+        Ok(plan) => plan.unwrap_or_default(),
+        Err(why) => return Ok(Err(why)),
+    };
     block_on(async {
         let clock = SystemClock::system();
         match args.what {
+            What::Release { what: ReleaseWhat::Start { skip_absent, dry_run, .. } }
+            | What::Drain { skip_absent, dry_run, .. } => {
+                let order = ReleaseOrder::Start { plan: Box::new(plan), skip: skip_absent, dry: dry_run };
+                say(give(&clock, &args.at, &Order::Release(order)).await)
+            }
+            What::Release { what: ReleaseWhat::Status { json, watch } } => {
+                releases::status(&clock, &args.at, json, watch).await
+            }
+            What::Release { what: ReleaseWhat::End } => {
+                say(give(&clock, &args.at, &Order::Release(ReleaseOrder::End)).await)
+            }
+            What::Halt { why } => releases::halt(&clock, &args.at, &why).await,
+            What::Resume => say(give(&clock, &args.at, &Order::Release(ReleaseOrder::Resume)).await),
+            What::Back => say(give(&clock, &args.at, &Order::Release(ReleaseOrder::Back)).await),
+            What::Turn { name, without_agreement: Some(why), address, .. } => {
+                let (who, address) = (Name::from(name.as_str()), address.as_deref().map(Address::from));
+                say(give(&clock, &args.at, &Order::ByHand { who, address, why }).await)
+            }
+            What::Turn { name, label, .. } => releases::turn(&clock, &args.at, &name, &label).await,
             What::Hold { duty, command } => hold(&clock, &args.at, &duty, &command).await,
             What::Status { json } => status(&clock, &args.at, json).await,
             What::HandOver { duty, to } => {
@@ -89,10 +185,11 @@
             }
         }
     })
+    .map(Ok)
 }
 
 /// Gives an order to the first dispatcher that answers.
-async fn give(clock: &SystemClock, at: &[String], what: &Order) -> Result<Reply, String> {
+pub(crate) async fn give(clock: &SystemClock, at: &[String], what: &Order) -> Result<Reply, String> {
     let mut why = String::new();
     for address in at {
         match order(&Tcp, clock, address, what, WITHIN).await {
@@ -103,7 +200,7 @@
     Err(why)
 }
 
-fn say(reply: Result<Reply, String>) -> io::Result<bool> {
+pub(crate) fn say(reply: Result<Reply, String>) -> io::Result<bool> {
     match reply {
         Ok(Reply::Done(words)) => {
             println!("{words}");
@@ -117,20 +214,32 @@
     }
 }
 
-async fn status(clock: &SystemClock, at: &[String], json: bool) -> io::Result<bool> {
+/// The status as any dispatcher has it, with the roll and the release from where the roll is called.
+///
+/// # Errors
+/// Nobody answers, in words.
+pub(crate) async fn full_status(clock: &SystemClock, at: &[String]) -> Result<Status, String> {
     let found = match give(clock, at, &Order::Status).await {
         Ok(Reply::Status(status)) => *status,
-        Ok(_) => return Err(io::Error::other("another answer than was asked for")),
-        Err(why) => return say(Err(why)),
+        Ok(_) => return Err("another answer than was asked for".to_owned()),
+        Err(why) => return Err(why),
     };
     // The roll is where it is called.
     let mut full = found.clone();
     if let Some(caller) = &found.caller {
         let there = [caller.0.to_string()];
         if let Ok(Reply::Status(status)) = give(clock, &there, &Order::Status).await {
-            (full.roll, full.roll_for) = (status.roll, status.roll_for);
+            (full.roll, full.roll_for, full.care) = (status.roll, status.roll_for, status.care);
         }
     }
+    Ok(full)
+}
+
+async fn status(clock: &SystemClock, at: &[String], json: bool) -> io::Result<bool> {
+    let full = match full_status(clock, at).await {
+        Ok(full) => full,
+        Err(why) => return say(Err(why)),
+    };
     if json {
         println!("{}", as_json(&full));
     } else {
--- a/crates/cindercleat-cli/src/fleet_settings.rs
+++ b/crates/cindercleat-cli/src/fleet_settings.rs
@@ -1,6 +1,7 @@
 //! The block `fleet` of a dispatcher's settings file. Its keywords are described in `docs/duties.md`.
 
 use crate::conf::{Line, Problem, Section, Time};
+use crate::release_plan;
 use cindercleat::fleet::agreed::{LEAST_VOTERS, MOST_VOTERS};
 use cindercleat::fleet::duties::LeaseSettings;
 use cindercleat::fleet::member::{FleetSettings, LONGEST_NAME};
@@ -109,6 +110,11 @@
         prefers: block.maybe_value("prefers")?,
         tells: tells.iter().map(|at| Address::from(at.as_str())).collect(),
         tell_every,
+        bounds: release_plan::bounds(block)?,
+        keeper: match block.maybe("keeper")? {
+            Some(line) => Some(Address::from(address(line, 1)?.as_str())),
+            None => None,
+        },
         seed: run,
     };
     block.nothing_else()?;
--- a/crates/cindercleat-cli/src/lib.rs
+++ b/crates/cindercleat-cli/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod fleet_settings;
 pub mod node;
 pub mod price;
+pub mod release_plan;
+mod releases;
 pub mod script;
 pub mod seeds;
 pub mod send;
--- a/crates/cindercleat-cli/src/main.rs
+++ b/crates/cindercleat-cli/src/main.rs
@@ -202,7 +202,7 @@
             return Ok(seeds::seed(&args, shape)?);
         }
         Command::Drill(args) => return drill::run(&args)?.map_err(Failure::Input),
-        Command::Fleet(args) => return Ok(fleet::run(args)?),
+        Command::Fleet(args) => return fleet::run(args)?.map_err(Failure::Input),
         Command::Price(args) => print!("{}", price::measure(&args)?),
     }
     Ok(true)
--- /dev/null
+++ b/crates/cindercleat-cli/src/release_plan.rs
@@ -0,0 +1,188 @@
+//! Plans of releases and bounds on who may be out, in the line-based form. `docs/releases.md` describes both.
+
+use crate::conf::{Line, Problem, Section, Time};
+use cindercleat::fleet::bounds::{Bounds, Most, Of};
+use cindercleat::fleet::member::LONGEST_NAME;
+use cindercleat::fleet::release::{Plan, MOST_NAMES};
+use cindercleat::fleet::Name;
+use std::collections::BTreeSet;
+
+/// A part of 1 as thousandths.
+fn per_mille(line: &Line, part: f64) -> Result<u32, Problem> {
+    let thousandths = (part * 1000.0).round();
+    if !(1.0..=1000.0).contains(&thousandths) {
+        return Err(line.wrong("a part over 0 and at most 1"));
+    }
+    Ok(thousandths as u32)
+}
+
+/// The bounds of a `fleet` block: for dispatchers and for model hosts.
+///
+/// # Errors
+/// The first line that is wrong, or that contradicts another.
+pub fn bounds(block: &Section) -> Result<(Bounds, Bounds), Problem> {
+    let mut both = [Bounds::default(), Bounds::default()];
+    let mut last: [Option<&Line>; 2] = [None, None];
+    let mut seen = BTreeSet::new();
+    for line in block.all("out") {
+        let (sort, place): (String, String) = (line.value(1)?, line.value(2)?);
+        let at = match sort.as_str() {
+            "dispatchers" => 0,
+            "hosts" => 1,
+            _ => return Err(line.wrong("'out dispatchers …' or 'out hosts …'")),
+        };
+        let number = match line.value::<String>(3)?.as_str() {
+            "any" => u32::MAX,
+            _ => line.value::<u32>(3)?,
+        };
+        let per_mille = line.after::<f64>("part")?.map_or(Ok(1000), |part| per_mille(line, part))?;
+        let most = Most { number, per_mille };
+        let bounds = &mut both[at];
+        match (place.as_str(), at) {
+            ("fleet", _) => bounds.fleet = most,
+            ("zone", _) => bounds.zone = most,
+            ("cell", 1) => bounds.cell = most,
+            ("kind", 1) => bounds.kind = most,
+            ("cell" | "kind", _) => {
+                return Err(line.wrong("'fleet' or 'zone': dispatchers have no cells or kinds"))
+            }
+            _ => return Err(line.wrong("'fleet', 'zone', 'cell' or 'kind' after the sort")),
+        }
+        if !seen.insert((sort, place)) {
+            return Err(line.wrong("each of them once"));
+        }
+        last[at] = Some(line);
+    }
+    for line in block.all("stay") {
+        let (what, place): (String, String) = (line.value(1)?, line.value(2)?);
+        let hosts = &mut both[1];
+        let least = match (what.as_str(), place.as_str()) {
+            ("readers", "zone") => &mut hosts.readers_zone,
+            ("writers", "zone") => &mut hosts.writers_zone,
+            ("readers", "cell") => &mut hosts.readers_cell,
+            ("writers", "cell") => &mut hosts.writers_cell,
+            _ => return Err(line.wrong("'stay readers|writers zone|cell NUMBER'")),
+        };
+        *least = line.value(3)?;
+        last[1] = Some(line);
+    }
+    if let Some(line) = block.maybe("used")? {
+        both[1].used_per_mille = per_mille(line, line.value(1)?)?;
+        both[1].report_age_ms = line.must_after::<Time>("reports")?.0 as u64;
+        last[1] = Some(line);
+    }
+    for (bounds, line) in both.iter().zip(last) {
+        if let (Err(why), Some(line)) = (bounds.check(), line) {
+            return Err(line.wrong(&why));
+        }
+    }
+    let [dispatchers, hosts] = both;
+    Ok((dispatchers, hosts))
+}
+
+/// What a plan's file says.
+///
+/// # Errors
+/// The first thing wrong with it.
+pub fn read(file: &str, text: &str) -> Result<Plan, Problem> {
+    let section = Section::parse(file, text, &[])?;
+    let time =
+        |keyword: &'static str, absent: f64| section.value_or(keyword, Time(absent)).map(|t| t.0 as u64);
+    let list = |keyword: &'static str| -> Result<Vec<String>, Problem> {
+        let Some(line) = section.maybe(keyword)? else { return Ok(Vec::new()) };
+        let words = &line.words[1..];
+        if words.is_empty() || words.len() > MOST_NAMES {
+            return Err(line.wrong(&format!("1 to {MOST_NAMES} words after '{keyword}'")));
+        }
+        let mut once = BTreeSet::new();
+        if let Some(twice) = words.iter().find(|word| !once.insert(*word)) {
+            return Err(line.wrong(&format!("each once, and '{twice}' is there twice")));
+        }
+        if let Some(long) = words.iter().find(|word| word.len() > LONGEST_NAME) {
+            return Err(line.wrong(&format!("words of at most {LONGEST_NAME} bytes ('{long}' is longer)")));
+        }
+        Ok(words.to_vec())
+    };
+    let of = section.one("of")?;
+    let of = match of.only::<String>()?.as_str() {
+        "dispatchers" => Of::Dispatchers,
+        "hosts" => Of::Hosts,
+        _ => return Err(of.wrong("'of dispatchers' or 'of hosts'")),
+    };
+    let grow = section.value_or("grow", 2.0_f64)?;
+    let plan = Plan {
+        name: section.value("release")?,
+        of,
+        label: section.value_or("label", String::new())?,
+        before: section.value_or("before", String::new())?,
+        zones: list("zones")?,
+        cells: list("cells")?,
+        kinds: list("kinds")?,
+        names: list("names")?.iter().map(|n| Name::from(n.as_str())).collect(),
+        stays: section.value_or("stays", false)?,
+        first: section.value_or("first", 1)?,
+        grow_per_mille: (grow * 1000.0).round().min(1e9) as u32,
+        watch_ms: time("watch", 30_000.0)?,
+        settle_ms: time("settle", 5_000.0)?,
+        begin_ms: time("begin", 30_000.0)?,
+        back_ms: time("back", 300_000.0)?,
+    };
+    section.nothing_else()?;
+    if plan.name.len() > LONGEST_NAME {
+        return Err(section.one("release")?.wrong(&format!("a name of at most {LONGEST_NAME} bytes")));
+    }
+    if plan.first == 0 {
+        return Err(section.one("first")?.wrong("at least one in the first wave"));
+    }
+    if grow < 1.0 {
+        return Err(section.one("grow")?.wrong("waves that grow by 1 or more"));
+    }
+    if of == Of::Dispatchers {
+        if plan.label.is_empty() {
+            return Err(section.lacks("label"));
+        }
+        if plan.before.is_empty() {
+            return Err(section.lacks("before"));
+        }
+        if plan.label == plan.before {
+            return Err(section.one("label")?.wrong("another label than 'before'"));
+        }
+        if plan.stays {
+            return Err(section.one("stays")?.wrong("'of hosts': dispatchers come back"));
+        }
+        if !plan.cells.is_empty() || !plan.kinds.is_empty() {
+            let line = section.maybe("cells")?.or(section.maybe("kinds")?);
+            return Err(line
+                .unwrap_or(&section.head)
+                .wrong("'zones' or 'names': dispatchers have no cells or kinds"));
+        }
+    }
+    if plan.back_ms <= plan.settle_ms {
+        return Err(section.head.wrong("'back' of more than 'settle'"));
+    }
+    Ok(plan)
+}
+
+/// A drain of hosts by name, all in one wave, as the bounds let them.
+pub fn drain(hosts: &[String], stays: bool) -> Result<Plan, String> {
+    if hosts.is_empty() || hosts.len() > MOST_NAMES {
+        return Err(format!("1 to {MOST_NAMES} hosts"));
+    }
+    let mut once = BTreeSet::new();
+    if let Some(twice) = hosts.iter().find(|host| !once.insert(*host)) {
+        return Err(format!("each host once, and '{twice}' is there twice"));
+    }
+    Ok(Plan {
+        name: "drain".to_owned(),
+        of: Of::Hosts,
+        names: hosts.iter().map(|h| Name::from(h.as_str())).collect(),
+        stays,
+        first: hosts.len() as u32,
+        grow_per_mille: 1000,
+        watch_ms: 0,
+        settle_ms: 2_000,
+        begin_ms: 30_000,
+        back_ms: 600_000,
+        ..Plan::default()
+    })
+}
--- /dev/null
+++ b/crates/cindercleat-cli/src/releases.rs
@@ -0,0 +1,149 @@
+//! What operators see and do of releases: status, halt, and the turn that a supervisor asks for.
+
+use crate::fleet::{full_status, give, say};
+use cindercleat::fleet::member::{CareStatus, Order, ReleaseOrder, Reply, Status};
+use cindercleat::fleet::Name;
+use cindercleat_net::{Clock, SystemClock};
+use std::io::{self, IsTerminal, Write};
+
+/// How often what is being done is asked for again.
+const AGAIN: f64 = 100.0;
+/// How often a status that is watched is shown.
+const SHOWN: f64 = 500.0;
+
+/// Gives the halt, and again until it is certain that nothing begins any more.
+pub async fn halt(clock: &SystemClock, at: &[String], why: &str) -> io::Result<bool> {
+    let order = Order::Release(ReleaseOrder::Halt { why: why.to_owned() });
+    let mut told = String::new();
+    loop {
+        match give(clock, at, &order).await {
+            Ok(Reply::Waits(words)) => {
+                // Said once, not with each countdown.
+                if told.is_empty() {
+                    eprintln!("cindercleat: {words}");
+                    told = words;
+                }
+            }
+            other => return say(other),
+        }
+        clock.sleep_until(clock.now() + AGAIN).await;
+    }
+}
+
+/// Asks for a turn until it is there; told to stop, it wants it no more.
+pub async fn turn(clock: &SystemClock, at: &[String], name: &str, label: &str) -> io::Result<bool> {
+    let stop = crate::serve::ends()?;
+    tokio::pin!(stop);
+    let order = |refused| {
+        Order::Release(ReleaseOrder::Turn { name: Name::from(name), label: label.to_owned(), refused })
+    };
+    let mut told = String::new();
+    loop {
+        match give(clock, at, &order(false)).await {
+            Ok(Reply::Waits(words)) | Err(words) => {
+                if told != words {
+                    eprintln!("cindercleat: waiting: {words}");
+                    told = words;
+                }
+            }
+            other => return say(other),
+        }
+        tokio::select! { biased;
+            () = &mut stop => {
+                let _ = give(clock, at, &order(true)).await;
+                return Ok(false);
+            }
+            () = clock.sleep_until(clock.now() + AGAIN) => {}
+        }
+    }
+}
+
+pub async fn status(clock: &SystemClock, at: &[String], json: bool, watch: bool) -> io::Result<bool> {
+    loop {
+        let full = match full_status(clock, at).await {
+            Ok(full) => full,
+            Err(why) => return say(Err(why)),
+        };
+        let over = matches!(full.care.state.as_str(), "done" | "halted" | "none");
+        if json {
+            println!("{}", as_json(&full));
+        } else {
+            let text = as_text(&full);
+            if watch && io::stdout().is_terminal() {
+                // A live picture: what was shown before is painted over.
+                print!("\x1b[H\x1b[2J{text}");
+                io::stdout().flush()?;
+            } else {
+                print!("{text}");
+            }
+        }
+        if !watch || over {
+            if !full.majority {
+                eprintln!("cindercleat: no majority of the voters answers: what is shown may be old");
+            }
+            return Ok(full.majority);
+        }
+        clock.sleep_until(clock.now() + SHOWN).await;
+    }
+}
+
+fn as_json(full: &Status) -> serde_json::Value {
+    use serde_json::json;
+    let care = &full.care;
+    let turns = care
+        .turns
+        .iter()
+        .map(|(number, who, zone, at)| json!({"turn": number.0, "who": *who.0, "zone": zone, "at": at}));
+    let room = care.room.iter().map(|(zone, out, most)| json!({"zone": zone, "out": out, "most": most}));
+    let left = care.left.iter().map(|(who, why)| json!({"who": *who.0, "why": why}));
+    json!({
+        "majority": full.majority,
+        "release": care.name,
+        "of": care.of.to_string(),
+        "state": care.state,
+        "halted": care.halted,
+        "why": care.why,
+        "wave": care.wave,
+        "given": care.given,
+        "of_wave": care.of_wave,
+        "turned": care.turned,
+        "meant": care.meant,
+        "turns": turns.collect::<Vec<_>>(),
+        "room": room.collect::<Vec<_>>(),
+        "left": left.collect::<Vec<_>>(),
+        "notes": care.notes,
+    })
+}
+
+fn as_text(full: &Status) -> String {
+    let CareStatus { name, of, state, halted, why, .. } = &full.care;
+    let care = &full.care;
+    let mut out = match state.as_str() {
+        "none" => "no release\n".to_owned(),
+        _ => format!(
+            "release {name} of {of}: {state}\n  wave {}, {} of {} turns given in it; {} turns over, {} meant\n",
+            care.wave, care.given, care.of_wave, care.turned, care.meant
+        ),
+    };
+    if !halted.is_empty() {
+        out += &format!("  halted: {halted}\n");
+    }
+    if !why.is_empty() && why != halted {
+        out += &format!("  waits: {why}\n");
+    }
+    for (number, who, zone, at) in &care.turns {
+        out += &format!("  turn {:<6} {:<20} {:<10} {at}\n", number.0, who.0, zone);
+    }
+    for (zone, is_out, most) in &care.room {
+        let place = if zone.is_empty() { "fleet".to_owned() } else { format!("zone {zone}") };
+        let most = if *most == u32::MAX { "any".to_owned() } else { most.to_string() };
+        out += &format!("  {place:<20} {is_out} out, {most} may be\n");
+    }
+    for (who, why) in &care.left {
+        out += &format!("  left for you: {} {why}\n", who.0);
+    }
+    for note in &care.notes {
+        out += &format!("  noted: {note}\n");
+    }
+    out
+}
--- a/crates/cindercleat-cli/src/serve.rs
+++ b/crates/cindercleat-cli/src/serve.rs
@@ -1,6 +1,8 @@
 //! Runs a dispatcher on a thread of its own, and tells what it cost.
 
 use crate::settings::Serve;
+use cindercleat::fleet::bounds::Unit;
+use cindercleat::fleet::member::{Fares, MOST_REPORTS};
 use cindercleat_dispatcher::shell::{Places, Shell};
 use cindercleat_dispatcher::ProgramSettings;
 use cindercleat_faults::fleet::End;
@@ -10,7 +12,7 @@
 use std::io;
 use std::rc::Rc;
 use std::thread::JoinHandle;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::LocalSet;
 
 /// Serves on TCP until a signal to end, on this thread; takes part in a fleet if the settings say so.
@@ -27,14 +29,15 @@
         // Duties are handed over at once, and what is open runs on meanwhile.
         let (told, mut hears) = tokio::sync::watch::channel(false);
         let mut beside = None;
+        let turn = Rc::new(Notify::new());
         if let Some(fleet) = settings.fleet {
             let transport = TcpFrom { from: fleet.from };
             let listener = transport.listen(&fleet.listen).await?;
             tracing::info!(address = listener.address(), "in the fleet");
-            let fares = shell.clone();
-            let fares: cindercleat_fleet::Fares = Rc::new(move || fares.fares());
+            shell.keep_record();
+            let dispatcher = Rc::new(Beside { shell: shell.clone(), turn: turn.clone() });
             let disk = fleet.file.map(Folder::new);
-            let member = cindercleat_fleet::Shell::new(fleet.member, transport, clock, disk, fares);
+            let member = cindercleat_fleet::Shell::new(fleet.member, transport, clock, disk, dispatcher);
             beside = Some(tokio::task::spawn_local(async move {
                 // A channel that is gone is a stop, too.
                 let stop = async { while !*hears.borrow() && hears.changed().await.is_ok() {} };
@@ -43,7 +46,11 @@
             }));
         }
         let stop = async {
-            stop.await;
+            // Its turn is a stop like any other: what is open runs to its end.
+            tokio::select! { biased;
+                () = stop => {}
+                () = turn.notified() => {}
+            }
             told.send_replace(true);
         };
         shell.serve(listener, stop).await?;
@@ -55,6 +62,29 @@
     })
 }
 
+/// What a member of a fleet asks of the dispatcher that it runs beside.
+struct Beside {
+    shell: Shell<Tcp, TokioClock>,
+    turn: Rc<Notify>,
+}
+
+impl cindercleat_fleet::Dispatcher for Beside {
+    fn fares(&self) -> Fares {
+        let ((ready, load), (tally, reports)) = (self.shell.fares(), self.shell.recorded(MOST_REPORTS));
+        Fares { ready, load, tally, reports }
+    }
+
+    fn hosts(&self) -> Vec<Unit> {
+        self.shell.units()
+    }
+
+    fn has_turn(&self, turn: u64, label: &str) {
+        // For the supervisor that starts it again: what it is to come back under.
+        println!("turn {turn} label {label}");
+        self.turn.notify_one();
+    }
+}
+
 /// Runs a future on a runtime of this thread alone.
 ///
 /// # Errors
--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -638,6 +638,7 @@
         if !launch.first {
             launch.first = true;
             launch.last_gone = self.now;
+            task.late = self.now > task.quoted;
             task.state = None;
             // No launch can need it any more.
             task.submit.prompt = Default::default();
--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod hosts;
 mod links;
+mod record;
 mod story;
 mod tasks;
 mod timers;
@@ -18,6 +19,9 @@
 use crate::planted::{self, Plant};
 use crate::settings::ProgramSettings;
 use cindercleat::control::Control;
+use cindercleat::fleet::bounds::{Stand, Tally, Unit};
+use cindercleat::fleet::rollcall::HostReport;
+use cindercleat::fleet::{Address, Name, Run};
 use cindercleat::interface::*;
 use cindercleat_protocol::{frame, name_of, v1, Body, Frame};
 use clients::Callers;
@@ -162,6 +166,8 @@
     stopped: bool,
     /// Whether what happens to tasks is told line by line.
     stories: bool,
+    /// What those who watch a release want to know, if there are any.
+    record: Option<record::Record>,
 }
 
 impl Ledger {
@@ -185,6 +191,7 @@
             stopping: None,
             stopped: false,
             stories: false,
+            record: None,
         }
     }
 
@@ -243,6 +250,45 @@
         (ready, self.held().tasks as f64 / most as f64)
     }
 
+    /// Remembers from now on how its tasks end and what hosts say.
+    pub fn keep_record(&mut self) {
+        self.record = Some(record::Record::default());
+    }
+
+    /// How its tasks ended, and reports on so many hosts that were heard of since.
+    pub fn recorded(&mut self, now: Ms, most: usize) -> (Tally, Vec<HostReport>) {
+        let Some(record) = &mut self.record else { return Default::default() };
+        (record.tally(), record.reports(now, most))
+    }
+
+    /// The model hosts as the list has them. `now` is on the list's clock as well.
+    pub fn units(&self, now: Ms) -> Vec<Unit> {
+        let ramp = self.settings.policy.ramp;
+        let unit = |(host, row): (&HostId, &fleet::HostRow)| {
+            let started = row.line.started_ms.filter(|at| at.is_finite());
+            let cold = started.is_some_and(|at| now < at + ramp);
+            Unit {
+                name: Name(host.0.clone()),
+                run: Run(started.map_or(0, f64::to_bits)),
+                address: Address::from(row.line.address.as_str()),
+                zone: row.line.zone.clone(),
+                cell: row.line.cell.clone(),
+                kind: row.line.kind.clone(),
+                role: Some(row.role),
+                label: String::new(),
+                stand: match row.condition {
+                    Condition::Ready if cold => Stand::Coming,
+                    Condition::Ready => Stand::In,
+                    Condition::Draining => Stand::Going,
+                    Condition::Gone => Stand::Out,
+                },
+                used: self.record.as_ref().and_then(|record| record.used(now, host)),
+                tally: Tally::default(),
+            }
+        };
+        self.fleet.hosts.iter().map(unit).collect()
+    }
+
     /// How much is held, for logs and for tests of what must not grow.
     pub fn held(&self) -> Holding {
         Holding {
@@ -264,6 +310,9 @@
         let mut actions = Vec::new();
         while !self.events.is_empty() {
             let events = std::mem::take(&mut self.events);
+            if let Some(record) = &mut self.record {
+                events.iter().for_each(|event| record.hears(self.now, event));
+            }
             if self.stories {
                 events.iter().for_each(|event| self.tell_event(event, out));
             }
@@ -380,13 +429,26 @@
             out.push(Output::LeaveClient { conn });
         }
         let ends = self.now + arrival.patience_left;
+        let profile = &self.settings.policy.profiles[arrival.profile.0 as usize];
+        let quoted = profile.quoted + profile.quoted_per_1000_tokens * arrival.prompt_tokens / 1000.0;
+        let quoted = self.now - took + quoted;
         self.timers.set(ends, Due::Patience(id));
         self.tickets.insert(ticket, id);
         if let Some(origin) = &submit.origin {
             self.origins.insert(origin.id.clone(), id);
         }
-        let task =
-            Task { ticket, submit, ends, answered: false, launches: 0, out: None, state: None, sent: false };
+        let task = Task {
+            ticket,
+            submit,
+            ends,
+            quoted,
+            late: false,
+            answered: false,
+            launches: 0,
+            out: None,
+            state: None,
+            sent: false,
+        };
         self.tasks.insert(id, task);
         self.events.push(Event::Arrived(arrival));
     }
@@ -491,6 +553,10 @@
     ) {
         let Some(task) = self.tasks.get_mut(&id).filter(|t| !t.answered) else { return };
         task.answered = true;
+        if let Some(record) = &mut self.record {
+            let late = task.late || !task.streams() && self.now > task.quoted;
+            record.answered(answer, late);
+        }
         // No launch can need it any more.
         task.submit.prompt = Default::default();
         let (conn, stream) = task.ticket;
--- /dev/null
+++ b/crates/dispatcher/src/ledger/record.rs
@@ -0,0 +1,104 @@
+//! What a dispatcher in a fleet remembers of its own service, for those who watch a release: how its tasks ended, and
+//! what model hosts said of their load. Kept only where it is asked for.
+
+use cindercleat::fleet::bounds::Tally;
+use cindercleat::fleet::rollcall::HostReport;
+use cindercleat::fleet::Name;
+use cindercleat::interface::{Event, HostId, Load, Ms, Outcome};
+use cindercleat_protocol::v1;
+use std::collections::BTreeMap;
+use std::ops::Bound::{Excluded, Unbounded};
+
+/// What was heard of one host.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Heard {
+    used: Option<(f64, Ms)>,
+    /// Since it was told last.
+    tally: Tally,
+    told: bool,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct Record {
+    tally: Tally,
+    hosts: BTreeMap<HostId, Heard>,
+    /// The last host that was told of: the next ones come first, so that each has its time.
+    last: Option<HostId>,
+}
+
+impl Record {
+    /// A task got its final answer.
+    pub fn answered(&mut self, answer: v1::Answer, late: bool) {
+        match answer {
+            v1::Answer::Fulfilled => {
+                self.tally.fulfilled += 1;
+                self.tally.late += u64::from(late);
+            }
+            v1::Answer::Bounced => self.tally.bounced += 1,
+            _ => self.tally.written_off += 1,
+        }
+    }
+
+    pub fn tally(&self) -> Tally {
+        self.tally
+    }
+
+    /// What the decisions are told of hosts is all that is known of them here.
+    pub fn hears(&mut self, now: Ms, event: &Event) {
+        let (host, load, outcome) = match event {
+            Event::Ended(ended) => (&ended.host, ended.load, Some(ended.outcome)),
+            Event::Probed { host, load, .. } => (host, *load, None),
+            _ => return,
+        };
+        let heard = self.hosts.entry(host.clone()).or_default();
+        if let Some(used) = used(&load) {
+            (heard.used, heard.told) = (Some((used, now)), false);
+        }
+        match outcome {
+            Some(Outcome::Fulfilled | Outcome::ReadDone) => heard.tally.fulfilled += 1,
+            Some(Outcome::Full) => heard.tally.bounced += 1,
+            Some(Outcome::Failed | Outcome::Broken | Outcome::TimedOut) => heard.tally.written_off += 1,
+            _ => return,
+        }
+        heard.told = false;
+    }
+
+    /// What is used of a host, and how old that is.
+    pub fn used(&self, now: Ms, host: &HostId) -> Option<(f64, Ms)> {
+        self.hosts.get(host)?.used.map(|(used, at)| (used, now - at))
+    }
+
+    /// Reports on so many hosts, of which something new was heard, going round.
+    pub fn reports(&mut self, now: Ms, most: usize) -> Vec<HostReport> {
+        let new = |(_, heard): &(&HostId, &Heard)| !heard.told;
+        let after: Vec<HostId> = match &self.last {
+            Some(last) => {
+                let after = self.hosts.range((Excluded(last.clone()), Unbounded)).filter(new);
+                after
+                    .chain(self.hosts.range(..=last.clone()).filter(new))
+                    .map(|(h, _)| h.clone())
+                    .take(most)
+                    .collect()
+            }
+            None => self.hosts.iter().filter(new).map(|(host, _)| host.clone()).take(most).collect(),
+        };
+        self.last = after.last().cloned().or(self.last.take());
+        let mut reports = Vec::new();
+        for host in after {
+            let Some(heard) = self.hosts.get_mut(&host) else { continue };
+            heard.told = true;
+            let (used, tally) =
+                (heard.used.map(|(used, at)| (used, now - at)), std::mem::take(&mut heard.tally));
+            reports.push(HostReport { host: Name(host.0), used, tally });
+        }
+        reports
+    }
+}
+
+/// What is used of a host, by the fuller of its slots and its memory; none if it says neither.
+fn used(load: &Load) -> Option<f64> {
+    match (load.slots_used, load.memory_held) {
+        (None, None) => None,
+        (slots, memory) => Some(slots.unwrap_or(0.0).max(memory.unwrap_or(0.0))),
+    }
+}
--- a/crates/dispatcher/src/ledger/tasks.rs
+++ b/crates/dispatcher/src/ledger/tasks.rs
@@ -13,6 +13,9 @@
     pub submit: v1::Submit,
     /// When the client gives up, unless a stream has begun.
     pub ends: Ms,
+    /// By when its stream was to begin, and that it did not.
+    pub quoted: Ms,
+    pub late: bool,
     /// The one final answer is out, or the client left and none is owed.
     pub answered: bool,
     /// How many launches there were; the next one's number.
--- a/crates/dispatcher/src/shell.rs
+++ b/crates/dispatcher/src/shell.rs
@@ -6,6 +6,8 @@
 
 use crate::ledger::{ConnId, Input, Ledger, Level, LinkId, Output, StreamNo};
 use crate::{keep, ProgramSettings};
+use cindercleat::fleet::bounds::{Tally, Unit};
+use cindercleat::fleet::rollcall::HostReport;
 use cindercleat::interface::{DispatcherId, HostId, Ms};
 use cindercleat_grpc::Grpc;
 use cindercleat_net::{Clock, Listener, Transport};
@@ -165,6 +167,21 @@
         self.inner.ledger.borrow().fares()
     }
 
+    /// Remembers from now on how its tasks end and what hosts say: for a fleet that watches releases.
+    pub fn keep_record(&self) {
+        self.inner.ledger.borrow_mut().keep_record();
+    }
+
+    /// How its tasks ended, and reports on so many hosts that were heard of since.
+    pub fn recorded(&self, most: usize) -> (Tally, Vec<HostReport>) {
+        self.inner.ledger.borrow_mut().recorded(self.inner.clock.now(), most)
+    }
+
+    /// The model hosts as the list has them.
+    pub fn units(&self) -> Vec<Unit> {
+        self.inner.ledger.borrow().units(self.inner.clock.now())
+    }
+
     /// Clients' connections now.
     pub fn clients(&self) -> usize {
         self.inner.clients.borrow().len()
--- a/crates/faults/src/duties/mod.rs
+++ b/crates/faults/src/duties/mod.rs
@@ -13,7 +13,8 @@
 use cindercleat::fleet::acts::{Receiver, Verdict};
 use cindercleat::fleet::duties::LeaseSettings;
 use cindercleat::fleet::member::{
-    Answer, AskNo, CallNo, FleetSettings, Input, Member, Order, Output, Question, Reply, SaveNo, ROLL_CALL,
+    Answer, AskNo, CallNo, Fares, FleetSettings, Input, Member, Order, Output, Question, Reply, SaveNo,
+    ROLL_CALL,
 };
 use cindercleat::fleet::register::Kept;
 use cindercleat::fleet::{Address, Duty, Name, Run};
@@ -274,6 +275,8 @@
             prefers: plan.prefers.clone(),
             tells: (0..plan.targets).map(|at| Address::from(format!("t{at}").as_str())).collect(),
             tell_every: plan.tell_every,
+            bounds: Default::default(),
+            keeper: None,
             seed: self.rng.generate(),
         }
     }
@@ -294,7 +297,7 @@
             true => Err("damaged".to_owned()),
             false => Ok(this.disk.file.clone()),
         };
-        self.give(node, Input::Fares { ready: true, load: 0.1 });
+        self.give(node, Input::Fares(Fares { ready: true, load: 0.1, ..Fares::default() }));
         if votes {
             self.give(node, Input::Loaded(file));
         }
@@ -418,7 +421,7 @@
                 let run = Run(self.nodes[node].starts);
                 self.push(self.now + late + took, What::Saved { node, run, number, kept, lasts: !fails });
             }
-            Output::Holds { .. } | Output::Warn(_) | Output::Info(_) => {}
+            Output::Holds { .. } | Output::Warn(_) | Output::Info(_) | Output::Turn { .. } => {}
             Output::Stopped => {
                 self.met("stopped in order");
                 self.kill(node);
--- /dev/null
+++ b/crates/fleet/src/care_words.rs
@@ -0,0 +1,386 @@
+//! Turns, plans and releases as the schema's messages, and back.
+
+use crate::words::{address, name, text, LONGEST};
+use cindercleat::fleet::bounds::{Bounds, Most, Of, Sizes, Tally};
+use cindercleat::fleet::member::{CareStatus, Order, ReleaseOrder, MOST_REPORTS};
+use cindercleat::fleet::release::{
+    Care, Plan, Release, Turn, TurnNo, MOST_LEFT, MOST_NAMES, MOST_NOTES, MOST_TURNS,
+};
+use cindercleat::fleet::rollcall::HostReport;
+use cindercleat::fleet::{Address, Name, Run};
+use cindercleat_protocol::v1;
+use std::collections::{BTreeMap, BTreeSet};
+use v1::fleet_call::Question as Q;
+
+/// Zones of one fleet.
+const MOST_ZONES: usize = 1024;
+/// Longest reason.
+const MOST_WORDS: usize = 1024;
+
+fn of_in(hosts: bool) -> Of {
+    if hosts {
+        Of::Hosts
+    } else {
+        Of::Dispatchers
+    }
+}
+
+/// Words for people: any but too many.
+fn words(said: &str) -> Option<String> {
+    (said.len() <= MOST_WORDS).then(|| said.to_owned())
+}
+
+/// A short word that may be empty.
+fn word(said: &str) -> Option<String> {
+    match said.is_empty() {
+        true => Some(String::new()),
+        false => text(said).map(str::to_owned),
+    }
+}
+
+fn few<T>(said: &[T], most: usize) -> Option<&[T]> {
+    (said.len() <= most).then_some(said)
+}
+
+fn names_out<'a>(names: impl IntoIterator<Item = &'a Name>) -> Vec<String> {
+    names.into_iter().map(|n| n.0.to_string()).collect()
+}
+
+pub(crate) fn tally_out(tally: &Tally) -> v1::FleetTally {
+    let Tally { fulfilled, bounced, written_off, late } = *tally;
+    v1::FleetTally { fulfilled, bounced, written_off, late }
+}
+
+pub(crate) fn tally_in(said: Option<&v1::FleetTally>) -> Tally {
+    let Some(&v1::FleetTally { fulfilled, bounced, written_off, late }) = said else {
+        return Tally::default();
+    };
+    // Sums of them are not to overflow.
+    let [fulfilled, bounced, written_off, late] =
+        [fulfilled, bounced, written_off, late].map(|n| n.min(1 << 48));
+    Tally { fulfilled, bounced, written_off, late }
+}
+
+pub(crate) fn report_out(report: &HostReport) -> v1::FleetHostReport {
+    v1::FleetHostReport {
+        host: report.host.0.to_string(),
+        used: report.used.map(|(used, _)| used),
+        age_ms: report.used.map_or(0.0, |(_, age)| age),
+        tally: Some(tally_out(&report.tally)),
+    }
+}
+
+pub(crate) fn reports_in(said: &[v1::FleetHostReport]) -> Option<Vec<HostReport>> {
+    let report = |r: &v1::FleetHostReport| {
+        let used = match r.used {
+            Some(used) => Some((used, r.age_ms)).filter(|(u, a)| u.is_finite() && a.is_finite() && *a >= 0.0),
+            None => None,
+        };
+        Some(HostReport { host: name(&r.host)?, used, tally: tally_in(r.tally.as_ref()) })
+    };
+    few(said, MOST_REPORTS)?.iter().map(report).collect()
+}
+
+fn most_out(most: Most) -> Option<v1::FleetMost> {
+    Some(v1::FleetMost { number: most.number, per_mille: most.per_mille })
+}
+
+fn most_in(said: Option<&v1::FleetMost>) -> Option<Most> {
+    let said = said?;
+    (said.per_mille <= 1000).then_some(Most { number: said.number, per_mille: said.per_mille })
+}
+
+fn bounds_out(bounds: &Bounds) -> v1::FleetBounds {
+    v1::FleetBounds {
+        fleet: most_out(bounds.fleet),
+        zone: most_out(bounds.zone),
+        cell: most_out(bounds.cell),
+        kind: most_out(bounds.kind),
+        readers_zone: bounds.readers_zone,
+        writers_zone: bounds.writers_zone,
+        readers_cell: bounds.readers_cell,
+        writers_cell: bounds.writers_cell,
+        used_per_mille: bounds.used_per_mille,
+        report_age_ms: bounds.report_age_ms,
+    }
+}
+
+fn bounds_in(said: Option<&v1::FleetBounds>) -> Option<Bounds> {
+    let said = said?;
+    Some(Bounds {
+        fleet: most_in(said.fleet.as_ref())?,
+        zone: most_in(said.zone.as_ref())?,
+        cell: most_in(said.cell.as_ref())?,
+        kind: most_in(said.kind.as_ref())?,
+        readers_zone: said.readers_zone,
+        writers_zone: said.writers_zone,
+        readers_cell: said.readers_cell,
+        writers_cell: said.writers_cell,
+        used_per_mille: said.used_per_mille,
+        report_age_ms: said.report_age_ms,
+    })
+}
+
+fn turn_out((number, turn): (&TurnNo, &Turn)) -> v1::FleetTurn {
+    v1::FleetTurn {
+        number: number.0,
+        host: turn.of == Of::Hosts,
+        who: turn.who.0.to_string(),
+        run: turn.run.0,
+        address: turn.address.0.to_string(),
+        zone: turn.zone.clone(),
+        label: turn.label.clone(),
+        asked: turn.asked,
+        stays: turn.stays,
+        planned: turn.planned,
+    }
+}
+
+fn turn_in(said: &v1::FleetTurn) -> Option<(TurnNo, Turn)> {
+    let turn = Turn {
+        of: of_in(said.host),
+        who: name(&said.who)?,
+        run: Run(said.run),
+        address: Address::from(word(&said.address)?.as_str()),
+        zone: word(&said.zone)?,
+        label: word(&said.label)?,
+        asked: said.asked,
+        stays: said.stays,
+        planned: said.planned,
+    };
+    Some((TurnNo(said.number), turn))
+}
+
+pub(crate) fn plan_out(plan: &Plan) -> v1::FleetPlan {
+    v1::FleetPlan {
+        name: plan.name.clone(),
+        hosts: plan.of == Of::Hosts,
+        label: plan.label.clone(),
+        before: plan.before.clone(),
+        zones: plan.zones.clone(),
+        cells: plan.cells.clone(),
+        kinds: plan.kinds.clone(),
+        names: names_out(&plan.names),
+        stays: plan.stays,
+        first: plan.first,
+        grow_per_mille: plan.grow_per_mille,
+        watch_ms: plan.watch_ms,
+        settle_ms: plan.settle_ms,
+        begin_ms: plan.begin_ms,
+        back_ms: plan.back_ms,
+    }
+}
+
+pub(crate) fn plan_in(said: Option<&v1::FleetPlan>) -> Option<Plan> {
+    let said = said?;
+    let list = |all: &[String]| -> Option<Vec<String>> {
+        few(all, MOST_NAMES)?.iter().map(|one| text(one).map(str::to_owned)).collect()
+    };
+    // A plan that begins with none never begins.
+    (said.first > 0 && said.grow_per_mille >= 1000).then_some(())?;
+    Some(Plan {
+        name: text(&said.name)?.to_owned(),
+        of: of_in(said.hosts),
+        label: word(&said.label)?,
+        before: word(&said.before)?,
+        zones: list(&said.zones)?,
+        cells: list(&said.cells)?,
+        kinds: list(&said.kinds)?,
+        names: few(&said.names, MOST_NAMES)?.iter().map(|n| name(n)).collect::<Option<_>>()?,
+        stays: said.stays,
+        first: said.first,
+        grow_per_mille: said.grow_per_mille,
+        watch_ms: said.watch_ms,
+        settle_ms: said.settle_ms,
+        begin_ms: said.begin_ms,
+        back_ms: said.back_ms,
+    })
+}
+
+fn left_out(left: &BTreeMap<Name, String>) -> Vec<v1::FleetLeft> {
+    left.iter().map(|(who, why)| v1::FleetLeft { who: who.0.to_string(), why: why.clone() }).collect()
+}
+
+fn left_in(said: &[v1::FleetLeft]) -> Option<BTreeMap<Name, String>> {
+    few(said, MOST_LEFT)?.iter().map(|l| Some((name(&l.who)?, words(&l.why)?))).collect()
+}
+
+fn release_out(release: &Release) -> v1::FleetRelease {
+    let reached = |(zone, at): (&String, &u64)| v1::FleetReached { zone: zone.clone(), at: *at };
+    v1::FleetRelease {
+        plan: Some(plan_out(&release.plan)),
+        bounds: Some(bounds_out(&release.bounds)),
+        by: release.by.0.to_string(),
+        back: release.back,
+        done: release.done,
+        wave: release.wave,
+        given: release.given,
+        reached: release.reached.iter().map(reached).collect(),
+        again: names_out(&release.again),
+        left: left_out(&release.left),
+        turned: release.turned,
+    }
+}
+
+fn release_in(said: &v1::FleetRelease) -> Option<Release> {
+    let reached = few(&said.reached, MOST_ZONES)?.iter().map(|r| Some((word(&r.zone)?, r.at)));
+    let again = few(&said.again, MOST_TURNS)?.iter().map(|n| name(n));
+    Some(Release {
+        plan: plan_in(said.plan.as_ref())?,
+        bounds: bounds_in(said.bounds.as_ref())?,
+        by: name(&said.by)?,
+        back: said.back,
+        done: said.done,
+        wave: said.wave,
+        given: said.given,
+        reached: reached.collect::<Option<_>>()?,
+        again: again.collect::<Option<BTreeSet<_>>>()?,
+        left: left_in(&said.left)?,
+        turned: said.turned,
+    })
+}
+
+fn sizes_out(sizes: &Sizes) -> Vec<v1::FleetSize> {
+    sizes.iter().map(|(zone, size)| v1::FleetSize { zone: zone.clone(), size: *size }).collect()
+}
+
+fn sizes_in(said: &[v1::FleetSize]) -> Option<Sizes> {
+    few(said, MOST_ZONES)?.iter().map(|s| Some((word(&s.zone)?, s.size))).collect()
+}
+
+/// Nothing, where there is nothing of it.
+pub(crate) fn care_out(care: &Care) -> Option<v1::FleetCare> {
+    (!care.is_empty()).then(|| v1::FleetCare {
+        given: care.given,
+        turns: care.turns.iter().map(turn_out).collect(),
+        release: care.release.as_deref().map(release_out),
+        halted: care.halted.clone(),
+        resumed: care.resumed,
+        dispatchers: sizes_out(&care.dispatchers),
+        hosts: sizes_out(&care.hosts),
+        notes: care.notes.clone(),
+    })
+}
+
+pub(crate) fn care_in(said: Option<&v1::FleetCare>) -> Option<Care> {
+    let Some(said) = said else { return Some(Care::default()) };
+    let release = match &said.release {
+        Some(release) => Some(Box::new(release_in(release)?)),
+        None => None,
+    };
+    let halted = match &said.halted {
+        Some(why) => Some(words(why)?),
+        None => None,
+    };
+    Some(Care {
+        given: said.given,
+        turns: few(&said.turns, MOST_TURNS)?.iter().map(turn_in).collect::<Option<_>>()?,
+        release,
+        halted,
+        resumed: said.resumed,
+        dispatchers: sizes_in(&said.dispatchers)?,
+        hosts: sizes_in(&said.hosts)?,
+        notes: few(&said.notes, MOST_NOTES)?.iter().map(|n| words(n)).collect::<Option<_>>()?,
+    })
+}
+
+pub(crate) fn order_out(order: &ReleaseOrder) -> Q {
+    match order {
+        ReleaseOrder::Start { plan, skip, dry } => {
+            Q::Start(v1::FleetStart { plan: Some(plan_out(plan)), skip: *skip, dry: *dry })
+        }
+        ReleaseOrder::Halt { why } => Q::Halt(v1::FleetHalt { why: why.clone() }),
+        ReleaseOrder::Resume => Q::Resume(v1::FleetResume {}),
+        ReleaseOrder::Back => Q::Back(v1::FleetBack {}),
+        ReleaseOrder::End => Q::End(v1::FleetEnd {}),
+        ReleaseOrder::Turn { name, label, refused } => Q::WantTurn(v1::FleetWantTurn {
+            name: name.0.to_string(),
+            label: label.clone(),
+            refused: *refused,
+        }),
+    }
+}
+
+/// An order on releases; none if it is none, or cannot be right.
+pub(crate) fn order_in(said: &Q) -> Option<Order> {
+    Some(Order::Release(match said {
+        Q::Start(m) => {
+            let plan = Box::new(plan_in(m.plan.as_ref())?);
+            ReleaseOrder::Start { plan, skip: m.skip, dry: m.dry }
+        }
+        Q::Halt(m) => ReleaseOrder::Halt { why: words(&m.why)? },
+        Q::Resume(_) => ReleaseOrder::Resume,
+        Q::Back(_) => ReleaseOrder::Back,
+        Q::End(_) => ReleaseOrder::End,
+        Q::WantTurn(m) => {
+            ReleaseOrder::Turn { name: name(&m.name)?, label: word(&m.label)?, refused: m.refused }
+        }
+        Q::ByHand(m) => {
+            let at = match m.address.is_empty() {
+                true => None,
+                false => Some(address(&m.address)?),
+            };
+            return Some(Order::ByHand { who: name(&m.who)?, address: at, why: words(&m.why)? });
+        }
+        _ => return None,
+    }))
+}
+
+pub(crate) fn ask_back_out(turn: TurnNo, of: Of, who: &Name, run: Run) -> Q {
+    Q::AskBack(v1::FleetAskBack { turn: turn.0, host: of == Of::Hosts, who: who.0.to_string(), run: run.0 })
+}
+
+pub(crate) fn ask_back_in(m: &v1::FleetAskBack) -> Option<(TurnNo, Of, Name, Run)> {
+    Some((TurnNo(m.turn), of_in(m.host), name(&m.who)?, Run(m.run)))
+}
+
+pub(crate) fn status_out(status: &CareStatus) -> v1::FleetCareStatus {
+    let line = |(number, who, zone, at): &(TurnNo, Name, String, String)| v1::FleetTurnLine {
+        number: number.0,
+        who: who.0.to_string(),
+        zone: zone.clone(),
+        at: at.clone(),
+    };
+    let room =
+        |(zone, out, most): &(String, u32, u32)| v1::FleetRoom { zone: zone.clone(), out: *out, most: *most };
+    let left = |(who, why): &(Name, String)| v1::FleetLeft { who: who.0.to_string(), why: why.clone() };
+    v1::FleetCareStatus {
+        name: status.name.clone(),
+        hosts: status.of == Of::Hosts,
+        state: status.state.clone(),
+        halted: status.halted.clone(),
+        why: status.why.clone(),
+        wave: status.wave,
+        given: status.given,
+        of_wave: status.of_wave,
+        turned: status.turned,
+        meant: status.meant,
+        turns: status.turns.iter().map(line).collect(),
+        room: status.room.iter().map(room).collect(),
+        left: status.left.iter().map(left).collect(),
+        notes: status.notes.clone(),
+    }
+}
+
+pub(crate) fn status_in(said: Option<&v1::FleetCareStatus>) -> Option<CareStatus> {
+    let Some(said) = said else { return Some(CareStatus::default()) };
+    let line = |l: &v1::FleetTurnLine| Some((TurnNo(l.number), name(&l.who)?, word(&l.zone)?, word(&l.at)?));
+    let left = |l: &v1::FleetLeft| Some((name(&l.who)?, words(&l.why)?));
+    let room = |r: &v1::FleetRoom| Some((word(&r.zone)?, r.out, r.most));
+    Some(CareStatus {
+        name: word(&said.name)?,
+        of: of_in(said.hosts),
+        state: word(&said.state)?,
+        halted: words(&said.halted)?,
+        why: words(&said.why)?,
+        wave: said.wave,
+        given: said.given,
+        of_wave: said.of_wave,
+        turned: said.turned,
+        meant: said.meant,
+        turns: few(&said.turns, MOST_TURNS)?.iter().map(line).collect::<Option<_>>()?,
+        room: few(&said.room, MOST_ZONES + 1)?.iter().map(room).collect::<Option<_>>()?,
+        left: few(&said.left, MOST_LEFT)?.iter().map(left).collect::<Option<_>>()?,
+        notes: few(&said.notes, LONGEST)?.iter().map(|n| words(n)).collect::<Option<_>>()?,
+    })
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,8 +4,9 @@
 #![forbid(unsafe_code)]
 
 pub mod ask;
+mod care_words;
 pub mod file;
 pub mod shell;
 pub mod words;
 
-pub use shell::{Fares, Shell};
+pub use shell::{Dispatcher, Shell};
--- a/crates/fleet/src/shell.rs
+++ b/crates/fleet/src/shell.rs
@@ -4,7 +4,10 @@
 
 use crate::file::{self, Disk};
 use crate::words::{answer_in, answer_out, question_in, question_out};
-use cindercleat::fleet::member::{AskNo, CallNo, FleetSettings, Input, Member, Output, Question, SaveNo};
+use cindercleat::fleet::bounds::Unit;
+use cindercleat::fleet::member::{
+    AskNo, CallNo, Fares, FleetSettings, Input, Member, Output, Question, SaveNo,
+};
 use cindercleat::fleet::register::Kept;
 use cindercleat::fleet::{Address, Duty, Term};
 use cindercleat::interface::Ms;
@@ -30,8 +33,19 @@
 /// How often the dispatcher is asked how it fares.
 const FARES_EVERY: Ms = 100.0;
 
-/// How the dispatcher fares: whether it is ready, and how much of it is used.
-pub type Fares = Rc<dyn Fn() -> (bool, f64)>;
+/// The dispatcher beside which a member runs.
+pub trait Dispatcher {
+    /// How it fares.
+    fn fares(&self) -> Fares;
+
+    /// The model hosts as its list has them.
+    fn hosts(&self) -> Vec<Unit> {
+        Vec::new()
+    }
+
+    /// It has its turn: it drains and ends in order, to be started again under a label if one is named.
+    fn has_turn(&self, turn: u64, label: &str);
+}
 
 struct Peer {
     out: Out,
@@ -50,7 +64,7 @@
     clock: C,
     disk: Option<D>,
     member: RefCell<Member>,
-    fares: Fares,
+    beside: Rc<dyn Dispatcher>,
     peers: RefCell<BTreeMap<Address, Rc<Peer>>>,
     /// What is to go out once the connection is up.
     dialling: RefCell<BTreeMap<Address, Vec<Waiting>>>,
@@ -78,14 +92,20 @@
 }
 
 impl<T: Transport, C: Clock, D: Disk> Shell<T, C, D> {
-    pub fn new(settings: FleetSettings, transport: T, clock: C, disk: Option<D>, fares: Fares) -> Self {
+    pub fn new(
+        settings: FleetSettings,
+        transport: T,
+        clock: C,
+        disk: Option<D>,
+        beside: Rc<dyn Dispatcher>,
+    ) -> Self {
         let inner = Inner {
             member: RefCell::new(Member::new(settings.clone())),
             settings,
             transport,
             clock,
             disk,
-            fares,
+            beside,
             peers: RefCell::default(),
             dialling: RefCell::default(),
             calls: RefCell::default(),
@@ -150,8 +170,10 @@
     }
 
     fn look_at_fares(&self) {
-        let (ready, load) = (self.inner.fares)();
-        self.input(Input::Fares { ready, load });
+        self.input(Input::Fares(self.inner.beside.fares()));
+        if self.inner.member.borrow().wants_hosts() {
+            self.input(Input::Hosts(self.inner.beside.hosts()));
+        }
     }
 
     fn input(&self, input: Input) {
@@ -186,6 +208,10 @@
             Output::Holds { duty, term, held: false } => {
                 tracing::info!(duty = %duty.0, term = term.0, "duty no more held");
             }
+            Output::Turn { turn, label } => {
+                tracing::info!(turn = turn.0, label, "has its turn to go");
+                self.inner.beside.has_turn(turn.0, &label);
+            }
             Output::Warn(text) => tracing::warn!("{text}"),
             Output::Info(text) => tracing::debug!("{text}"),
             Output::Stopped => {
--- a/crates/fleet/src/words.rs
+++ b/crates/fleet/src/words.rs
@@ -1,6 +1,7 @@
 //! The fleet's plain types as the schema's messages, and back. What comes from outside and cannot be right is `None`:
 //! a name that is empty or too long, an impossible ballot, a part that is not there.
 
+use crate::care_words;
 use cindercleat::fleet::acts::{Act, Ticket, Verdict};
 use cindercleat::fleet::agreed::{Agreed, Held, Holder, Life, Seat, Stamp, Voters, MOST_DUTIES, MOST_VOTERS};
 use cindercleat::fleet::member::{
@@ -15,15 +16,15 @@
 use v1::fleet_call::Question as Q;
 
 /// Longest name or address taken.
-const LONGEST: usize = 256;
+pub(crate) const LONGEST: usize = 256;
 /// Voters' writes that one message tells of; there are a few a voter.
 const MOST_HEARD: usize = 256;
 
-fn text(text: &str) -> Option<&str> {
+pub(crate) fn text(text: &str) -> Option<&str> {
     (!text.is_empty() && text.len() <= LONGEST && !text.chars().any(char::is_control)).then_some(text)
 }
 
-fn name(said: &str) -> Option<Name> {
+pub(crate) fn name(said: &str) -> Option<Name> {
     text(said).map(Name::from)
 }
 
@@ -31,7 +32,7 @@
     text(said).map(Duty::from)
 }
 
-fn address(said: &str) -> Option<Address> {
+pub(crate) fn address(said: &str) -> Option<Address> {
     text(said).map(Address::from)
 }
 
@@ -124,14 +125,16 @@
 
 fn agreed_out(value: &Agreed) -> v1::AgreedValue {
     let (version, voters) = (value.version, Some(voters_out(&value.voters)));
-    v1::AgreedValue { version, voters, duties: value.duties.iter().map(row_out).collect() }
+    let care = care_words::care_out(&value.care);
+    v1::AgreedValue { version, voters, duties: value.duties.iter().map(row_out).collect(), care }
 }
 
 fn agreed_in(said: Option<v1::AgreedValue>) -> Option<Agreed> {
     let said = said?;
     (said.duties.len() <= MOST_DUTIES).then_some(())?;
     let duties = said.duties.iter().map(row_in).collect::<Option<_>>()?;
-    Some(Agreed { version: said.version, voters: voters_in(&said.voters?)?, duties })
+    let care = Box::new(care_words::care_in(said.care.as_ref())?);
+    Some(Agreed { version: said.version, voters: voters_in(&said.voters?)?, duties, care })
 }
 
 fn taken_out(taken: &Option<(Ballot, Agreed)>) -> Option<v1::TakenValue> {
@@ -228,6 +231,8 @@
             stopping: beat.stopping,
             load: beat.load,
             holds: beat.holds,
+            tally: Some(care_words::tally_out(&beat.tally)),
+            reports: beat.reports.iter().map(care_words::report_out).collect(),
         }),
         Question::Nudge { duty } => Q::Nudge(v1::FleetNudge { duty: duty.0.to_string() }),
         Question::Act(act) => Q::Act(v1::FleetAct {
@@ -239,6 +244,7 @@
             good_for_ms: act.good_for,
             body: act.body.clone().into(),
         }),
+        Question::AskBack { turn, of, who, run } => care_words::ask_back_out(*turn, *of, who, *run),
         Question::Order(order) => order_out(order),
     };
     v1::FleetCall { question: Some(question) }
@@ -258,6 +264,12 @@
         Order::RemoveVoter { name } => Q::RemoveVoter(v1::FleetRemoveVoter { name: name.0.to_string() }),
         Order::Hold { duty, job } => Q::Hold(v1::FleetHold { duty: duty.0.to_string(), job: *job }),
         Order::LetGo { duty, job } => Q::LetGo(v1::FleetLetGo { duty: duty.0.to_string(), job: *job }),
+        Order::Release(order) => care_words::order_out(order),
+        Order::ByHand { who, address, why } => Q::ByHand(v1::FleetByHand {
+            who: who.0.to_string(),
+            address: address.as_ref().map(|a| a.0.to_string()).unwrap_or_default(),
+            why: why.clone(),
+        }),
     }
 }
 
@@ -281,7 +293,9 @@
             (zone.len() <= LONGEST && label.len() <= LONGEST).then_some(())?;
             let (up, load) = (finite(m.up_ms)?, finite(m.load)?);
             let (who, ready, stopping, holds) = (holder_in(&m.who?)?, m.ready, m.stopping, m.holds);
-            Question::Beat(Beat { who, zone, label, up, ready, stopping, load, holds })
+            let (tally, reports) =
+                (care_words::tally_in(m.tally.as_ref()), care_words::reports_in(&m.reports)?);
+            Question::Beat(Beat { who, zone, label, up, ready, stopping, load, holds, tally, reports })
         }
         Q::Nudge(m) => Question::Nudge { duty: duty(&m.duty)? },
         Q::Act(m) => {
@@ -317,6 +331,11 @@
         Q::RemoveVoter(m) => Question::Order(Order::RemoveVoter { name: name(&m.name)? }),
         Q::Hold(m) => Question::Order(Order::Hold { duty: duty(&m.duty)?, job: m.job }),
         Q::LetGo(m) => Question::Order(Order::LetGo { duty: duty(&m.duty)?, job: m.job }),
+        Q::AskBack(m) => {
+            let (turn, of, who, run) = care_words::ask_back_in(&m)?;
+            Question::AskBack { turn, of, who, run }
+        }
+        other => Question::Order(care_words::order_in(&other)?),
     })
 }
 
@@ -365,6 +384,8 @@
             verdict: place_in(&VERDICTS, verdict),
             ticket: Some(ticket_out(*ticket)),
         }),
+        Answer::Begun { begun } => A::Begun(v1::FleetBegun { begun: *begun }),
+        Answer::Reply(Reply::Waits(words)) => A::Waits(words.clone()),
         Answer::Reply(Reply::Done(words)) => A::Yes(words.clone()),
         Answer::Reply(Reply::No(words)) => A::No(words.clone()),
         Answer::Reply(Reply::Elsewhere(address)) => A::Elsewhere(address.0.to_string()),
@@ -410,6 +431,8 @@
             let verdict = *VERDICTS.get(m.verdict as usize)?;
             Answer::Verdict { verdict, ticket: ticket_in(&m.ticket?)? }
         }
+        A::Begun(m) => Answer::Begun { begun: m.begun },
+        A::Waits(words) => Answer::Reply(Reply::Waits(words)),
         A::Yes(words) => Answer::Reply(Reply::Done(words)),
         A::No(words) => Answer::Reply(Reply::No(words)),
         A::Elsewhere(at) => Answer::Reply(Reply::Elsewhere(address(&at)?)),
@@ -455,6 +478,7 @@
         roll_for_ms: status.roll_for,
         roll: status.roll.iter().map(line).collect(),
         caller: status.caller.as_ref().map(|a| a.0.to_string()).unwrap_or_default(),
+        care: Some(care_words::status_out(&status.care)),
     }
 }
 
@@ -492,5 +516,6 @@
         roll_for: said.roll_for_ms,
         roll: said.roll.iter().map(line).collect::<Option<_>>()?,
         caller: address(&said.caller),
+        care: care_words::status_in(said.care.as_ref())?,
     })
 }
--- a/crates/fleet/tests/shell.rs
+++ b/crates/fleet/tests/shell.rs
@@ -1,11 +1,11 @@
 //! Members on connections and files in memory, on a paused clock.
 
 use cindercleat::fleet::duties::LeaseSettings;
-use cindercleat::fleet::member::{Answer, FleetSettings, Order, Question, Reply};
+use cindercleat::fleet::member::{Answer, Fares, FleetSettings, Order, Question, Reply};
 use cindercleat::fleet::{Address, Duty, Name, Run};
 use cindercleat_fleet::ask::{ask, order};
 use cindercleat_fleet::file::Memory as File;
-use cindercleat_fleet::Shell;
+use cindercleat_fleet::{Dispatcher, Shell};
 use cindercleat_grpc::{connect, Event, Setup};
 use cindercleat_net::{Clock, Memory, TokioClock, Transport};
 use cindercleat_protocol::{frame, v1, Body, Frame};
@@ -41,14 +41,27 @@
         prefers: None,
         tells: Vec::new(),
         tell_every: 200.0,
+        bounds: Default::default(),
+        keeper: None,
         seed: at as u64,
     }
 }
 
+/// A dispatcher that is always ready.
+struct Beside;
+
+impl Dispatcher for Beside {
+    fn fares(&self) -> Fares {
+        Fares { ready: true, load: 0.1, ..Fares::default() }
+    }
+
+    fn has_turn(&self, _: u64, _: &str) {}
+}
+
 impl Net {
     async fn start(&mut self, fleet: &str, at: usize, file: File) -> Member {
-        let fares = Rc::new(|| (true, 0.1));
-        let member = Shell::new(settings(fleet, at), self.memory.clone(), self.clock, Some(file), fares);
+        let beside = Rc::new(Beside);
+        let member = Shell::new(settings(fleet, at), self.memory.clone(), self.clock, Some(file), beside);
         let listener = self.memory.listen(&format!("at-{at}")).await.expect("a name");
         let running = member.clone();
         self.tasks.push(spawn_local(async move { running.run(listener, pending()).await }));
--- a/crates/fleet/tests/words.rs
+++ b/crates/fleet/tests/words.rs
@@ -2,16 +2,20 @@
 
 use cindercleat::fleet::acts::{Act, Ticket, Verdict};
 use cindercleat::fleet::agreed::{Agreed, Held, Holder, Life, Seat, Stamp, Voters};
-use cindercleat::fleet::member::{Answer, BeatHeard, Order, Question, Reply, Seen};
+use cindercleat::fleet::bounds::{Bounds, Most, Of, Tally};
+use cindercleat::fleet::member::{
+    Answer, BeatHeard, CareStatus, Order, Question, ReleaseOrder, Reply, Seen, Status,
+};
 use cindercleat::fleet::register::{Ask, Ballot, Kept, Said, Writes};
-use cindercleat::fleet::rollcall::Beat;
+use cindercleat::fleet::release::{Care, Plan, Release, Turn, TurnNo};
+use cindercleat::fleet::rollcall::{Beat, HostReport};
 use cindercleat::fleet::{Address, Duty, Name, Run, Term};
 use cindercleat_fleet::file::{read, write, Unusable};
 use cindercleat_fleet::words::{answer_in, answer_out, question_in, question_out};
 use cindercleat_protocol::v1;
 use proptest::prelude::*;
 use prost::Message;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 fn ballot(round: u64) -> Ballot {
     Ballot { round, by: Name::from("a"), run: Run(7) }
@@ -37,7 +41,67 @@
         stamp: Stamp { round: 12, run: Run(7) },
         next: Some(Name::from("b")),
     };
-    Agreed { version: 5, voters: voters(), duties: BTreeMap::from([(Duty::from("roll-call"), held)]) }
+    let duties = BTreeMap::from([(Duty::from("roll-call"), held)]);
+    Agreed { version: 5, voters: voters(), duties, care: Box::new(care()) }
+}
+
+fn plan() -> Plan {
+    Plan {
+        name: "v2".to_owned(),
+        of: Of::Hosts,
+        label: "v2".to_owned(),
+        before: "v1".to_owned(),
+        zones: vec!["z".to_owned()],
+        cells: vec!["c".to_owned()],
+        kinds: vec!["k".to_owned()],
+        names: vec![Name::from("h1")],
+        stays: true,
+        first: 2,
+        grow_per_mille: 1500,
+        watch_ms: 1,
+        settle_ms: 2,
+        begin_ms: 3,
+        back_ms: 4,
+    }
+}
+
+fn care() -> Care {
+    let turn = Turn {
+        of: Of::Hosts,
+        who: Name::from("h1"),
+        run: Run(9),
+        address: Address::default(),
+        zone: "z".to_owned(),
+        label: "v2".to_owned(),
+        asked: true,
+        stays: true,
+        planned: true,
+    };
+    let most = Most { number: 3, per_mille: 100 };
+    let bounds = Bounds { fleet: most, used_per_mille: 800, readers_cell: 2, ..Bounds::default() };
+    let release = Release {
+        plan: plan(),
+        bounds,
+        by: Name::from("a"),
+        back: true,
+        done: true,
+        wave: 3,
+        given: 2,
+        reached: BTreeMap::from([("z".to_owned(), u64::MAX)]),
+        again: BTreeSet::from([Name::from("h2")]),
+        left: BTreeMap::from([(Name::from("h3"), "did not come back".to_owned())]),
+        turned: 7,
+    };
+    Care {
+        given: 12,
+        turns: BTreeMap::from([(TurnNo(12), turn)]),
+        release: Some(Box::new(release)),
+        halted: Some("why".to_owned()),
+        resumed: 2,
+        dispatchers: BTreeMap::from([("z".to_owned(), 300)]),
+        hosts: BTreeMap::from([("z".to_owned(), 100)]),
+        notes: vec!["by hand".to_owned()],
+    }
 }
 
 fn kept() -> Kept {
@@ -52,6 +116,10 @@
     }
 }
 
+fn release(order: ReleaseOrder) -> Question {
+    Question::Order(Order::Release(order))
+}
+
 #[test]
 fn what_is_said_is_what_is_heard() {
     let beat = Beat {
@@ -63,6 +131,11 @@
         stopping: false,
         load: 0.25,
         holds: 1,
+        tally: Tally { fulfilled: 4, bounced: 3, written_off: 2, late: 1 },
+        reports: vec![
+            HostReport { host: Name::from("h1"), used: Some((0.5, 20.0)), tally: Tally::default() },
+            HostReport { host: Name::from("h2"), used: None, tally: Tally::default() },
+        ],
     };
     let act = Act {
         duty: Duty::from("roll-call"),
@@ -90,11 +163,28 @@
         Question::Order(Order::RemoveVoter { name }),
         Question::Order(Order::Hold { duty: duty.clone(), job: 4 }),
         Question::Order(Order::LetGo { duty: duty.clone(), job: 4 }),
+        Question::AskBack { turn: TurnNo(3), of: Of::Hosts, who: Name::from("h1"), run: Run(2) },
+        release(ReleaseOrder::Start { plan: Box::new(plan()), skip: true, dry: false }),
+        release(ReleaseOrder::Halt { why: "a reason".to_owned() }),
+        release(ReleaseOrder::Resume),
+        release(ReleaseOrder::Back),
+        release(ReleaseOrder::End),
+        release(ReleaseOrder::Turn { name: Name::from("n"), label: String::new(), refused: true }),
+        Question::Order(Order::ByHand { who: Name::from("n"), address: None, why: "why".to_owned() }),
     ];
     for question in questions {
         assert_eq!(question_in(question_out(&question)), Some(question));
     }
     let ticket = Ticket { run: Run(2), at: 3.0 };
+    let status = CareStatus {
+        name: "v2".to_owned(),
+        state: "running".to_owned(),
+        turns: vec![(TurnNo(1), Name::from("n"), "z".to_owned(), "out".to_owned())],
+        room: vec![(String::new(), 1, u32::MAX)],
+        left: vec![(Name::from("n"), "why".to_owned())],
+        notes: vec!["note".to_owned()],
+        ..CareStatus::default()
+    };
     let answers = [
         Answer::Vote(Said::Promise { ballot: ballot(2), taken: Some((ballot(1), agreed())), writes: 3 }),
         Answer::Vote(Said::Promise { ballot: ballot(2), taken: None, writes: 3 }),
@@ -116,6 +206,9 @@
         Answer::Reply(Reply::Elsewhere(Address::from("127.0.0.1:2"))),
         Answer::Reply(Reply::Holds { term: None, good_for: 0.0 }),
         Answer::Reply(Reply::Status(Box::default())),
+        Answer::Reply(Reply::Status(Box::new(Status { care: status, ..Status::default() }))),
+        Answer::Reply(Reply::Waits("waits".to_owned())),
+        Answer::Begun { begun: true },
     ];
     for answer in answers {
         assert_eq!(answer_in(answer_out(&answer)), Some(answer));
--- a/src/fleet/agreed.rs
+++ b/src/fleet/agreed.rs
@@ -2,6 +2,7 @@
 //! gave, so it sees all that came before it.
 
 use super::planted::{is, Plant};
+use super::release::{Care, No, Step, Word};
 use super::{Address, Duty, Name, Run, Term};
 use std::collections::BTreeMap;
 
@@ -94,6 +95,8 @@
     pub version: u64,
     pub voters: Voters,
     pub duties: BTreeMap<Duty, Held>,
+    /// Who may be out.
+    pub care: Box<Care>,
 }
 
 /// A change that somebody asks for.
@@ -127,6 +130,15 @@
     },
     /// Ends a change of voters that is known to be agreed on.
     Settle,
+    /// A step of whoever holds a duty, in its term and no other.
+    Step {
+        duty: Duty,
+        term: Term,
+        who: Holder,
+        step: Step,
+    },
+    /// An operator's word on who may be out.
+    Word(Word),
 }
 
 /// Why a change is not made.
@@ -144,6 +156,22 @@
     TooMany,
     /// There is nothing to do.
     Nothing,
+    /// It is halted, or done.
+    Stopped,
+    /// Another release is not done.
+    Busy,
+}
+
+impl From<No> for Refusal {
+    fn from(no: No) -> Self {
+        match no {
+            No::Stopped => Refusal::Stopped,
+            No::Busy => Refusal::Busy,
+            No::AlreadySo => Refusal::AlreadySo,
+            No::Nothing => Refusal::Nothing,
+            No::Full => Refusal::TooMany,
+        }
+    }
 }
 
 /// Voters at least and at most, but for the moment between two changes.
@@ -212,6 +240,15 @@
                     Some(_) => Ok(()),
                 })?;
             }
+            Change::Step { duty, term, who, step } => {
+                let held = self.duties.get(duty);
+                let theirs = held.is_some_and(|h| h.term == *term && h.holder.as_ref() == Some(who));
+                if !theirs {
+                    return Err(Refusal::Moved);
+                }
+                new.care.step(step)?;
+            }
+            Change::Word(word) => new.care.word(word)?,
             Change::Settle if self.voters.before.is_none() => return Err(Refusal::Nothing),
             Change::Settle => {}
         }
--- /dev/null
+++ b/src/fleet/bounds.rs
@@ -0,0 +1,448 @@
+//! How many may be out at once, and what binds: the dispatchers or the model hosts of a fleet as one of its members
+//! sees them, counted against bounds over the fleet, a zone, a cell and a kind. Whoever is not seen to be in is out,
+//! planned or not: failures use up the same room.
+
+use super::{Address, Name, Run};
+use crate::interface::{Ms, Role};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// What is taken out of service and brought back.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Of {
+    #[default]
+    Dispatchers,
+    Hosts,
+}
+
+impl fmt::Display for Of {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        to.write_str(if *self == Of::Hosts { "model hosts" } else { "dispatchers" })
+    }
+}
+
+/// The most out at once of so many: a number, and a part in thousandths; the smaller counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Most {
+    pub number: u32,
+    pub per_mille: u32,
+}
+
+impl Most {
+    /// As many as like.
+    pub const ALL: Most = Most { number: u32::MAX, per_mille: 1000 };
+
+    pub fn of(self, size: u32) -> u32 {
+        let part = u64::from(size) * u64::from(self.per_mille) / 1000;
+        self.number.min(u32::try_from(part).unwrap_or(u32::MAX))
+    }
+}
+
+/// Bounds for one sort of unit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Bounds {
+    pub fleet: Most,
+    pub zone: Most,
+    pub cell: Most,
+    pub kind: Most,
+    /// Ready model hosts that stay, at least.
+    pub readers_zone: u32,
+    pub writers_zone: u32,
+    pub readers_cell: u32,
+    pub writers_cell: u32,
+    /// None goes when those left would be used above this, in thousandths; 1000 is no bound.
+    pub used_per_mille: u32,
+    /// A report of load that is older counts as full, in milliseconds.
+    pub report_age_ms: u64,
+}
+
+impl Default for Bounds {
+    /// One of each zone at a time.
+    fn default() -> Self {
+        Bounds {
+            fleet: Most::ALL,
+            zone: Most { number: 1, per_mille: 1000 },
+            cell: Most::ALL,
+            kind: Most::ALL,
+            readers_zone: 0,
+            writers_zone: 0,
+            readers_cell: 0,
+            writers_cell: 0,
+            used_per_mille: 1000,
+            report_age_ms: 5_000,
+        }
+    }
+}
+
+impl Bounds {
+    /// Bounds that can never let anything go, or of which one says what another forbids.
+    ///
+    /// # Errors
+    /// The first such thing, in words.
+    pub fn check(&self) -> Result<(), String> {
+        let each = [("fleet", self.fleet), ("zone", self.zone), ("cell", self.cell), ("kind", self.kind)];
+        for (name, most) in each {
+            if most.number == 0 || most.per_mille == 0 {
+                return Err(format!("'{name}' that lets at least one go"));
+            }
+            if most.per_mille > 1000 {
+                return Err(format!("'{name}' with a part of at most 1"));
+            }
+            if most.number != u32::MAX && most.number > self.fleet.number {
+                return Err(format!("'{name}' of at most the fleet's {}", self.fleet.number));
+            }
+        }
+        let cells = [
+            ("readers", self.readers_cell, self.readers_zone),
+            ("writers", self.writers_cell, self.writers_zone),
+        ];
+        for (name, cell, zone) in cells {
+            if zone > 0 && cell > zone {
+                return Err(format!("ready {name} of a cell of at most those of its zone, {zone}"));
+            }
+        }
+        if !(1..=1000).contains(&self.used_per_mille) {
+            return Err("'used' over 0 and at most 1".to_owned());
+        }
+        Ok(())
+    }
+}
+
+/// A dispatcher or a model host, as seen.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Unit {
+    pub name: Name,
+    /// Which process of it; a model host's start stands for it.
+    pub run: Run,
+    pub address: Address,
+    pub zone: String,
+    pub cell: String,
+    pub kind: String,
+    pub role: Option<Role>,
+    pub label: String,
+    pub stand: Stand,
+    /// What is used of it, 0 to 1, and the age of the report.
+    pub used: Option<(f64, Ms)>,
+    pub tally: Tally,
+}
+
+/// Whether it serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stand {
+    /// Heard lately and ready.
+    In,
+    /// Heard, and not ready: starting, cold within its ramp.
+    Coming,
+    /// Heard, and draining or stopping.
+    Going,
+    /// Not heard of, or not listed.
+    Out,
+}
+
+/// Tasks answered, by their ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    pub fulfilled: u64,
+    pub bounced: u64,
+    pub written_off: u64,
+    /// Fulfilled after its time.
+    pub late: u64,
+}
+
+impl Tally {
+    pub fn cases(&self) -> u64 {
+        self.fulfilled + self.bounced + self.written_off
+    }
+
+    pub fn harmed(&self) -> u64 {
+        self.bounced + self.written_off + self.late
+    }
+
+    pub fn since(&self, before: &Tally) -> Tally {
+        Tally {
+            fulfilled: self.fulfilled.saturating_sub(before.fulfilled),
+            bounced: self.bounced.saturating_sub(before.bounced),
+            written_off: self.written_off.saturating_sub(before.written_off),
+            late: self.late.saturating_sub(before.late),
+        }
+    }
+
+    pub fn add(&mut self, more: &Tally) {
+        self.fulfilled += more.fulfilled;
+        self.bounced += more.bounced;
+        self.written_off += more.written_off;
+        self.late += more.late;
+    }
+}
+
+/// How many there are in each zone, as the fleet agreed: whoever is missing is out, also for a holder that never
+/// heard of it.
+pub type Sizes = BTreeMap<String, u32>;
+
+/// How many there are of something, and how many of them are in.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Count {
+    size: u32,
+    there: u32,
+}
+
+impl Count {
+    fn out(self) -> u32 {
+        self.size - self.there.min(self.size)
+    }
+}
+
+/// Why one may not go now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Binds {
+    /// So many are out over the fleet, of so many that may be.
+    Fleet(u32, u32),
+    Zone(String, u32, u32),
+    Cell(String, u32, u32),
+    Kind(String, u32, u32),
+    /// Ready ones of a role that have to stay in a zone or cell.
+    Ready(&'static str, String, u32),
+    /// Those left in a place would be used so much, in thousandths.
+    Used(String, u32),
+}
+
+impl fmt::Display for Binds {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Binds::Fleet(out, most) => write!(to, "{out} of the fleet are out and {most} may be"),
+            Binds::Zone(zone, out, most) => write!(to, "zone {zone}: {out} are out and {most} may be"),
+            Binds::Cell(cell, out, most) => write!(to, "cell {cell}: {out} are out and {most} may be"),
+            Binds::Kind(kind, out, most) => write!(to, "kind {kind}: {out} are out and {most} may be"),
+            Binds::Ready(what, place, least) => write!(to, "{place}: {least} ready {what} have to stay"),
+            Binds::Used(place, used) => {
+                write!(to, "{place}: those left would be used to 0.{:03}, or nobody knows", used.min(&999))
+            }
+        }
+    }
+}
+
+/// The units of one sort counted: made once for a look, asked for each that could go.
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    fleet: Count,
+    zones: BTreeMap<String, Count>,
+    cells: BTreeMap<String, Count>,
+    kinds: BTreeMap<String, Count>,
+    /// Ready readers and writers by zone and by cell.
+    ready: BTreeMap<(bool, Role2, String), u32>,
+    /// Use summed over ready hosts of a role: over the fleet (no name) and by zone.
+    used: BTreeMap<(Role2, String), (f64, u32)>,
+}
+
+/// Reader, writer or both, in an order.
+type Role2 = u8;
+
+fn reads(role: Role) -> bool {
+    role != Role::Writer
+}
+
+fn writes(role: Role) -> bool {
+    role != Role::Reader
+}
+
+fn roles(role: Option<Role>) -> impl Iterator<Item = Role2> {
+    let [r, w] = [role.is_some_and(reads), role.is_some_and(writes)];
+    [(r, 0), (w, 1)].into_iter().filter(|(is, _)| *is).map(|(_, role)| role)
+}
+
+fn cell_of(unit: &Unit) -> String {
+    format!("{}/{}", unit.zone, unit.cell)
+}
+
+const NAMES: [&str; 2] = ["readers", "writers"];
+
+impl Counts {
+    /// `out`: whether one counts as out though it is seen to be in, as its turn is given.
+    pub fn new<'a>(
+        units: impl Iterator<Item = &'a Unit>,
+        sizes: &Sizes,
+        bounds: &Bounds,
+        out: impl Fn(&Unit) -> bool,
+    ) -> Counts {
+        let mut counts = Counts::default();
+        for unit in units {
+            let there = u32::from(unit.stand == Stand::In && !out(unit));
+            let add = |count: &mut Count| {
+                count.size += 1;
+                count.there += there;
+            };
+            add(counts.zones.entry(unit.zone.clone()).or_default());
+            if unit.role.is_none() {
+                continue;
+            }
+            add(counts.cells.entry(cell_of(unit)).or_default());
+            add(counts.kinds.entry(unit.kind.clone()).or_default());
+            if there == 0 {
+                continue;
+            }
+            let fresh = unit.used.filter(|(_, age)| *age <= bounds.report_age_ms as f64);
+            // A report that is old or missing counts against going.
+            let used = fresh.map_or(1.0, |(used, _)| used.clamp(0.0, 1.0));
+            for role in roles(unit.role) {
+                *counts.ready.entry((false, role, unit.zone.clone())).or_default() += 1;
+                *counts.ready.entry((true, role, cell_of(unit))).or_default() += 1;
+                for place in [String::new(), unit.zone.clone()] {
+                    let sum = counts.used.entry((role, place)).or_default();
+                    *sum = (sum.0 + used, sum.1 + 1);
+                }
+            }
+        }
+        for (zone, size) in sizes {
+            let count = counts.zones.entry(zone.clone()).or_default();
+            count.size = count.size.max(*size);
+        }
+        for count in counts.zones.values() {
+            counts.fleet.size += count.size;
+            counts.fleet.there += count.there;
+        }
+        counts
+    }
+
+    /// Whether one that is in may go out now.
+    ///
+    /// # Errors
+    /// What binds.
+    pub fn may_go(&self, unit: &Unit, bounds: &Bounds) -> Result<(), Binds> {
+        let full = |count: Option<&Count>, most: Most| {
+            let count = count.copied().unwrap_or_default();
+            let most = most.of(count.size);
+            (count.out() >= most).then_some((count.out(), most))
+        };
+        if let Some((out, most)) = full(Some(&self.fleet), bounds.fleet) {
+            return Err(Binds::Fleet(out, most));
+        }
+        if let Some((out, most)) = full(self.zones.get(&unit.zone), bounds.zone) {
+            return Err(Binds::Zone(unit.zone.clone(), out, most));
+        }
+        if unit.role.is_none() {
+            return Ok(());
+        }
+        let cell = cell_of(unit);
+        if let Some((out, most)) = full(self.cells.get(&cell), bounds.cell) {
+            return Err(Binds::Cell(cell, out, most));
+        }
+        if let Some((out, most)) = full(self.kinds.get(&unit.kind), bounds.kind) {
+            return Err(Binds::Kind(unit.kind.clone(), out, most));
+        }
+        let zone_least = [bounds.readers_zone, bounds.writers_zone];
+        let cell_least = [bounds.readers_cell, bounds.writers_cell];
+        for role in roles(unit.role) {
+            let ready = |cell: bool, place: &str| {
+                self.ready.get(&(cell, role, place.to_owned())).copied().unwrap_or(0)
+            };
+            let (at, name) = (usize::from(role), NAMES[usize::from(role)]);
+            if ready(false, &unit.zone) <= zone_least[at] && zone_least[at] > 0 {
+                return Err(Binds::Ready(name, format!("zone {}", unit.zone), zone_least[at]));
+            }
+            if ready(true, &cell) <= cell_least[at] && cell_least[at] > 0 {
+                return Err(Binds::Ready(name, format!("cell {cell}"), cell_least[at]));
+            }
+            if bounds.used_per_mille >= 1000 {
+                continue;
+            }
+            for place in ["", &unit.zone] {
+                let sum = self.used.get(&(role, place.to_owned())).copied().unwrap_or_default();
+                // The only one of its role in a zone leaves its work to other zones.
+                if sum.1 < 2 && !place.is_empty() {
+                    continue;
+                }
+                let after = if sum.1 < 2 { f64::INFINITY } else { sum.0 / f64::from(sum.1 - 1) };
+                if after * 1000.0 > f64::from(bounds.used_per_mille) {
+                    let place =
+                        if place.is_empty() { "the fleet".to_owned() } else { format!("zone {place}") };
+                    return Err(Binds::Used(format!("{place}, {name}"), (after * 1000.0).min(999.0) as u32));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether more are out than may be, planned or not: where, how many, and how many may be.
+    pub fn broken(&self, bounds: &Bounds) -> Option<Binds> {
+        let over =
+            |count: &Count, most: Most| (count.out() > most.of(count.size)).then(|| most.of(count.size));
+        if let Some(most) = over(&self.fleet, bounds.fleet) {
+            return Some(Binds::Fleet(self.fleet.out(), most));
+        }
+        let zone = |(zone, count): (&String, &Count)| {
+            over(count, bounds.zone).map(|most| Binds::Zone(zone.clone(), count.out(), most))
+        };
+        self.zones.iter().find_map(zone)
+    }
+
+    /// One more of them is out from now on.
+    pub fn goes(&mut self, unit: &Unit) {
+        let less = |count: Option<&mut Count>| {
+            if let Some(count) = count {
+                count.there = count.there.saturating_sub(1);
+            }
+        };
+        less(Some(&mut self.fleet));
+        less(self.zones.get_mut(&unit.zone));
+        less(self.cells.get_mut(&cell_of(unit)));
+        less(self.kinds.get_mut(&unit.kind));
+        let cell = cell_of(unit);
+        for role in roles(unit.role) {
+            for key in [(false, role, unit.zone.clone()), (true, role, cell.clone())] {
+                let ready = self.ready.entry(key).or_default();
+                *ready = ready.saturating_sub(1);
+            }
+            // Its work goes to the others: the sum stays, over one fewer.
+            for place in [String::new(), unit.zone.clone()] {
+                let sum = self.used.entry((role, place)).or_default();
+                sum.1 = sum.1.saturating_sub(1);
+            }
+        }
+    }
+
+    /// How many there are in each zone, as counted.
+    pub fn sizes(&self) -> Sizes {
+        self.zones.iter().map(|(zone, count)| (zone.clone(), count.size)).collect()
+    }
+
+    /// How many are out and how many may be: of the fleet (no name), and each zone.
+    pub fn room(&self, bounds: &Bounds) -> Vec<(String, u32, u32)> {
+        let fleet = (String::new(), self.fleet.out(), bounds.fleet.of(self.fleet.size));
+        let zone = |(zone, count): (&String, &Count)| (zone.clone(), count.out(), bounds.zone.of(count.size));
+        std::iter::once(fleet).chain(self.zones.iter().map(zone)).collect()
+    }
+
+    /// A place of which the bounds never let any go, whatever is in.
+    pub fn never(&self, units: &[Unit], bounds: &Bounds) -> Option<String> {
+        if bounds.fleet.of(self.fleet.size) == 0 {
+            return Some(format!("the bounds let none of a fleet of {} go", self.fleet.size));
+        }
+        let none = |(zone, count): (&String, &Count)| {
+            let never = count.size > 0 && bounds.zone.of(count.size) == 0;
+            never.then(|| format!("the bounds let none of zone {zone}'s {} go", count.size))
+        };
+        if let Some(why) = self.zones.iter().find_map(none) {
+            return Some(why);
+        }
+        let mut all: BTreeMap<(bool, Role2, String), u32> = BTreeMap::new();
+        for unit in units {
+            for role in roles(unit.role) {
+                *all.entry((false, role, unit.zone.clone())).or_default() += 1;
+                *all.entry((true, role, cell_of(unit))).or_default() += 1;
+            }
+        }
+        let least = |cell: bool, role: Role2| match (cell, role) {
+            (false, 0) => bounds.readers_zone,
+            (false, _) => bounds.writers_zone,
+            (true, 0) => bounds.readers_cell,
+            (true, _) => bounds.writers_cell,
+        };
+        all.into_iter().find_map(|((cell, role, place), n)| {
+            let least = least(cell, role);
+            let what = if cell { "cell" } else { "zone" };
+            let name = NAMES[usize::from(role)];
+            (least > 0 && n <= least)
+                .then(|| format!("{what} {place} has {n} {name} in all, and {least} have to stay ready"))
+        })
+    }
+}
--- /dev/null
+++ b/src/fleet/conduct.rs
@@ -0,0 +1,623 @@
+//! What whoever calls the roll does about turns and a release, one step at a time: it looks at what is agreed on and
+//! at who is there, and names the next step. What it keeps for itself are times of its own, which its successor counts
+//! anew; all that must not be lost is in the agreed value.
+
+use super::bounds::{Binds, Bounds, Counts, Of, Sizes, Stand, Unit};
+use super::planted::{is, Plant};
+use super::release::{key, Care, Plan, Release, Step, Turn, TurnNo, MOST_LEFT, MOST_TURNS};
+use super::signs::Signs;
+use super::{Address, Name, Run};
+use crate::interface::Ms;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// For turns beside a release: within this they have to have begun, and to be over; and how long one is back and
+/// ready before it is.
+const BEGIN: Ms = 30_000.0;
+const BACK: Ms = 600_000.0;
+const SETTLE: Ms = 2_000.0;
+/// Turns given in one step.
+const MOST_AT_ONCE: usize = 64;
+/// A member that goes back is told so often before it is left for operators.
+const TOLD_BACK: u32 = 3;
+
+/// The fleet as the caller of the roll sees it.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    pub dispatchers: Vec<Unit>,
+    pub hosts: Vec<Unit>,
+    /// The roll has been called for long enough that all who are there were heard.
+    pub whole: bool,
+}
+
+impl View {
+    pub fn units(&self, of: Of) -> &[Unit] {
+        if of == Of::Hosts {
+            &self.hosts
+        } else {
+            &self.dispatchers
+        }
+    }
+}
+
+/// One that asked for its turn.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Wants {
+    pub name: Name,
+    pub label: String,
+}
+
+/// A turn as this holder has seen it.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Seen {
+    first: Ms,
+    /// Since when it stands as it is to.
+    since: Option<(Stage, Ms)>,
+    /// It said that it has not begun, and will not.
+    unbegun: bool,
+    /// An operator saw it as it is and had the release go on.
+    forgiven: bool,
+    told_back: u32,
+}
+
+/// Where a turn is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Its member serves as it did.
+    Granted,
+    /// Its member drains or is gone.
+    Begun,
+    /// Another process of it is there and not ready yet.
+    Starting,
+    /// It is back and ready, as it is to be; or gone for good, where that was wanted.
+    Back,
+    /// It is back and ready under another label.
+    Wrong,
+}
+
+/// A holder's own part.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Conduct {
+    seen: BTreeMap<TurnNo, Seen>,
+    resumed: Option<u64>,
+    wave: Option<(u32, bool)>,
+    /// Since when the wave has been over.
+    over: Option<Ms>,
+    signs: Signs,
+    /// Since when more are out than may be.
+    broken: Option<Ms>,
+    /// Turns that are agreed on and are to be told; that are to be taken back if that can be.
+    pub tell: Vec<TurnNo>,
+    pub revoke: Vec<TurnNo>,
+    /// Why nothing goes out now.
+    pub why: Option<String>,
+    /// Turns that were given before this holder's time, for a planted fault.
+    before: BTreeSet<TurnNo>,
+}
+
+/// Where a turn is, by what is seen of its member.
+pub fn stage(turn: &Turn, unit: Option<&Unit>) -> Stage {
+    let Some(unit) = unit.filter(|u| u.stand != Stand::Out) else {
+        return if turn.stays { Stage::Back } else { Stage::Begun };
+    };
+    let other = unit.run != turn.run;
+    let fits = turn.label.is_empty() || turn.label == unit.label || is(Plant::LabelUnchecked);
+    match unit.stand {
+        Stand::In if other && !turn.stays && fits => Stage::Back,
+        Stand::In if other && !turn.stays => Stage::Wrong,
+        Stand::Going if !other => Stage::Begun,
+        _ if !other => Stage::Granted,
+        _ => Stage::Starting,
+    }
+}
+
+impl Conduct {
+    /// With what was agreed on when it began.
+    pub fn begin(care: &Care) -> Self {
+        let before =
+            if is(Plant::BeginsAnew) { care.turns.keys().copied().collect() } else { BTreeSet::new() };
+        Conduct { before, ..Conduct::default() }
+    }
+
+    /// A member said of a turn whether it has begun; if not, it will not.
+    pub fn revoked(&mut self, turn: TurnNo, begun: bool) {
+        if let Some(seen) = self.seen.get_mut(&turn).filter(|_| !begun) {
+            seen.unbegun = true;
+        }
+    }
+
+    /// Whether nothing may be told of a turn any more, as it is being taken back.
+    pub fn is_unbegun(&self, turn: TurnNo) -> bool {
+        self.seen.get(&turn).is_some_and(|seen| seen.unbegun)
+    }
+
+    /// The next step, if there is one. `view` is as fresh as the caller has it; `wants`: who asked for a turn.
+    pub fn next(
+        &mut self,
+        now: Ms,
+        care: &Care,
+        view: &View,
+        (me, voters): (&Name, &BTreeSet<Name>),
+        (wants, own): (&[Wants], &Bounds),
+    ) -> Option<Step> {
+        (self.tell, self.revoke, self.why) = (Vec::new(), Vec::new(), None);
+        let resumed = self.resumed.replace(care.resumed).is_some_and(|before| before != care.resumed);
+        self.seen.retain(|number, _| care.turns.contains_key(number));
+        if resumed {
+            // Who waits begins to wait anew, and what an operator saw and let go on is no reason to halt again.
+            for seen in self.seen.values_mut() {
+                *seen = Seen { first: now, forgiven: true, ..Seen::default() };
+            }
+            self.broken = None;
+            self.signs = Signs::default();
+        }
+        if let Some(step) = self.turns(now, care, view) {
+            return Some(step);
+        }
+        let of = care.release.as_deref().filter(|r| !r.done).map(|r| r.plan.of);
+        if let Some(step) = of.and_then(|of| grown(care, view, of)) {
+            return Some(step);
+        }
+        if care.halted.is_some() {
+            self.why.clone_from(&care.halted);
+            return None;
+        }
+        if let Some(release) = care.running() {
+            if let Some(step) = self.release(now, care, release, view, (me, voters)) {
+                return Some(step);
+            }
+        }
+        self.asked(care, view, voters, wants, own)
+    }
+
+    /// What becomes of the turns that are given.
+    fn turns(&mut self, now: Ms, care: &Care, view: &View) -> Option<Step> {
+        let release = care.release.as_deref().filter(|r| !r.done);
+        let (mut over, mut back) = (Vec::new(), Vec::new());
+        for (number, turn) in &care.turns {
+            let unit = view.units(turn.of).iter().find(|u| u.name == turn.who);
+            let stage = stage(turn, unit);
+            let seen = self.seen.entry(*number).or_insert(Seen { first: now, ..Seen::default() });
+            if seen.since.is_none_or(|(before, _)| before != stage) {
+                seen.since = Some((stage, now));
+            }
+            let lasted = now - seen.since.map_or(now, |(_, at)| at);
+            let plan = release.filter(|_| turn.planned).map(|r| &r.plan);
+            let (begin, within, settle) = plan
+                .map_or((BEGIN, BACK, SETTLE), |p| (p.begin_ms as f64, p.back_ms as f64, p.settle_ms as f64));
+            let goes_back = release.is_some_and(|r| r.back) && turn.planned;
+            // A turn of the way forward that is not over when the release goes back.
+            let forward = goes_back && release.is_some_and(|r| r.plan.before != turn.label) && !turn.stays;
+            let late = now - seen.first > within;
+            match stage {
+                // One that is gone has to be gone for as long as the roll takes to be whole.
+                Stage::Back if turn.stays && (!view.whole || lasted < settle) => {}
+                Stage::Back if lasted >= settle => over.push(*number),
+                Stage::Back => {}
+                Stage::Granted if seen.unbegun => back.push(*number),
+                Stage::Granted => {
+                    if care.halted.is_some() || forward || now - seen.first > begin {
+                        self.revoke.push(*number);
+                    } else if !turn.asked {
+                        self.tell.push(*number);
+                    }
+                }
+                // It did not come back as it should: on the way back it is told again, as what it is now.
+                Stage::Starting | Stage::Wrong if goes_back && care.halted.is_none() => {
+                    let wrong = forward || stage == Stage::Wrong && lasted >= settle;
+                    if let (Some(unit), Some(r), true) = (unit, release, wrong) {
+                        if seen.told_back < TOLD_BACK {
+                            seen.told_back += 1;
+                            let turn = Turn {
+                                run: unit.run,
+                                address: unit.address.clone(),
+                                label: r.plan.before.clone(),
+                                ..turn.clone()
+                            };
+                            return Some(Step::Again(*number, turn));
+                        }
+                        return leave(care, *number, format!("stays under {}", unit.label));
+                    }
+                    if late {
+                        return leave(care, *number, "is not ready again".to_owned());
+                    }
+                }
+                Stage::Wrong if seen.forgiven || !turn.planned => back.push(*number),
+                Stage::Wrong if lasted >= settle && care.halted.is_none() => {
+                    let label = unit.map_or("", |u| &u.label);
+                    let why = format!("{} came back under {label} in place of {}", turn.who.0, turn.label);
+                    return Some(Step::Halt(why));
+                }
+                _ if late && care.halted.is_none() && turn.planned => {
+                    if goes_back {
+                        return leave(care, *number, "did not come back".to_owned());
+                    }
+                    let what = if stage == Stage::Starting { "is not ready" } else { "is not back" };
+                    return Some(Step::Halt(format!("{} {what} within its time", turn.who.0)));
+                }
+                _ => {}
+            }
+        }
+        if !back.is_empty() {
+            return Some(Step::TakeBack(back));
+        }
+        (!over.is_empty()).then_some(Step::Over(over))
+    }
+
+    /// The release's next step.
+    fn release(
+        &mut self,
+        now: Ms,
+        care: &Care,
+        release: &Release,
+        view: &View,
+        (me, voters): (&Name, &BTreeSet<Name>),
+    ) -> Option<Step> {
+        let (plan, bounds) = (&release.plan, &release.bounds);
+        let units = view.units(plan.of);
+        let mut counts = self.counts(care, units, plan.of, bounds);
+        if self.wave.replace((release.wave, release.back)) != Some((release.wave, release.back)) {
+            self.over = None;
+            self.signs.begin_wave();
+        }
+        let planned = care.turns.values().filter(|t| t.planned).count();
+        if !release.back {
+            let turning = |name: &Name| care.turn_of(plan.of, name).is_some();
+            let turned = turned(release, units, turning);
+            if let Some(why) = self.signs.look(units.iter().filter(|u| plan.takes(u)), &turned, turning) {
+                return Some(Step::Halt(why));
+            }
+        }
+        match counts.broken(bounds).filter(|_| view.whole) {
+            Some(binds) if now - *self.broken.get_or_insert(now) > plan.watch_ms as f64 && !release.back => {
+                return Some(Step::Halt(format!("more are out than may be: {binds}")));
+            }
+            Some(_) => {}
+            None => self.broken = None,
+        }
+        let (order, waits) = self.order(care, release, units, me);
+        let room = match release.back {
+            true => MOST_TURNS as u32,
+            false => plan.wave(release.wave).saturating_sub(release.given),
+        };
+        if order.is_empty() && waits.is_none() && planned == 0 {
+            return Some(Step::Finish);
+        }
+        if room == 0 && !order.is_empty() {
+            if planned > 0 {
+                self.why = Some(format!("wave {} is not over", release.wave + 1));
+                return None;
+            }
+            let since = *self.over.get_or_insert(now);
+            if now - since >= plan.watch_ms as f64 {
+                return Some(Step::NextWave);
+            }
+            self.why = Some(format!("wave {} is watched", release.wave + 1));
+            return None;
+        }
+        let most = (room as usize).min(MOST_AT_ONCE).min(MOST_TURNS.saturating_sub(care.turns.len()));
+        let (turns, binds) = self.pick(&order, most, &mut counts, release, care, view, voters);
+        if !turns.is_empty() {
+            return Some(Step::Grant(turns));
+        }
+        self.why = binds.map(|binds| binds.to_string()).or(waits);
+        None
+    }
+
+    /// Those of an order that may go now, and what binds the first that may not.
+    #[allow(clippy::too_many_arguments)]
+    fn pick(
+        &self,
+        order: &[&Unit],
+        most: usize,
+        counts: &mut Counts,
+        release: &Release,
+        care: &Care,
+        view: &View,
+        voters: &BTreeSet<Name>,
+    ) -> (Vec<Turn>, Option<Binds>) {
+        let (plan, bounds) = (&release.plan, &release.bounds);
+        let mut turns: Vec<Turn> = Vec::new();
+        let mut first = None;
+        for unit in order {
+            if turns.len() >= most {
+                break;
+            }
+            let unbound = release.back && is(Plant::BackUnbound);
+            // One that is out already takes no room more.
+            if unit.stand == Stand::In && !unbound {
+                let voter = || voter_binds(unit, care, view, voters, &turns);
+                let may = counts.may_go(unit, bounds).and_then(|()| voter());
+                if let Err(binds) = may {
+                    first = first.or(Some(binds));
+                    continue;
+                }
+            }
+            counts.goes(unit);
+            turns.push(Turn {
+                of: plan.of,
+                who: unit.name.clone(),
+                run: unit.run,
+                address: unit.address.clone(),
+                zone: unit.zone.clone(),
+                label: if release.back { plan.before.clone() } else { plan.label.clone() },
+                asked: false,
+                stays: plan.stays,
+                planned: true,
+            });
+        }
+        (turns, first)
+    }
+
+    fn counts(&self, care: &Care, units: &[Unit], of: Of, bounds: &Bounds) -> Counts {
+        let forgotten = |number: &TurnNo| self.before.contains(number);
+        let turning: BTreeSet<&Name> = care
+            .turns
+            .iter()
+            .filter(|(number, turn)| turn.of == of && !forgotten(number) && !is(Plant::TurnTwice))
+            .map(|(_, turn)| &turn.who)
+            .collect();
+        if is(Plant::FailuresUncounted) {
+            let sound = |unit: &Unit| Unit { stand: Stand::In, ..unit.clone() };
+            let sound: Vec<Unit> = units.iter().map(sound).collect();
+            return Counts::new(sound.iter(), &Sizes::new(), bounds, |u| turning.contains(&u.name));
+        }
+        if is(Plant::OldReportTaken) {
+            let bounds = Bounds { report_age_ms: u64::MAX, ..*bounds };
+            return Counts::new(units.iter(), care.sizes(of), &bounds, |u| turning.contains(&u.name));
+        }
+        Counts::new(units.iter(), care.sizes(of), bounds, |u| turning.contains(&u.name))
+    }
+
+    /// Those that are still to go, in their order, and what is waited for beside them.
+    fn order<'a>(
+        &self,
+        care: &Care,
+        release: &Release,
+        units: &'a [Unit],
+        me: &Name,
+    ) -> (Vec<&'a Unit>, Option<String>) {
+        let plan = &release.plan;
+        let mut order: Vec<&Unit> = Vec::new();
+        let mut waits = None;
+        let mut blocked: BTreeMap<&str, u64> = BTreeMap::new();
+        let mut all: Vec<&Unit> = units.iter().filter(|u| plan.takes(u) && wanted(release, u)).collect();
+        all.sort_by_key(|unit| {
+            let at = key(&unit.name);
+            (unit.name == *me && plan.of == Of::Dispatchers, if release.back { u64::MAX - at } else { at })
+        });
+        for unit in all {
+            let left = release.left.contains_key(&unit.name);
+            if left || care.turn_of(plan.of, &unit.name).is_some_and(|(n, _)| !self.before.contains(n)) {
+                continue;
+            }
+            // Back, what is there and not ready may be told at once: it takes no room.
+            let there = unit.stand == Stand::In || release.back && unit.stand == Stand::Coming;
+            let hosts = plan.of == Of::Hosts;
+            match there {
+                true if hosts && blocked.contains_key(unit.zone.as_str()) => {}
+                true => order.push(unit),
+                // A model host that is not listed any more comes back as another.
+                false if hosts && unit.stand == Stand::Out => {}
+                false => {
+                    if hosts {
+                        // A zone is gone through in order, or this one would be passed over.
+                        blocked.entry(&unit.zone).or_insert(key(&unit.name));
+                    }
+                    waits = waits.or(Some(format!("{} is not ready", unit.name.0)));
+                }
+            }
+        }
+        (order, waits)
+    }
+
+    /// Turns that dispatchers asked for.
+    fn asked(
+        &mut self,
+        care: &Care,
+        view: &View,
+        voters: &BTreeSet<Name>,
+        wants: &[Wants],
+        own: &Bounds,
+    ) -> Option<Step> {
+        if wants.is_empty() || !view.whole || care.turns.len() >= MOST_TURNS {
+            return None;
+        }
+        if let Some(step) = grown(care, view, Of::Dispatchers) {
+            return Some(step);
+        }
+        let running = care.release.as_deref().filter(|r| !r.done && r.plan.of == Of::Dispatchers);
+        let bounds = running.map_or(own, |r| &r.bounds);
+        let mut counts = self.counts(care, &view.dispatchers, Of::Dispatchers, bounds);
+        let mut turns: Vec<Turn> = Vec::new();
+        for want in wants {
+            let unit = view.dispatchers.iter().find(|u| u.name == want.name && u.stand == Stand::In);
+            let Some(unit) = unit.filter(|u| care.turn_of(Of::Dispatchers, &u.name).is_none()) else {
+                continue;
+            };
+            let voter = || voter_binds(unit, care, view, voters, &turns);
+            if let Err(binds) = counts.may_go(unit, bounds).and_then(|()| voter()) {
+                self.why = self.why.take().or(Some(binds.to_string()));
+                continue;
+            }
+            counts.goes(unit);
+            turns.push(Turn {
+                of: Of::Dispatchers,
+                who: unit.name.clone(),
+                run: unit.run,
+                address: unit.address.clone(),
+                zone: unit.zone.clone(),
+                label: want.label.clone(),
+                asked: true,
+                stays: false,
+                planned: false,
+            });
+        }
+        (!turns.is_empty()).then_some(Step::Grant(turns))
+    }
+
+    /// Counts for those that look: how many are out and how many may be, by zone.
+    pub fn room(&self, care: &Care, view: &View, of: Of, bounds: &Bounds) -> Vec<(String, u32, u32)> {
+        self.counts(care, view.units(of), of, bounds).room(bounds)
+    }
+}
+
+/// Whether a unit is one that the release has still to turn, as it stands.
+fn wanted(release: &Release, unit: &Unit) -> bool {
+    let plan = &release.plan;
+    if plan.of == Of::Dispatchers {
+        return if release.back { unit.label == plan.label } else { unit.label != plan.label };
+    }
+    let reached = release.reached.get(&unit.zone).copied();
+    let passed = reached.is_some_and(|at| key(&unit.name) <= at);
+    if release.back {
+        return passed;
+    }
+    !passed || release.again.contains(&unit.name)
+}
+
+/// Those that have turned, by what is seen of them.
+fn turned(release: &Release, units: &[Unit], turning: impl Fn(&Name) -> bool) -> BTreeSet<Name> {
+    let plan = &release.plan;
+    let has = |u: &&Unit| match plan.of {
+        Of::Dispatchers => u.label == plan.label,
+        Of::Hosts => !wanted(release, u) && !turning(&u.name),
+    };
+    units.iter().filter(|u| plan.takes(u)).filter(has).map(|u| u.name.clone()).collect()
+}
+
+/// The fleet is larger than was agreed.
+fn grown(care: &Care, view: &View, of: Of) -> Option<Step> {
+    let seen = Counts::new(view.units(of).iter(), &Sizes::new(), &Bounds::default(), |_| false).sizes();
+    let known = care.sizes(of);
+    let more: Sizes =
+        seen.into_iter().filter(|(zone, n)| *n > known.get(zone).copied().unwrap_or(0)).collect();
+    (!more.is_empty()).then_some(Step::Count(of, more))
+}
+
+/// Voters go one after another, never two: with one more gone nothing more might be agreed on.
+fn voter_binds(
+    unit: &Unit,
+    care: &Care,
+    view: &View,
+    voters: &BTreeSet<Name>,
+    turns: &[Turn],
+) -> Result<(), Binds> {
+    if unit.role.is_some() || !voters.contains(&unit.name) {
+        return Ok(());
+    }
+    let there = |name: &&Name| {
+        let seen = view.dispatchers.iter().any(|u| u.name == **name && u.stand == Stand::In);
+        let turn = care.turn_of(Of::Dispatchers, name).is_some();
+        let going = turns.iter().any(|t| t.who == **name);
+        seen && !turn && !going
+    };
+    let out = voters.iter().filter(|name| !there(name)).count() as u32;
+    match out {
+        0 => Ok(()),
+        out => Err(Binds::Ready("voters", format!("{out} of the voters are out"), voters.len() as u32)),
+    }
+}
+
+fn leave(care: &Care, number: TurnNo, why: String) -> Option<Step> {
+    let full = care.release.as_deref().is_none_or(|r| r.left.len() >= MOST_LEFT);
+    match full {
+        true => Some(Step::Halt("more than can be named did not come back".to_owned())),
+        false => Some(Step::Leave(number, why)),
+    }
+}
+
+/// What a member is told of its turn, as an act's body, and the list's keeper of a model host's.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Told {
+    pub number: TurnNo,
+    pub of: Of,
+    pub who: Name,
+    pub run: Run,
+    pub label: String,
+    pub stays: bool,
+}
+
+impl Told {
+    pub fn new(number: TurnNo, turn: &Turn) -> Self {
+        let Turn { of, who, run, label, stays, .. } = turn.clone();
+        Told { number, of, who, run, label, stays }
+    }
+
+    /// One word a line; a label is the last, as it may be empty.
+    pub fn write(&self) -> Vec<u8> {
+        let of = if self.of == Of::Hosts { "host" } else { "dispatcher" };
+        let stays = if self.stays { "stays" } else { "returns" };
+        let (number, run) = (self.number.0, self.run.0);
+        format!("turn\n{number}\n{of}\n{}\n{run}\n{stays}\n{}", self.who.0, self.label).into_bytes()
+    }
+
+    /// None if it is not one.
+    pub fn read(bytes: &[u8]) -> Option<Told> {
+        let text = std::str::from_utf8(bytes).ok()?;
+        let words: Vec<&str> = text.split('\n').collect();
+        let ["turn", number, of, who, run, stays, label] = words[..] else { return None };
+        let of = match of {
+            "host" => Of::Hosts,
+            "dispatcher" => Of::Dispatchers,
+            _ => return None,
+        };
+        let stays = match stays {
+            "stays" => true,
+            "returns" => false,
+            _ => return None,
+        };
+        (!who.is_empty()).then_some(())?;
+        Some(Told {
+            number: TurnNo(number.parse().ok()?),
+            of,
+            who: Name::from(who),
+            run: Run(run.parse().ok()?),
+            label: label.to_owned(),
+            stays,
+        })
+    }
+}
+
+/// What would go when, if all went as planned: for `--dry-run`.
+pub fn waves(plan: &Plan, bounds: &Bounds, units: &[Unit], sizes: &Sizes) -> Vec<Vec<Name>> {
+    let mut left: Vec<&Unit> = units.iter().filter(|u| plan.takes(u) && u.stand == Stand::In).collect();
+    if plan.of == Of::Dispatchers {
+        left.retain(|u| u.label != plan.label);
+    }
+    left.sort_by_key(|u| key(&u.name));
+    let mut waves = Vec::new();
+    while !left.is_empty() && waves.len() < 10_000 {
+        let most = plan.wave(waves.len() as u32) as usize;
+        let mut wave: Vec<Name> = Vec::new();
+        // A wave goes on until it is full: in parts, as the bounds let them.
+        while wave.len() < most && !left.is_empty() {
+            let mut counts = Counts::new(units.iter(), sizes, bounds, |_| false);
+            let before = wave.len();
+            left.retain(|unit| {
+                let goes = wave.len() < most && counts.may_go(unit, bounds).is_ok();
+                if goes {
+                    counts.goes(unit);
+                    wave.push(unit.name.clone());
+                }
+                !goes
+            });
+            if wave.len() == before {
+                break;
+            }
+        }
+        if wave.is_empty() {
+            break;
+        }
+        waves.push(wave);
+    }
+    waves
+}
+
+/// The address that a unit's turn is told at: its own, or the list's keeper's.
+pub fn told_at<'a>(turn: &'a Turn, keeper: Option<&'a Address>) -> Option<&'a Address> {
+    if turn.of == Of::Hosts {
+        keeper
+    } else {
+        Some(&turn.address)
+    }
+}
--- a/src/fleet/member/beating.rs
+++ b/src/fleet/member/beating.rs
@@ -37,7 +37,8 @@
         BeatHeard { heard: holds, holder, every, places }
     }
 
-    fn my_beat(&self) -> Beat {
+    fn my_beat(&mut self) -> Beat {
+        let reports = self.next_reports();
         Beat {
             who: self.me(),
             zone: self.settings.zone.clone(),
@@ -47,6 +48,8 @@
             stopping: self.stopping,
             load: self.load,
             holds: self.holds.len() as u32,
+            tally: self.care.tally,
+            reports,
         }
     }
 
@@ -116,7 +119,8 @@
 
     /// When none of this process's acts can be obeyed any more, if no answer comes.
     pub(super) fn acts_done_at(&self) -> Ms {
-        self.told.iter().map(|told| told.unsure_until).fold(f64::NEG_INFINITY, f64::max)
+        let turns = self.care.acts.values().map(|acts| acts.unsure_until);
+        self.told.iter().map(|told| told.unsure_until).chain(turns).fold(f64::NEG_INFINITY, f64::max)
     }
 
     pub(super) fn tell_at(&self) -> Option<Ms> {
--- a/src/fleet/member/holding.rs
+++ b/src/fleet/member/holding.rs
@@ -146,7 +146,8 @@
                 (self.now + watch.waits(&me, self.is_voter(), settings)).max(self.acts_done_at())
             });
             let gives = !self.giving.is_empty() && self.acts_are_done();
-            let now = (gives || !self.wishes.is_empty() || self.settles()).then_some(self.now);
+            let steps = self.wanted_step().is_some();
+            let now = (gives || steps || !self.wishes.is_empty() || self.settles()).then_some(self.now);
             let next = renew.chain(takes).chain(now).fold(f64::INFINITY, f64::min);
             at.push(next.max(self.again_at));
         }
@@ -185,7 +186,10 @@
             return Some((Purpose::Take(duty.clone()), change));
         }
         if let Some(wish) = self.wishes.first() {
-            return Some((Purpose::Voters(wish.call), wish.change.clone()));
+            return Some((Purpose::Wish(wish.call), wish.change.clone()));
+        }
+        if let Some(step) = self.wanted_step() {
+            return Some(step);
         }
         self.settles().then_some((Purpose::Settle, Change::Settle))
     }
@@ -284,6 +288,9 @@
             End::Agreed(value) => {
                 self.failures = 0;
                 self.count("agreed");
+                if self.agreed.as_ref().is_none_or(|known| known.version < value.version) {
+                    self.agreed = Some(value.clone());
+                }
                 self.agreed(purpose, &value, asked, out);
                 self.saw(Some(round.ballot), value);
             }
@@ -301,6 +308,9 @@
                 let wait = AGAIN * self.settings.lease.lease * f64::from(doubled).exp2();
                 self.again_at = self.now + wait * (0.5 + chance);
                 self.failures += 1;
+                if purpose == Purpose::Step {
+                    self.step_tried(false);
+                }
             }
         }
     }
@@ -332,7 +342,11 @@
                     self.ask(to, Question::Nudge { duty }, Errand::Nudge, out);
                 }
             }
-            Purpose::Voters(call) => self.wish_done(call, Ok(()), out),
+            Purpose::Wish(call) => self.wish_done(call, Ok(()), Some(value), out),
+            Purpose::Step => {
+                self.count("steps");
+                self.step_tried(true);
+            }
             Purpose::Settle => self.count("settled"),
         }
     }
@@ -351,7 +365,8 @@
             Purpose::GiveUp(duty) => {
                 self.giving.remove(&duty);
             }
-            Purpose::Voters(call) => self.wish_done(call, Err(why), out),
+            Purpose::Wish(call) => self.wish_done(call, Err(why), None, out),
+            Purpose::Step => self.step_tried(false),
             Purpose::Settle => self.again_at = self.now + self.settings.lease.gap(),
         }
     }
--- a/src/fleet/member/mod.rs
+++ b/src/fleet/member/mod.rs
@@ -5,15 +5,19 @@
 mod beating;
 mod holding;
 mod orders;
+mod releasing;
 mod voting;
 
-pub use orders::{Order, Reply, RollLine, Status, VoterLine, LONGEST_NAME};
+pub use orders::{CareStatus, Order, ReleaseOrder, Reply, RollLine, Status, VoterLine, LONGEST_NAME};
+pub use releasing::MOST_REPORTS;
 
 use super::acts::{Act, Known, Receiver, Ticket, Verdict};
 use super::agreed::{Agreed, Change, Holder, Life, Voters};
+use super::bounds::{Bounds, Of, Tally, Unit};
 use super::duties::{Hold, LeaseSettings, Watch};
 use super::register::{self, Ballot, Kept, Knows, Round, Said, Voter};
-use super::rollcall::{Beat, RollCall};
+use super::release::TurnNo;
+use super::rollcall::{Beat, HostReport, RollCall};
 use super::{Address, Duty, Name, Run, Steady, Term};
 use crate::interface::Ms;
 use nanorand::WyRand;
@@ -47,6 +51,9 @@
     /// Who is told the roll-call, and how often.
     pub tells: Vec<Address>,
     pub tell_every: Ms,
+    /// How many dispatchers and how many model hosts may be out at once, and who lists hosts as draining.
+    pub bounds: (Bounds, Bounds),
+    pub keeper: Option<Address>,
     pub seed: u64,
 }
 
@@ -77,6 +84,13 @@
         duty: Duty,
     },
     Act(Act),
+    /// Has this turn begun? If not, it is not to.
+    AskBack {
+        turn: TurnNo,
+        of: Of,
+        who: Name,
+        run: Run,
+    },
     Order(Order),
 }
 
@@ -89,6 +103,7 @@
     Heard(BeatHeard),
     Done,
     Verdict { verdict: Verdict, ticket: Ticket },
+    Begun { begun: bool },
     Reply(Reply),
 }
 
@@ -114,6 +129,17 @@
     pub places: Vec<(Duty, u32)>,
 }
 
+/// How the dispatcher fares.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Fares {
+    pub ready: bool,
+    pub load: f64,
+    /// Tasks answered by this process so far.
+    pub tally: Tally,
+    /// What it heard of some model hosts since it was last asked.
+    pub reports: Vec<HostReport>,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Input {
     /// What is in the voter's file; an error is a file that cannot be trusted.
@@ -132,11 +158,9 @@
         ask: AskNo,
         answer: Option<Answer>,
     },
-    /// How the dispatcher fares.
-    Fares {
-        ready: bool,
-        load: f64,
-    },
+    Fares(Fares),
+    /// The model hosts as this dispatcher's list has them.
+    Hosts(Vec<Unit>),
     Tick,
     /// Hands over what it holds and contends no more.
     Stop,
@@ -163,6 +187,12 @@
         term: Term,
         held: bool,
     },
+    /// This process has its turn: it drains and ends in order, and its supervisor starts it again, under the label
+    /// if one is named.
+    Turn {
+        turn: TurnNo,
+        label: String,
+    },
     Warn(String),
     Info(String),
     /// What it held is handed over.
@@ -198,6 +228,19 @@
     Act {
         to: usize,
     },
+    TurnAct {
+        to: Address,
+    },
+    Revoke {
+        turn: TurnNo,
+    },
+    HaltAsk {
+        turn: TurnNo,
+    },
+    ByHand {
+        call: CallNo,
+        note: String,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -219,7 +262,8 @@
     Take(Duty),
     Renew,
     GiveUp(Duty),
-    Voters(CallNo),
+    Wish(CallNo),
+    Step,
     Settle,
 }
 
@@ -246,7 +290,7 @@
     asked: Ms,
 }
 
-/// A change of voters that an operator asked for.
+/// A change that an operator asked for.
 #[derive(Clone, Debug, PartialEq)]
 struct Wish {
     call: CallNo,
@@ -305,6 +349,8 @@
     // The proposer.
     knows: Knows,
     newest: Option<(Option<Ballot>, Agreed)>,
+    /// The newest value that is known to be agreed on.
+    agreed: Option<Agreed>,
     founding: Option<Voters>,
     highest: u64,
     trying: Option<Try>,
@@ -327,6 +373,8 @@
     told: Vec<Told>,
     acts: u64,
     receiver: Receiver,
+    // Turns and releases.
+    care: releasing::Releasing,
     // Questions.
     asks: u64,
     out: BTreeMap<AskNo, Out>,
@@ -360,6 +408,7 @@
             confirmed: Vec::new(),
             knows: Knows::default(),
             newest: None,
+            agreed: None,
             founding: None,
             highest: 0,
             trying: None,
@@ -379,6 +428,7 @@
             told,
             acts: 0,
             receiver,
+            care: releasing::Releasing::default(),
             asks: 0,
             out: BTreeMap::new(),
             inspecting: BTreeMap::new(),
@@ -409,16 +459,20 @@
                     self.answered(asked.errand, answer, out);
                 }
             }
-            Input::Fares { ready, load } => (self.ready, self.load) = (ready, load),
+            Input::Fares(fares) => self.fares(fares),
+            Input::Hosts(hosts) => self.hosts(hosts),
             Input::Tick => {}
             Input::Stop => self.stopping = true,
         }
         self.ask_again(out);
         self.give_up_waiting(out);
         self.care_for_voter(out);
+        self.look_after();
         self.go_on(out);
         self.beat(out);
         self.tell(out);
+        self.tell_turns(out);
+        self.care_for_halt(out);
         self.inspect(out);
         if self.stopping && !self.stopped && self.holds.is_empty() && self.giving.is_empty() {
             self.stopped = true;
@@ -435,6 +489,7 @@
         self.care_at().into_iter().for_each(&mut sooner);
         self.go_on_at().into_iter().for_each(&mut sooner);
         self.tell_at().into_iter().for_each(&mut sooner);
+        self.care_wants_at().into_iter().for_each(&mut sooner);
         self.inspecting.values().for_each(|i| sooner(i.until()));
         self.steady.reading_at(at.max(self.now))
     }
@@ -550,8 +605,15 @@
             }
             Question::Act(act) => {
                 let verdict = self.receiver.receive(self.now, &act);
+                if verdict == Verdict::Obeyed {
+                    self.obeyed(&act, out);
+                }
                 Answer::Verdict { verdict, ticket: self.receiver.ticket(self.now) }
             }
+            Question::AskBack { turn, of, who, run } => {
+                let mine = of == Of::Dispatchers && who == self.settings.me;
+                Answer::Begun { begun: !mine || self.asked_back(turn, run) }
+            }
             Question::Order(order) => return self.order(call, order, out),
         };
         out.push(Output::Answer { call, answer });
@@ -593,6 +655,27 @@
                 };
                 self.told(to, verdict);
             }
+            (Errand::TurnAct { to }, answer) => {
+                let verdict = match answer {
+                    Some(Answer::Verdict { verdict, ticket }) => Some((verdict, ticket)),
+                    _ => None,
+                };
+                self.turn_told(&to, verdict, out);
+            }
+            (Errand::ByHand { call, note }, answer) => {
+                let reply = match answer {
+                    Some(Answer::Reply(reply)) => Some(reply),
+                    _ => None,
+                };
+                self.stopped_by_hand(call, note, reply, out);
+            }
+            (errand @ (Errand::Revoke { .. } | Errand::HaltAsk { .. }), answer) => {
+                let begun = match answer {
+                    Some(Answer::Begun { begun }) => Some(begun),
+                    _ => None,
+                };
+                self.asked_back_said(&errand, begun);
+            }
             (Errand::Look { .. } | Errand::Witness { .. } | Errand::Nudge, _) => {}
         }
     }
--- a/src/fleet/member/orders.rs
+++ b/src/fleet/member/orders.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::fleet::agreed::{Refusal, Seat};
 use crate::fleet::duties::holder_of;
+use crate::fleet::release::Plan;
 use crate::fleet::rollcall::Standing;
 
 /// An operator's wish, at any dispatcher.
@@ -32,6 +33,61 @@
         duty: Duty,
         job: u64,
     },
+    Release(ReleaseOrder),
+    /// Stops this one member though nothing is agreed on.
+    ByHand {
+        who: Name,
+        address: Option<Address>,
+        why: String,
+    },
+}
+
+/// What is ordered of turns and releases.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ReleaseOrder {
+    /// `skip`: those that the plan names and that are not there are passed over. `dry`: it is only shown.
+    Start {
+        plan: Box<Plan>,
+        skip: bool,
+        dry: bool,
+    },
+    /// Given again until it is acknowledged.
+    Halt {
+        why: String,
+    },
+    Resume,
+    Back,
+    End,
+    /// Wants a turn for a dispatcher, or goes on to; `refused`: wants it no more.
+    Turn {
+        name: Name,
+        label: String,
+        refused: bool,
+    },
+}
+
+/// A release and its turns, as whoever was asked sees them; whole at the caller of the roll.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CareStatus {
+    pub name: String,
+    pub of: Of,
+    /// none, waiting, running, held, halted, going back, done.
+    pub state: String,
+    pub halted: String,
+    /// Why nothing goes out now.
+    pub why: String,
+    /// The wave counted from 1, how many turns it gave, of how many.
+    pub wave: u32,
+    pub given: u32,
+    pub of_wave: u32,
+    pub turned: u32,
+    pub meant: u32,
+    /// Number, member, zone, and where it is.
+    pub turns: Vec<(TurnNo, Name, String, String)>,
+    /// How many are out and how many may be, over the fleet (no name) and by zone.
+    pub room: Vec<(String, u32, u32)>,
+    pub left: Vec<(Name, String)>,
+    pub notes: Vec<String>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -41,6 +97,8 @@
     Done(String),
     /// Not done, and why.
     No(String),
+    /// It is being done: ask again.
+    Waits(String),
     /// Ask there: whoever is there can do it.
     Elsewhere(Address),
     /// The duty is held in this term for so long, counted from before it was asked for; none yet.
@@ -88,6 +146,7 @@
     pub roll: Vec<RollLine>,
     /// Where the roll is called, if elsewhere.
     pub caller: Option<Address>,
+    pub care: CareStatus,
 }
 
 /// Voters that are being looked at for an order.
@@ -142,6 +201,14 @@
                 }
                 Reply::Done(format!("{} let go", duty.0))
             }
+            Order::Release(order) => match self.order_release(call, order) {
+                Some(reply) => reply,
+                None => return,
+            },
+            Order::ByHand { who, address, why } => match self.order_by_hand(call, who, address, why, out) {
+                Some(reply) => reply,
+                None => return,
+            },
         };
         out.push(Output::Answer { call, answer: Answer::Reply(reply) });
     }
@@ -308,20 +375,32 @@
                 .as_ref()
                 .filter(|(_, h)| h.run != self.settings.run)
                 .map(|(_, h)| h.address.clone()),
+            care: self.care_status(),
         }
     }
 
-    fn wish(&mut self, call: CallNo, change: Change) {
+    pub(super) fn wish(&mut self, call: CallNo, change: Change) {
         let until = self.now + WITHIN;
         self.wishes.push(Wish { call, change, until });
     }
 
-    pub(super) fn wish_done(&mut self, call: CallNo, done: Result<(), Refusal>, out: &mut Vec<Output>) {
+    pub(super) fn wish_done(
+        &mut self,
+        call: CallNo,
+        done: Result<(), Refusal>,
+        value: Option<&Agreed>,
+        out: &mut Vec<Output>,
+    ) {
         let Some(at) = self.wishes.iter().position(|w| w.call == call) else { return };
         let wish = self.wishes.remove(at);
         let (name, what) = match &wish.change {
             Change::AddVoter { name, .. } => (name.0.clone(), "votes from now on"),
             Change::RemoveVoter { name } => (name.0.clone(), "votes no more"),
+            Change::Word(word) => {
+                let answer = Answer::Reply(self.word_said(word, done, value));
+                out.push(Output::Answer { call, answer });
+                return;
+            }
             _ => return,
         };
         let reply = match done {
@@ -330,7 +409,7 @@
             Err(Refusal::AlreadySo) => Reply::No(format!("{name} {what} already, or is none")),
             Err(Refusal::TooFew) => Reply::No("fewer than 3 voters would be left: add one first".to_owned()),
             Err(Refusal::TooMany) => Reply::No("7 voters are the most: remove one first".to_owned()),
-            Err(Refusal::Moved | Refusal::Nothing) => Reply::No("nothing was changed".to_owned()),
+            Err(_) => Reply::No("nothing was changed".to_owned()),
         };
         out.push(Output::Answer { call, answer: Answer::Reply(reply) });
     }
--- /dev/null
+++ b/src/fleet/member/releasing.rs
@@ -0,0 +1,722 @@
+//! Turns and releases: what the caller of the roll does about them, what a member does that is told of its turn, and
+//! the halt, which any dispatcher may give.
+
+use super::*;
+use crate::fleet::acts::Verdict;
+use crate::fleet::agreed::Refusal;
+use crate::fleet::bounds::{Bounds, Counts, Of, Sizes, Stand, Tally, Unit};
+use crate::fleet::conduct::{stage, told_at, waves, Conduct, Stage, Told as TurnTold, View, Wants};
+use crate::fleet::planted::{is, Plant};
+use crate::fleet::release::{Care, Plan, Release, Step, Turn, TurnNo, Word};
+use crate::fleet::rollcall::Standing;
+use std::collections::BTreeSet;
+
+/// The fleet is looked at so often in a beat, while there is something to look after.
+const LOOKS: f64 = 2.0;
+/// The roll is whole once it has been called for so many beats: whoever is there was heard, and whoever is silent
+/// is known to be.
+const WHOLE_AFTER: f64 = 12.0;
+/// A member that wants its turn asks again within this.
+const WANTS_FOR: Ms = 2_000.0;
+/// Those that may wait for a turn at once, and turns remembered as taken back.
+const MOST_WANTS: usize = 1024;
+const MOST_REVOKED: usize = 1024;
+/// Reports of hosts in one beat.
+pub const MOST_REPORTS: usize = 8;
+
+/// What the holder knows of turns' acts at one receiver.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct TurnActs {
+    known: Known,
+    out: bool,
+    next: Ms,
+    /// An act that was not answered may still come there before this.
+    pub(super) unsure_until: Ms,
+}
+
+/// A halt that is agreed on and not acknowledged yet: who may still begin is asked, or waited for.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Halting {
+    since: Ms,
+    /// Turns as given at the halt: what their members said, whether they have begun.
+    said: BTreeMap<TurnNo, (Name, Option<bool>)>,
+    next: Ms,
+}
+
+/// All of one dispatcher's part in turns and releases.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Releasing {
+    pub(super) tally: Tally,
+    reports: Vec<HostReport>,
+    /// Model hosts as its own list has them.
+    hosts: Vec<Unit>,
+    conduct: Option<Conduct>,
+    next_look: Ms,
+    step: Option<Step>,
+    tell: Vec<TurnNo>,
+    revoke: Vec<TurnNo>,
+    pub(super) acts: BTreeMap<Address, TurnActs>,
+    revokes: BTreeMap<TurnNo, Ms>,
+    wants: BTreeMap<Name, (String, Ms)>,
+    halting: Option<Halting>,
+    /// This process has its turn, and turns that it will not begin.
+    begun: Option<TurnNo>,
+    revoked: BTreeSet<TurnNo>,
+    /// For planted faults: a halt that nobody else knows, turns that are not agreed on.
+    alone: bool,
+    unagreed: Vec<Turn>,
+}
+
+impl Member {
+    /// The roll-call, as a duty.
+    fn roll_call() -> Duty {
+        Duty::from(ROLL_CALL)
+    }
+
+    pub(super) fn fares(&mut self, fares: Fares) {
+        let Fares { ready, load, tally, reports } = fares;
+        (self.ready, self.load, self.care.tally) = (ready, load, tally);
+        // What a lost beat tells is lost: reports are thin evidence anyway, and come again.
+        self.care.reports.extend(reports);
+        let many = self.care.reports.len().saturating_sub(4 * MOST_REPORTS);
+        self.care.reports.drain(..many);
+    }
+
+    pub(super) fn hosts(&mut self, hosts: Vec<Unit>) {
+        self.care.hosts = hosts;
+    }
+
+    /// The next few reports, for a beat.
+    pub(super) fn next_reports(&mut self) -> Vec<HostReport> {
+        let n = self.care.reports.len().min(MOST_REPORTS);
+        self.care.reports.drain(..n).collect()
+    }
+
+    /// Whether the list of model hosts is of use here: it is not handed in for nothing.
+    pub fn wants_hosts(&self) -> bool {
+        self.holds.contains_key(&Self::roll_call())
+    }
+
+    /// What is agreed on, as this dispatcher last knew it for certain.
+    fn agreed_care(&self) -> Option<&Care> {
+        self.agreed.as_ref().map(|value| &*value.care)
+    }
+
+    /// Whether anything that was seen, agreed on or not, keeps turns from being told.
+    fn may_be_halted(&self) -> bool {
+        let newest = self.newest().is_some_and(|value| value.care.halted.is_some());
+        newest || self.care.alone || self.agreed_care().is_none_or(|care| care.halted.is_some())
+    }
+
+    fn view_of_fleet(&self) -> View {
+        let Some(roll) = &self.roll else { return View::default() };
+        let (now, least) = (self.now, self.settings.beat);
+        let dispatcher = |(name, member): (&Name, &crate::fleet::rollcall::Member)| Unit {
+            name: name.clone(),
+            run: member.beat.who.run,
+            address: member.beat.who.address.clone(),
+            zone: member.beat.zone.clone(),
+            cell: String::new(),
+            kind: String::new(),
+            role: None,
+            label: member.beat.label.clone(),
+            stand: match roll.standing(now, member, least) {
+                Standing::Suspected | Standing::Out => Stand::Out,
+                _ if member.beat.stopping => Stand::Going,
+                _ if !member.beat.ready => Stand::Coming,
+                _ => Stand::In,
+            },
+            used: None,
+            tally: member.beat.tally,
+        };
+        let host = |unit: &Unit| {
+            let heard = roll.host(&unit.name);
+            let used = heard.and_then(|h| h.used).map(|(used, at)| (used, now - at));
+            let fresher = match (unit.used, used) {
+                (Some(own), Some(told)) => Some(if told.1 < own.1 { told } else { own }),
+                (own, told) => own.or(told),
+            };
+            Unit { used: fresher, tally: heard.map(|h| h.tally).unwrap_or_default(), ..unit.clone() }
+        };
+        View {
+            dispatchers: roll.members().map(dispatcher).collect(),
+            hosts: self.care.hosts.iter().map(host).collect(),
+            whole: now - roll.since >= WHOLE_AFTER * roll.beat_every(least),
+        }
+    }
+
+    fn voters_now(&self) -> BTreeSet<Name> {
+        self.view().map(|view| view.all().into_keys().collect()).unwrap_or_default()
+    }
+
+    /// Looks at the fleet if this dispatcher calls the roll and there is something to look after.
+    pub(super) fn look_after(&mut self) {
+        let holds = self.holds.get(&Self::roll_call()).is_some_and(|hold| hold.left(self.now) > 0.0);
+        if !holds {
+            self.care.conduct = None;
+            (self.care.step, self.care.tell, self.care.revoke) = (None, Vec::new(), Vec::new());
+            return;
+        }
+        let now = self.now;
+        self.care.wants.retain(|_, (_, until)| now < *until);
+        let Some(care) = self.agreed.as_ref().map(|value| value.care.clone()) else { return };
+        let idle = !care.is_active() && self.care.wants.is_empty();
+        if idle || now < self.care.next_look || self.care.step.is_some() {
+            return;
+        }
+        self.care.next_look = now + self.look_every();
+        let (view, voters, me) = (self.view_of_fleet(), self.voters_now(), self.settings.me.clone());
+        let wants: Vec<Wants> = (self.care.wants.iter())
+            .map(|(name, (label, _))| Wants { name: name.clone(), label: label.clone() })
+            .collect();
+        let conduct = self.care.conduct.get_or_insert_with(|| Conduct::begin(&care));
+        let own = &self.settings.bounds.0;
+        let step = conduct.next(now, &care, &view, (&me, &voters), (&wants, own));
+        let (tell, revoke) = (std::mem::take(&mut conduct.tell), std::mem::take(&mut conduct.revoke));
+        // What an operator halted here is not known to the others, with the fault that is planted.
+        self.care.step = step.filter(|_| !self.care.alone);
+        (self.care.tell, self.care.revoke) = (tell, revoke);
+        if let (true, Some(Step::Grant(turns))) = (is(Plant::ToldBeforeAgreed), &self.care.step) {
+            self.care.unagreed = turns.clone();
+        }
+    }
+
+    fn look_every(&self) -> Ms {
+        (self.settings.beat / LOOKS).clamp(10.0, 250.0)
+    }
+
+    /// When there is something to look at or to tell.
+    pub(super) fn care_wants_at(&self) -> Option<Ms> {
+        let holds = self.holds.contains_key(&Self::roll_call());
+        let active = self.agreed_care().is_some_and(Care::is_active) || !self.care.wants.is_empty();
+        let look = (holds && active).then(|| match self.care.step {
+            Some(_) => self.now + self.look_every(),
+            None => self.care.next_look,
+        });
+        let halting = self.care.halting.as_ref().filter(|h| h.open()).map(|h| h.next);
+        look.into_iter().chain(halting).min_by(f64::total_cmp)
+    }
+
+    /// The step that the caller of the roll wants agreed on.
+    pub(super) fn wanted_step(&self) -> Option<(Purpose, Change)> {
+        let duty = Self::roll_call();
+        let hold = self.holds.get(&duty).filter(|hold| hold.left(self.now) > 0.0)?;
+        let step = self.care.step.clone()?;
+        let (term, who) = (hold.term, self.me());
+        Some((Purpose::Step, Change::Step { duty, term, who, step }))
+    }
+
+    pub(super) fn step_tried(&mut self, agreed: bool) {
+        self.care.step = None;
+        self.care.next_look = if agreed { self.now } else { self.now + self.settings.lease.gap() };
+    }
+
+    /// Tells members of their turns, and asks back what is to be taken back. Acts of the roll-call, in its term.
+    pub(super) fn tell_turns(&mut self, out: &mut Vec<Output>) {
+        let Some(hold) = self.holds.get(&Self::roll_call()).copied().filter(|h| h.left(self.now) > 0.0)
+        else {
+            return;
+        };
+        if is(Plant::ToldBeforeAgreed) {
+            for turn in std::mem::take(&mut self.care.unagreed) {
+                self.tell_turn(TurnNo(u64::MAX), &turn, hold, out);
+            }
+        }
+        let Some(care) = self.agreed_care().cloned() else { return };
+        if !self.may_be_halted() {
+            for number in self.care.tell.clone() {
+                // Only what is agreed on is told, and only while nothing is known against it.
+                let unbegun = self.care.conduct.as_ref().is_some_and(|c| c.is_unbegun(number));
+                if let Some(turn) = care.turns.get(&number).filter(|_| !unbegun) {
+                    self.tell_turn(number, turn, hold, out);
+                }
+            }
+        }
+        for number in self.care.revoke.clone() {
+            let next = self.care.revokes.get(&number).copied().unwrap_or(f64::NEG_INFINITY);
+            if let Some(turn) = care.turns.get(&number).filter(|_| self.now >= next) {
+                self.care.revokes.insert(number, self.now + self.settings.beat);
+                self.ask_back(number, turn, Errand::Revoke { turn: number }, out);
+            }
+        }
+        self.care.revokes.retain(|number, _| care.turns.contains_key(number));
+    }
+
+    fn tell_turn(&mut self, number: TurnNo, turn: &Turn, hold: Hold, out: &mut Vec<Output>) {
+        let told = TurnTold::new(number, turn);
+        if turn.of == Of::Dispatchers && turn.who == self.settings.me {
+            // Its own turn: the roll-call goes to another first.
+            return self.told_turn(&told, out);
+        }
+        let Some(to) = told_at(turn, self.settings.keeper.as_ref()).cloned() else { return };
+        let (now, every) = (self.now, self.settings.beat);
+        let acts = self.care.acts.entry(to.clone()).or_default();
+        if acts.out || now < acts.next {
+            return;
+        }
+        let (ticket, good_for) = acts.known.good_for(hold.until);
+        // A keeper is told of many, one after another.
+        acts.next = if turn.of == Of::Hosts { now } else { now + every };
+        (acts.out, acts.unsure_until) = (true, hold.until);
+        self.acts += 1;
+        let (term, holder, act) = (hold.term, self.me(), self.acts);
+        let body = told.write();
+        let act = Act { duty: Self::roll_call(), term, holder, number: act, ticket, good_for, body };
+        self.count("turns told");
+        self.ask(to.clone(), Question::Act(act), Errand::TurnAct { to }, out);
+    }
+
+    pub(super) fn turn_told(
+        &mut self,
+        to: &Address,
+        answer: Option<(Verdict, Ticket)>,
+        out: &mut Vec<Output>,
+    ) {
+        let now = self.now;
+        let Some(acts) = self.care.acts.get_mut(to) else { return };
+        acts.out = false;
+        let Some((verdict, ticket)) = answer else { return };
+        acts.known.answered(now, ticket);
+        acts.unsure_until = f64::NEG_INFINITY;
+        if verdict == Verdict::Unknown {
+            acts.next = now;
+            self.tell_turns(out);
+        }
+    }
+
+    fn ask_back(&mut self, number: TurnNo, turn: &Turn, errand: Errand, out: &mut Vec<Output>) {
+        let mine = turn.of == Of::Dispatchers && turn.who == self.settings.me;
+        if mine {
+            let begun = self.asked_back(number, turn.run);
+            return self.answered(errand, Some(Answer::Begun { begun }), out);
+        }
+        if let Some(to) = told_at(turn, self.settings.keeper.as_ref()).cloned() {
+            let (of, who, run) = (turn.of, turn.who.clone(), turn.run);
+            self.ask(to, Question::AskBack { turn: number, of, who, run }, errand, out);
+        }
+    }
+
+    /// Whether a turn of this process has begun; it will not, if it has not.
+    pub(super) fn asked_back(&mut self, turn: TurnNo, run: Run) -> bool {
+        if run != self.settings.run || self.care.begun == Some(turn) {
+            // Another process had it: that one is gone.
+            return true;
+        }
+        self.care.revoked.insert(turn);
+        while self.care.revoked.len() > MOST_REVOKED {
+            self.care.revoked.pop_first();
+        }
+        false
+    }
+
+    /// An act that was obeyed here.
+    pub(super) fn obeyed(&mut self, act: &Act, out: &mut Vec<Output>) {
+        if act.duty.0.as_ref() == ROLL_CALL {
+            if let Some(told) = TurnTold::read(&act.body) {
+                self.told_turn(&told, out);
+            }
+        }
+    }
+
+    fn told_turn(&mut self, told: &TurnTold, out: &mut Vec<Output>) {
+        let mine =
+            told.of == Of::Dispatchers && told.who == self.settings.me && told.run == self.settings.run;
+        if !mine || self.care.revoked.contains(&told.number) {
+            return self.count("turns not ours");
+        }
+        if self.care.begun.is_none() && !self.stopping {
+            self.care.begun = Some(told.number);
+            self.count("turns begun");
+            self.leave_service(out);
+            let (turn, label) = (told.number, told.label.clone());
+            out.push(Output::Turn { turn, label });
+        }
+    }
+
+    /// Drains from now on, and says so at once.
+    pub(super) fn leave_service(&mut self, _: &mut [Output]) {
+        self.stopping = true;
+        self.next_beat = self.now;
+    }
+
+    pub(super) fn asked_back_said(&mut self, errand: &Errand, begun: Option<bool>) {
+        match (errand, begun) {
+            (Errand::Revoke { turn }, Some(begun)) => {
+                if let Some(conduct) = &mut self.care.conduct {
+                    conduct.revoked(*turn, begun);
+                    self.care.next_look = self.now;
+                }
+            }
+            (Errand::HaltAsk { turn }, Some(begun)) => {
+                if let Some((_, said)) = self.care.halting.as_mut().and_then(|h| h.said.get_mut(turn)) {
+                    *said = Some(begun);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// A halt that this dispatcher gave is agreed on.
+    fn halt_agreed(&mut self, value: &Agreed) {
+        let said = value.care.turns.iter().map(|(number, turn)| {
+            // Whoever asked for its turn has had the leave since it was agreed on.
+            (*number, (turn.who.clone(), turn.asked.then_some(true)))
+        });
+        self.care.halting = Some(Halting { since: self.now, said: said.collect(), next: self.now });
+    }
+
+    /// Asks those that may still begin, until all have said or no act can be obeyed any more.
+    pub(super) fn care_for_halt(&mut self, out: &mut Vec<Output>) {
+        let Some(halting) = &mut self.care.halting else { return };
+        if !halting.open() || self.now < halting.next {
+            return;
+        }
+        halting.next = self.now + self.settings.answer_within;
+        let open: Vec<TurnNo> = halting.said.iter().filter(|(_, s)| s.1.is_none()).map(|(n, _)| *n).collect();
+        let turns = self.agreed_care().map(|care| care.turns.clone()).unwrap_or_default();
+        for number in open {
+            if let Some(turn) = turns.get(&number) {
+                self.ask_back(number, turn, Errand::HaltAsk { turn: number }, out);
+            }
+        }
+    }
+
+    /// Whether no turn can begin any more: all have said, or whoever told them holds the roll-call no more, or knows.
+    fn halt_stands(&self, halting: &Halting) -> Result<String, String> {
+        let lease = self.settings.lease.waited_for(self.settings.lease.lease_ms());
+        let left = halting.since + lease - self.now;
+        if halting.open() && left > 0.0 {
+            let open = halting.said.values().filter(|s| s.1.is_none()).count();
+            return Err(format!("halted; {open} turns may still begin, for {left:.0} ms at most"));
+        }
+        let names = |which: Option<bool>| {
+            let of = halting.said.values().filter(|s| s.1 == which).map(|s| s.0 .0.to_string());
+            of.collect::<Vec<_>>().join(", ")
+        };
+        let mut words = "halted: no turn begins from now on".to_owned();
+        let kinds = [
+            (Some(true), "begun before"),
+            (Some(false), "taken back"),
+            (None, "not reached, may have begun before"),
+        ];
+        for (which, what) in kinds {
+            let names = names(which);
+            if !names.is_empty() {
+                words += &format!("; {what}: {names}");
+            }
+        }
+        Ok(words)
+    }
+
+    fn not_the_caller(&self) -> Option<Reply> {
+        if self.holds.contains_key(&Self::roll_call()) {
+            return None;
+        }
+        Some(match self.caller.as_ref().filter(|(_, h)| h.run != self.settings.run) {
+            Some((_, holder)) => Reply::Elsewhere(holder.address.clone()),
+            None => Reply::No("nobody calls the roll now: try again in a moment".to_owned()),
+        })
+    }
+
+    /// What an operator orders of turns and releases. None: it is answered once voters have been asked.
+    pub(super) fn order_release(&mut self, call: CallNo, order: ReleaseOrder) -> Option<Reply> {
+        if let ReleaseOrder::Halt { why } = order {
+            return self.order_halt(call, why);
+        }
+        if let Some(reply) = self.not_the_caller() {
+            return Some(reply);
+        }
+        let roll = self.roll.as_ref().map(|roll| roll.since);
+        let every = self.roll.as_ref().map_or(0.0, |roll| roll.beat_every(self.settings.beat));
+        let young = roll.is_none_or(|since| self.now - since < WHOLE_AFTER * every);
+        let view = self.view_of_fleet();
+        let sizes_of = |of: Of, bounds: &Bounds| {
+            Counts::new(view.units(of).iter(), &Sizes::new(), bounds, |_| false).sizes()
+        };
+        let word = match order {
+            ReleaseOrder::Halt { .. } => return None,
+            ReleaseOrder::Turn { name, label, refused } => {
+                return Some(self.order_turn(name, label, refused))
+            }
+            _ if young => {
+                let why = "the roll is not whole yet, a holder has just begun: try again in a moment";
+                return Some(Reply::No(why.to_owned()));
+            }
+            ReleaseOrder::Start { plan, skip, dry } => {
+                let bounds =
+                    if plan.of == Of::Hosts { self.settings.bounds.1 } else { self.settings.bounds.0 };
+                let sizes = sizes_of(plan.of, &bounds);
+                let units = view.units(plan.of);
+                if let Err(why) = self.fits(&plan, &bounds, units, &sizes, skip) {
+                    return Some(Reply::No(why));
+                }
+                if dry {
+                    return Some(Reply::Done(told_waves(&plan, &bounds, units, &sizes)));
+                }
+                let release = Release {
+                    plan: *plan,
+                    bounds,
+                    by: self.settings.me.clone(),
+                    back: false,
+                    done: false,
+                    wave: 0,
+                    given: 0,
+                    reached: BTreeMap::new(),
+                    again: BTreeSet::new(),
+                    left: BTreeMap::new(),
+                    turned: 0,
+                };
+                Word::Start(Box::new(release), sizes)
+            }
+            ReleaseOrder::Resume | ReleaseOrder::Back => {
+                let release = self.agreed_care().and_then(|care| care.release.as_deref());
+                let sizes = release.map(|r| sizes_of(r.plan.of, &r.bounds)).unwrap_or_default();
+                if order == ReleaseOrder::Back {
+                    Word::Back(sizes)
+                } else {
+                    Word::Resume(sizes)
+                }
+            }
+            ReleaseOrder::End => Word::End,
+        };
+        self.wish(call, Change::Word(word));
+        None
+    }
+
+    fn order_halt(&mut self, call: CallNo, why: String) -> Option<Reply> {
+        if is(Plant::HaltByHolderAlone) && self.holds.contains_key(&Self::roll_call()) {
+            self.care.alone = true;
+            return Some(Reply::Done("halted".to_owned()));
+        }
+        match &self.care.halting {
+            Some(halting) => Some(match self.halt_stands(halting) {
+                Ok(words) => {
+                    // Whoever halts again later asks again.
+                    self.care.halting = None;
+                    Reply::Done(words)
+                }
+                Err(words) => Reply::Waits(words),
+            }),
+            None => {
+                self.wish(call, Change::Word(Word::Halt(why)));
+                None
+            }
+        }
+    }
+
+    fn order_turn(&mut self, name: Name, label: String, refused: bool) -> Reply {
+        let turn = self.agreed_care().and_then(|care| care.turn_of(Of::Dispatchers, &name));
+        if let Some((number, turn)) = turn.filter(|(_, turn)| turn.asked) {
+            return Reply::Done(format!("turn {} is {}'s: it may stop now", number.0, turn.who.0));
+        }
+        if refused {
+            self.care.wants.remove(&name);
+            return Reply::Done(format!("{} waits no more", name.0));
+        }
+        if self.roll.as_ref().is_none_or(|roll| roll.address(&name).is_none()) {
+            return Reply::No(format!("the roll-call knows no {}", name.0));
+        }
+        if self.care.wants.len() >= MOST_WANTS {
+            return Reply::No("too many wait for a turn".to_owned());
+        }
+        self.care.wants.insert(name, (label, self.now + WANTS_FOR));
+        let why = self.care.conduct.as_ref().and_then(|c| c.why.clone());
+        Reply::Waits(why.unwrap_or_else(|| "waiting".to_owned()))
+    }
+
+    /// Whether a plan can be carried out, here and now.
+    fn fits(
+        &self,
+        plan: &Plan,
+        bounds: &Bounds,
+        units: &[Unit],
+        sizes: &Sizes,
+        skip: bool,
+    ) -> Result<(), String> {
+        let there = |name: &&Name| units.iter().any(|u| u.name == **name);
+        let missing: Vec<&str> = plan.names.iter().filter(|n| !there(n)).map(|n| &*n.0).collect();
+        if !missing.is_empty() && !skip {
+            let what = if plan.of == Of::Hosts { "the list" } else { "the roll-call" };
+            return Err(format!("{what} has no {}; nothing was changed", missing.join(", ")));
+        }
+        if !units.iter().any(|u| plan.takes(u)) {
+            return Err("the plan means nobody who is there".to_owned());
+        }
+        if plan.of == Of::Hosts && self.settings.keeper.is_none() {
+            return Err("the settings of the fleet have no 'keeper' to list hosts as draining".to_owned());
+        }
+        let counts = Counts::new(units.iter(), sizes, bounds, |_| false);
+        let meant: Vec<Unit> = units.iter().filter(|u| plan.takes(u)).cloned().collect();
+        match counts.never(&meant, bounds) {
+            Some(why) => Err(why),
+            None => Ok(()),
+        }
+    }
+
+    /// What came of an operator's word.
+    pub(super) fn word_said(
+        &mut self,
+        word: &Word,
+        done: Result<(), Refusal>,
+        value: Option<&Agreed>,
+    ) -> Reply {
+        let done = done.map(|()| match word {
+            Word::Start(release, _) => format!("release {} begins", release.plan.name),
+            Word::Halt(_) => {
+                if let Some(value) = value {
+                    self.halt_agreed(value);
+                }
+                String::new()
+            }
+            Word::Resume(_) => "it goes on".to_owned(),
+            Word::Back(_) => "it goes back".to_owned(),
+            Word::End => "it is ended as it stands".to_owned(),
+            Word::Note(_) => "noted".to_owned(),
+        });
+        self.care.next_look = self.now;
+        match (word, done) {
+            (Word::Halt(_), Ok(_)) => {
+                Reply::Waits("halted; asking those whose turn may still begin".to_owned())
+            }
+            (_, Ok(words)) => Reply::Done(words),
+            (Word::Start(..), Err(Refusal::Busy)) => {
+                Reply::No("another release is not done: 'release status' shows it".to_owned())
+            }
+            (Word::Start(..), Err(Refusal::Stopped)) => {
+                Reply::No("halted: 'resume' first, or 'release end'".to_owned())
+            }
+            (Word::Resume(_), Err(_)) => {
+                Reply::No("nothing is halted: there is nothing to go on with".to_owned())
+            }
+            (Word::Back(_), Err(_)) => Reply::No("there is nothing to go back on".to_owned()),
+            (Word::End, Err(_)) => Reply::No("no release is under way".to_owned()),
+            (_, Err(why)) => Reply::No(format!("nothing was changed ({why:?})")),
+        }
+    }
+
+    /// An operator stops a member by hand, without agreement. Whoever passes the order on has it noted once the fleet
+    /// agrees again; the member itself ends.
+    pub(super) fn order_by_hand(
+        &mut self,
+        call: CallNo,
+        who: Name,
+        address: Option<Address>,
+        why: String,
+        out: &mut Vec<Output>,
+    ) -> Option<Reply> {
+        if who == self.settings.me {
+            out.push(Output::Warn(format!("stopped by hand, without agreement: {why}")));
+            self.count("stopped by hand");
+            self.leave_service(out);
+            out.push(Output::Turn { turn: TurnNo(0), label: String::new() });
+            return Some(Reply::Done(format!("{} drains and ends", who.0)));
+        }
+        let known = self.roll.as_ref().and_then(|roll| roll.address(&who)).cloned();
+        let Some(to) = address.or(known).or(self.settings.voters.get(&who).cloned()) else {
+            return Some(Reply::No(format!("nobody here knows where {} is: name its address", who.0)));
+        };
+        let note = format!("{} was stopped by hand, without agreement: {why}", who.0);
+        out.push(Output::Warn(note.clone()));
+        let order = Order::ByHand { who, address: None, why };
+        self.ask(to, Question::Order(order), Errand::ByHand { call, note }, out);
+        None
+    }
+
+    /// The member that was to be stopped by hand answered.
+    pub(super) fn stopped_by_hand(
+        &mut self,
+        call: CallNo,
+        note: String,
+        reply: Option<Reply>,
+        out: &mut Vec<Output>,
+    ) {
+        let reply = match reply {
+            Some(Reply::Done(words)) => {
+                self.asks += 1;
+                // Nobody waits for this: a number that no call has.
+                let call = CallNo(u64::MAX - self.asks);
+                self.wishes.push(Wish { call, change: Change::Word(Word::Note(note)), until: f64::INFINITY });
+                Reply::Done(format!("{words}; noted once the fleet agrees"))
+            }
+            Some(Reply::No(why)) => Reply::No(why),
+            _ => Reply::No("it does not answer".to_owned()),
+        };
+        out.push(Output::Answer { call, answer: Answer::Reply(reply) });
+    }
+
+    /// The release as operators see it.
+    pub(super) fn care_status(&self) -> CareStatus {
+        let Some(care) = self.agreed_care().or(self.newest().map(|value| &*value.care)) else {
+            return CareStatus::default();
+        };
+        let view = self.view_of_fleet();
+        let conduct = self.care.conduct.as_ref();
+        let line = |(number, turn): (&TurnNo, &Turn)| {
+            let unit = view.units(turn.of).iter().find(|u| u.name == turn.who);
+            let at = match stage(turn, unit) {
+                _ if self.roll.is_none() => "given",
+                Stage::Granted => "given",
+                Stage::Begun => "out",
+                Stage::Starting => "starting",
+                Stage::Back => "back",
+                Stage::Wrong => "back under another label",
+            };
+            (*number, turn.who.clone(), turn.zone.clone(), at.to_owned())
+        };
+        let release = care.release.as_deref();
+        let why = conduct.and_then(|c| c.why.clone());
+        let state = match release {
+            None => "none",
+            Some(r) if r.done => "done",
+            Some(_) if care.halted.is_some() => "halted",
+            Some(r) if r.back => "going back",
+            Some(r) if r.turned == 0 && care.turns.is_empty() => "waiting",
+            Some(_) if why.is_some() && care.turns.is_empty() => "held",
+            Some(_) => "running",
+        };
+        let of = release.map_or(Of::Dispatchers, |r| r.plan.of);
+        let bounds = release.map_or(&self.settings.bounds.0, |r| &r.bounds);
+        let meant = |u: &&Unit| release.is_some_and(|r| r.plan.takes(u));
+        CareStatus {
+            name: release.map(|r| r.plan.name.clone()).unwrap_or_default(),
+            of,
+            state: state.to_owned(),
+            halted: care.halted.clone().unwrap_or_default(),
+            why: why.unwrap_or_default(),
+            wave: release.map_or(0, |r| r.wave + 1),
+            given: release.map_or(0, |r| r.given),
+            of_wave: release.map_or(0, |r| if r.back { 0 } else { r.plan.wave(r.wave) }),
+            turned: release.map_or(0, |r| r.turned),
+            meant: view.units(of).iter().filter(meant).count() as u32,
+            turns: care.turns.iter().map(line).collect(),
+            room: conduct.map(|c| c.room(care, &view, of, bounds)).unwrap_or_default(),
+            left: release.iter().flat_map(|r| r.left.clone()).collect(),
+            notes: care.notes.clone(),
+        }
+    }
+}
+
+impl Halting {
+    /// Whether a turn may still begin of which nobody has said.
+    fn open(&self) -> bool {
+        self.said.values().any(|(_, said)| said.is_none())
+    }
+}
+
+fn told_waves(plan: &Plan, bounds: &Bounds, units: &[Unit], sizes: &Sizes) -> String {
+    let waves = waves(plan, bounds, units, sizes);
+    let mut out = format!("release {} of {}, as they are now:\n", plan.name, plan.of);
+    for (at, wave) in waves.iter().enumerate() {
+        let names: Vec<&str> = wave.iter().map(|n| &*n.0).collect();
+        out += &format!("  wave {}: {} ({})\n", at + 1, names.len(), names.join(" "));
+    }
+    let counts = Counts::new(units.iter(), sizes, bounds, |_| false);
+    for (zone, is_out, most) in counts.room(bounds) {
+        let place = if zone.is_empty() { "the fleet".to_owned() } else { format!("zone {zone}") };
+        out += &format!("  {place}: {is_out} out now, {most} may be\n");
+    }
+    if let Some(binds) = units.iter().filter(|u| plan.takes(u)).find_map(|u| counts.may_go(u, bounds).err()) {
+        out += &format!("  now binds: {binds}\n");
+    }
+    out
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,11 +7,15 @@
 
 pub mod acts;
 pub mod agreed;
+pub mod bounds;
+pub mod conduct;
 pub mod duties;
 pub mod member;
 pub mod planted;
 pub mod register;
+pub mod release;
 pub mod rollcall;
+pub mod signs;
 
 use crate::interface::Ms;
 use std::sync::Arc;
--- a/src/fleet/planted.rs
+++ b/src/fleet/planted.rs
@@ -32,6 +32,22 @@
     SleptWaiting,
     /// A clock that went back leaves a lease as it was.
     ClockBackUnnoticed,
+    /// A turn is told before it is agreed on.
+    ToldBeforeAgreed,
+    /// A turn that was given and not heard of is given to another.
+    TurnTwice,
+    /// Those that failed are not counted as out.
+    FailuresUncounted,
+    /// A halt is known to whoever calls the roll, and not agreed on.
+    HaltByHolderAlone,
+    /// A new holder gives turns as if none were given.
+    BeginsAnew,
+    /// On the way back the bounds do not count.
+    BackUnbound,
+    /// An old report of load is taken for room.
+    OldReportTaken,
+    /// A turn is over whatever its member comes back under.
+    LabelUnchecked,
 }
 
 impl Plant {
@@ -51,6 +67,18 @@
         Plant::SleptWaiting,
         Plant::ClockBackUnnoticed,
     ];
+
+    /// Faults of turns and releases.
+    pub const OF_RELEASES: [Plant; 8] = [
+        Plant::ToldBeforeAgreed,
+        Plant::TurnTwice,
+        Plant::FailuresUncounted,
+        Plant::HaltByHolderAlone,
+        Plant::BeginsAnew,
+        Plant::BackUnbound,
+        Plant::OldReportTaken,
+        Plant::LabelUnchecked,
+    ];
 }
 
 #[cfg(feature = "planted")]
--- a/src/fleet/rollcall.rs
+++ b/src/fleet/rollcall.rs
@@ -1,6 +1,7 @@
 //! The roll-call: who is there, as the one dispatcher that holds this duty hears it from the others' beats.
 
 use super::agreed::Holder;
+use super::bounds::Tally;
 use super::duties::{places, Fit};
 use super::{Address, Duty, Name};
 use crate::interface::Ms;
@@ -19,6 +20,29 @@
     pub stopping: bool,
     pub load: f64,
     pub holds: u32,
+    /// Tasks answered by this process.
+    pub tally: Tally,
+    /// What it heard of a few model hosts.
+    pub reports: Vec<HostReport>,
+}
+
+/// What a dispatcher heard of a model host.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HostReport {
+    pub host: Name,
+    /// What is used of it, 0 to 1, and how old that is.
+    pub used: Option<(f64, Ms)>,
+    /// What became of tasks there since the last report by this dispatcher.
+    pub tally: Tally,
+}
+
+/// A model host, as dispatchers told of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct HostHeard {
+    /// What is used of it, and when that was so.
+    pub used: Option<(f64, Ms)>,
+    /// Summed since this dispatcher calls the roll.
+    pub tally: Tally,
 }
 
 /// How a member stands.
@@ -61,6 +85,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RollCall {
     members: BTreeMap<Name, Member>,
+    hosts: BTreeMap<Name, HostHeard>,
     /// Since when this dispatcher calls the roll.
     pub since: Ms,
     duties: BTreeMap<Duty, BTreeMap<Name, u32>>,
@@ -78,7 +103,10 @@
     }
 
     /// Takes a beat in.
-    pub fn heard(&mut self, now: Ms, beat: Beat, least: Ms) {
+    pub fn heard(&mut self, now: Ms, mut beat: Beat, least: Ms) {
+        for report in std::mem::take(&mut beat.reports) {
+            self.heard_of(now, report);
+        }
         let every = self.beat_every(least);
         let full = self.members.len() >= MOST_MEMBERS;
         match self.members.get_mut(&beat.who.name) {
@@ -97,6 +125,24 @@
         }
     }
 
+    fn heard_of(&mut self, now: Ms, report: HostReport) {
+        if !self.hosts.contains_key(&report.host) && self.hosts.len() >= MOST_MEMBERS {
+            return;
+        }
+        let heard = self.hosts.entry(report.host).or_default();
+        heard.tally.add(&report.tally);
+        if let Some((used, age)) = report.used {
+            let at = now - age.max(0.0);
+            if heard.used.is_none_or(|(_, before)| before < at) {
+                heard.used = Some((used, at));
+            }
+        }
+    }
+
+    pub fn host(&self, name: &Name) -> Option<&HostHeard> {
+        self.hosts.get(name)
+    }
+
     pub fn standing(&self, now: Ms, member: &Member, least: Ms) -> Standing {
         let every = self.beat_every(least);
         let silent = now - member.heard;
