--- a/crates/cindercleat-cli/src/duties.rs
+++ b/crates/cindercleat-cli/src/duties.rs
@@ -120,6 +120,9 @@
     for (what, ms) in &played.without {
         println!("{what}: another acts after {ms:.0} ms");
     }
+    if let Some(released) = &played.released {
+        println!("{released:#?}");
+    }
     println!("{} acts obeyed, digest {:016x}", played.obeyed, played.digest);
     for breach in &played.beyond {
         println!("beyond what is promised: {} {}", breach.kind, breach.what);
--- a/crates/cindercleat-cli/src/fleet.rs
+++ b/crates/cindercleat-cli/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::serve::block_on;
 use crate::{release_plan, releases};
+use cindercleat::fleet::bounds::Of;
 use cindercleat::fleet::member::{Order, ReleaseOrder, Reply, Status};
 use cindercleat::fleet::rollcall::Standing;
 use cindercleat::fleet::{Address, Duty, Name};
@@ -54,6 +55,8 @@
     Resume,
     /// Turns back what went forward.
     Back,
+    /// There are as many as are seen now: whoever is missing is missed no more.
+    Recount { of: Counted },
     /// Drains model hosts by name, as the bounds let them.
     Drain {
         #[arg(required = true)]
@@ -68,7 +71,7 @@
         #[arg(long)]
         dry_run: bool,
     },
-    /// Waits until a dispatcher may stop, for supervisors that would rather ask.
+    /// Asks for a dispatcher's turn and waits until it drains, for supervisors that would rather ask.
     Turn {
         name: String,
         /// What it is to come back under; anything, if left out.
@@ -83,6 +86,12 @@
     },
 }
 
+#[derive(Clone, Copy, Debug, clap::ValueEnum)]
+enum Counted {
+    Dispatchers,
+    Hosts,
+}
+
 #[derive(Subcommand, Debug)]
 enum ReleaseWhat {
     /// Begins the release of a plan's file.
@@ -164,6 +173,10 @@
             What::Halt { why } => releases::halt(&clock, &args.at, &why).await,
             What::Resume => say(give(&clock, &args.at, &Order::Release(ReleaseOrder::Resume)).await),
             What::Back => say(give(&clock, &args.at, &Order::Release(ReleaseOrder::Back)).await),
+            What::Recount { of } => {
+                let of = if matches!(of, Counted::Hosts) { Of::Hosts } else { Of::Dispatchers };
+                say(give(&clock, &args.at, &Order::Release(ReleaseOrder::Recount { of })).await)
+            }
             What::Turn { name, without_agreement: Some(why), address, .. } => {
                 let (who, address) = (Name::from(name.as_str()), address.as_deref().map(Address::from));
                 say(give(&clock, &args.at, &Order::ByHand { who, address, why }).await)
--- a/crates/faults/src/duties/draw.rs
+++ b/crates/faults/src/duties/draw.rs
@@ -1,6 +1,7 @@
 //! Draws a fleet and its troubles from a seed. Instants lean towards those that matter: together, a third of a lease
 //! apart, just before and after a lease's end.
 
+use super::service::Play;
 use cindercleat::interface::Ms;
 use nanorand::{Rng, WyRand};
 
@@ -53,6 +54,13 @@
     KillVoters,
     AddVoter(usize),
     RemoveVoter(usize),
+    /// All processes and model hosts of a zone at once.
+    ZoneLost(usize),
+    HostDies(usize),
+    /// Nothing more is heard of hosts' loads.
+    ReportsStop,
+    /// So much more of all tasks is harmed, whoever answers.
+    Burst(f64),
 }
 
 impl Trouble {
@@ -84,6 +92,10 @@
             Trouble::KillVoters => "kill-voters",
             Trouble::AddVoter(_) => "add-voter",
             Trouble::RemoveVoter(_) => "remove-voter",
+            Trouble::ZoneLost(_) => "zone-lost",
+            Trouble::HostDies(_) => "host-dies",
+            Trouble::ReportsStop => "reports-stop",
+            Trouble::Burst(_) => "burst",
         }
     }
 }
@@ -122,6 +134,8 @@
     pub weigh: bool,
     /// Once the troubles are over, enough voters are there.
     pub recovers: bool,
+    /// A release, with what stands around it.
+    pub release: Option<Play>,
 }
 
 impl Plan {
@@ -145,6 +159,7 @@
             troubles: Vec::new(),
             weigh: false,
             recovers: true,
+            release: None,
         }
     }
 
@@ -165,13 +180,19 @@
 }
 
 /// The profiles of `cindercleat seeds` that play duties.
-pub const SHAPES: [Shape; 1] = [Shape { name: "duties", large_every: 100, troubles: (4, 12), changes: true }];
+pub const SHAPES: [Shape; 2] = [
+    Shape { name: "duties", large_every: 100, troubles: (4, 12), changes: true },
+    Shape { name: "release", large_every: 200, troubles: (1, 7), changes: false },
+];
 
 /// Troubles come within this.
 const BUSY: Ms = 15_000.0;
 
 /// The plan of a seed.
 pub fn draw(seed: u64, shape: &Shape) -> Plan {
+    if shape.name == "release" {
+        return super::draw_release::draw(seed, shape);
+    }
     let mut rng = WyRand::new_seed(seed);
     let chance = |rng: &mut WyRand| rng.generate::<f64>();
     let voters = [3, 3, 3, 5, 5, 7][rng.generate_range(0..6usize)];
--- a/crates/faults/src/duties/judge.rs
+++ b/crates/faults/src/duties/judge.rs
@@ -83,6 +83,14 @@
         self.breaches.push(Breach { kind, what });
     }
 
+    /// A rule that another judge found broken, with its own story.
+    pub fn breach_with(&mut self, kind: &'static str, what: String, story: &[String]) {
+        if self.story.is_empty() {
+            self.story.extend(story.iter().cloned());
+        }
+        self.breach(kind, what);
+    }
+
     pub fn holder(&self) -> Option<&Holder> {
         self.holder.as_ref()
     }
--- a/crates/faults/src/duties/mod.rs
+++ b/crates/faults/src/duties/mod.rs
@@ -4,7 +4,9 @@
 //! The judge sees what receivers of acts obeyed and when, and nothing of what members think of themselves.
 
 pub mod draw;
+pub mod draw_release;
 mod judge;
+pub mod service;
 pub mod small;
 
 pub use draw::{draw, Plan, Shape, Trouble};
@@ -63,8 +65,13 @@
 /// Who waits for an answer.
 #[derive(Clone, Copy)]
 enum Caller {
-    Node { at: usize, run: Run, ask: AskNo },
-    Operator,
+    Node {
+        at: usize,
+        run: Run,
+        ask: AskNo,
+    },
+    /// One whose act on a release this is, by its number, or none.
+    Operator(Option<usize>),
 }
 
 /// Whom acts are done to.
@@ -85,6 +92,14 @@
     Trouble(usize),
     Over(usize),
     Start(usize),
+    AskBack { from: Caller, turn: cindercleat::fleet::release::TurnNo, who: Name, run: Run },
+    Fares(usize),
+    Watch,
+    Ended { node: usize, starts: u64 },
+    Host { at: usize, number: u64, back: bool },
+    Op(usize),
+    OpAgain(usize, Ms),
+    Shrink,
 }
 
 struct Event {
@@ -134,6 +149,8 @@
     pub digest: u64,
     /// What the judge saw around the first breach.
     pub story: Vec<String>,
+    /// What came of a release.
+    pub released: Option<service::Released>,
 }
 
 /// A fleet being played.
@@ -161,6 +178,8 @@
     rebuilding: Option<(u64, Ms)>,
     /// Who is hit by each trouble that is not over.
     hit: BTreeMap<usize, Vec<usize>>,
+    /// Versions, supervisors, hosts and operators, where a release is played.
+    service: Option<service::Service>,
 }
 
 /// Plays a plan to its end.
@@ -205,7 +224,9 @@
             }
         });
         let nodes: Vec<Node> = nodes.collect();
-        let targets = (0..plan.targets).map(|at| {
+        // The last one keeps the list of model hosts.
+        let keeper = usize::from(plan.release.is_some());
+        let targets = (0..plan.targets + keeper).map(|at| {
             let (rate, offset) = clock(plan.drift);
             let receiver = Receiver::new(Run(1000 * (at as u64 + 1)), plan.drift);
             Target { receiver, rate, offset, runs: 0, last_read: 0.0 }
@@ -229,6 +250,7 @@
             open: None,
             rebuilding: None,
             hit: BTreeMap::new(),
+            service: plan.release.as_ref().map(|play| service::Service::new(&plan, play)),
             plan,
         };
         for node in 0..world.nodes.len() {
@@ -240,6 +262,7 @@
             world.push(begin, What::Trouble(at));
             world.push(end, What::Over(at));
         }
+        world.begin_service();
         world
     }
 
@@ -265,7 +288,7 @@
             run: Run(node as u64 * 1_000_000 + self.nodes[node].starts),
             address: address_of(node),
             zone: self.nodes[node].zone.clone(),
-            label: "v1".to_owned(),
+            label: self.service.as_ref().map_or("v1".to_owned(), |service| service.label(node)),
             voters: (0..plan.voters).map(voter).collect(),
             // Some more could be let in.
             may_vote: node < plan.voters + 2,
@@ -275,17 +298,18 @@
             prefers: plan.prefers.clone(),
             tells: (0..plan.targets).map(|at| Address::from(format!("t{at}").as_str())).collect(),
             tell_every: plan.tell_every,
-            bounds: Default::default(),
-            keeper: None,
+            bounds: plan.release.as_ref().map(|play| play.bounds).unwrap_or_default(),
+            keeper: plan.release.as_ref().map(|_| service::keeper_of(plan)),
             seed: self.rng.generate(),
         }
     }
 
     fn start(&mut self, node: usize) {
-        if self.nodes[node].member.is_some() {
+        if self.nodes[node].member.is_some() || self.is_removed(node) {
             return;
         }
         self.nodes[node].starts += 1;
+        self.node_started(node);
         let settings = self.settings(node);
         let votes = settings.may_vote;
         let this = &mut self.nodes[node];
@@ -297,7 +321,8 @@
             true => Err("damaged".to_owned()),
             false => Ok(this.disk.file.clone()),
         };
-        self.give(node, Input::Fares(Fares { ready: true, load: 0.1, ..Fares::default() }));
+        let ready = self.service.is_none();
+        self.give(node, Input::Fares(Fares { ready, load: 0.1, ..Fares::default() }));
         if votes {
             self.give(node, Input::Loaded(file));
         }
@@ -386,6 +411,9 @@
                             (Question::Act(act), Some(to)) => {
                                 What::Act { to, from, act: Box::new(act.clone()) }
                             }
+                            (Question::AskBack { turn, who, run, .. }, Some(_)) => {
+                                What::AskBack { from, turn: *turn, who: who.clone(), run: *run }
+                            }
                             (_, Some(_)) => return,
                             (question, None) => {
                                 What::Question { to: target, from, question: Box::new(question.clone()) }
@@ -404,7 +432,12 @@
                         self.push(self.now + late + way, What::Answer { to: at, run, ask, answer });
                     }
                 }
-                Some(Caller::Operator) => {
+                Some(Caller::Operator(Some(number))) => {
+                    if let Answer::Reply(reply) = &answer {
+                        self.operator_told(number, reply);
+                    }
+                }
+                Some(Caller::Operator(None)) => {
                     let what = match answer {
                         Answer::Reply(Reply::Done(_)) => "order done",
                         _ => "order not done",
@@ -421,7 +454,10 @@
                 let run = Run(self.nodes[node].starts);
                 self.push(self.now + late + took, What::Saved { node, run, number, kept, lasts: !fails });
             }
-            Output::Holds { .. } | Output::Warn(_) | Output::Info(_) | Output::Turn { .. } => {}
+            Output::Holds { .. } | Output::Warn(_) | Output::Info(_) => {}
+            Output::Turn { turn, label } => self.turn_begins(node, turn, &label),
+            // One that has its turn drains on and is ended by its time.
+            Output::Stopped if self.is_ending(node) => {}
             Output::Stopped => {
                 self.met("stopped in order");
                 self.kill(node);
@@ -496,6 +532,23 @@
             What::Start(node) => self.start(node),
             What::Trouble(at) => self.trouble(at),
             What::Over(at) => self.over(at),
+            What::AskBack { from, turn, who, run } => {
+                let begun = self.keeper_asked_back(turn, &who, run);
+                let me = self.nodes.len() + self.plan.targets;
+                if let Caller::Node { at, run, ask } = from {
+                    if let Some(way) = self.way(me, at) {
+                        let answer = Some(Box::new(Answer::Begun { begun }));
+                        self.push(self.now + way, What::Answer { to: at, run, ask, answer });
+                    }
+                }
+            }
+            What::Fares(node) => self.fares(node),
+            What::Watch => self.watch(),
+            What::Ended { node, starts } => self.turn_ended(node, starts),
+            What::Host { at, number, back } => self.host_step(at, number, back),
+            What::Op(number) => self.operate(number),
+            What::OpAgain(number, asked) => self.operate_again(number, asked),
+            What::Shrink => self.shrink(),
         }
     }
 
@@ -509,7 +562,8 @@
             if disk.before.last().is_none_or(|(at, _)| now - at > 500.0) {
                 disk.before.push((now, disk.file.clone()));
             }
-            disk.file = Some(kept);
+            self.filed(node, &kept);
+            self.nodes[node].disk.file = Some(kept);
         }
         if alive {
             self.give(node, Input::Saved { number, lasts });
@@ -530,7 +584,13 @@
         if verdict == Verdict::Obeyed {
             self.judge.obeyed(now, to, act);
             self.played.obeyed += 1;
-            self.look_at_roll(act);
+            if to == self.plan.targets {
+                if let Some(told) = cindercleat::fleet::conduct::Told::read(&act.body) {
+                    self.keeper_told(&told);
+                }
+            } else {
+                self.look_at_roll(act);
+            }
             if let Some((name, since, term)) = self.open {
                 if act.term.0 > term {
                     self.played.without.push((name, now - since));
@@ -558,6 +618,7 @@
         for node in 0..self.nodes.len() {
             self.kill(node);
         }
+        self.played.released = self.judge_end();
         let quiet_from = self.plan.quiet_from();
         let lease = self.plan.lease;
         self.judge.settled(quiet_from, self.plan.length, SETTLES_WITHIN * lease, self.plan.recovers);
@@ -639,7 +700,7 @@
     fn order(&mut self, node: usize, order: Order) {
         self.numbers += 1;
         let call = CallNo(self.numbers);
-        self.nodes[node].calls.insert(call, Caller::Operator);
+        self.nodes[node].calls.insert(call, Caller::Operator(None));
         self.give(node, Input::Asked { call, question: Question::Order(order) });
     }
 
@@ -758,6 +819,20 @@
                     self.kill(node);
                 }
             }
+            Trouble::ZoneLost(zone) => {
+                hit = (0..self.nodes.len()).filter(|at| at % 3 == zone % 3).collect();
+                for node in hit.clone() {
+                    self.kill(node);
+                }
+                for host in
+                    (0..self.plan.release.as_ref().map_or(0, |r| r.hosts)).filter(|at| at % 3 == zone % 3)
+                {
+                    self.host_dies(host);
+                }
+            }
+            Trouble::HostDies(host) => self.host_dies(*host),
+            Trouble::ReportsStop => self.set_reports(false),
+            Trouble::Burst(part) => self.set_burst(*part),
             Trouble::AddVoter(node) => {
                 let node = node % self.nodes.len();
                 let order = Order::AddVoter { name: name_of(node), address: Some(address_of(node)) };
@@ -781,6 +856,7 @@
             | Trouble::FileDamaged
             | Trouble::Stop
             | Trouble::KillMany(_)
+            | Trouble::ZoneLost(_)
             | Trouble::KillVoters => {
                 for node in hit {
                     // One that was told to stop and has not ended by now is killed.
@@ -807,9 +883,12 @@
             Trouble::LateTo(_) => {
                 self.late.remove(&who);
             }
+            Trouble::ReportsStop => self.set_reports(true),
+            Trouble::Burst(_) => self.set_burst(0.0),
             Trouble::DiskFails => self.nodes[who].disk.fails = false,
             Trouble::DiskSlow => self.nodes[who].disk.slow = false,
             Trouble::HandOver { .. }
+            | Trouble::HostDies(_)
             | Trouble::Sleep
             | Trouble::Stall
             | Trouble::ClockJump(_)
--- a/crates/faults/tests/duties_planted.rs
+++ b/crates/faults/tests/duties_planted.rs
@@ -1,15 +1,15 @@
-//! Each planted fault of the duties is found by some seed, and without one the same seeds find nothing: a judge that
+//! Each planted fault of duties and of releases is found by some seed, and without one the same seeds find nothing: a judge that
 //! cannot find fault proves nothing. Prints how many seeds each took. Faults are planted for one thread.
 
 use cindercleat::fleet::planted::{plant, Plant};
 use cindercleat_faults::duties::draw::SHAPES;
-use cindercleat_faults::duties::{draw, play};
+use cindercleat_faults::duties::{draw, play, Shape};
 
 /// The first seed that finds a fault, and what it finds.
-fn first(fault: Plant, most: u64) -> Option<(u64, String)> {
+fn first(fault: Plant, shape: &Shape, most: u64) -> Option<(u64, String)> {
     plant(Some(fault));
     let found = (1..=most).find_map(|seed| {
-        let played = play(&draw(seed, &SHAPES[0]));
+        let played = play(&draw(seed, shape));
         played.breaches.first().map(|breach| (seed, format!("{} {}", breach.kind, breach.what)))
     });
     plant(None);
@@ -23,7 +23,11 @@
         [Plant::NoWait, Plant::TermKept, Plant::OldTermObeyed, Plant::PromiseBroken, Plant::ValueOverlooked];
     std::thread::scope(|scope| {
         for fault in soon {
-            scope.spawn(move || assert!(first(fault, 20).is_some(), "{fault:?}"));
+            scope.spawn(move || assert!(first(fault, &SHAPES[0], 20).is_some(), "{fault:?}"));
+        }
+        let soon = [Plant::TurnTwice, Plant::FailuresUncounted, Plant::OldReportTaken];
+        for fault in soon {
+            scope.spawn(move || assert!(first(fault, &SHAPES[1], 60).is_some(), "{fault:?}"));
         }
     });
 }
@@ -34,7 +38,10 @@
 #[ignore = "a minute without optimization"]
 fn each_planted_fault_is_found_or_named() {
     let found: Vec<_> = std::thread::scope(|scope| {
-        let threads = Plant::ALL.map(|fault| (fault, scope.spawn(move || first(fault, 3000))));
+        let duties = Plant::ALL.iter().map(|fault| (*fault, &SHAPES[0]));
+        let all = duties.chain(Plant::OF_RELEASES.iter().map(|fault| (*fault, &SHAPES[1])));
+        let threads: Vec<_> =
+            all.map(|(fault, shape)| (fault, scope.spawn(move || first(fault, shape, 3000)))).collect();
         threads.into_iter().map(|(fault, thread)| (fault, thread.join().expect("it plays"))).collect()
     });
     for (fault, found) in &found {
--- a/crates/fleet/src/care_words.rs
+++ b/crates/fleet/src/care_words.rs
@@ -130,7 +130,6 @@
         address: turn.address.0.to_string(),
         zone: turn.zone.clone(),
         label: turn.label.clone(),
-        asked: turn.asked,
         stays: turn.stays,
         planned: turn.planned,
     }
@@ -144,7 +143,6 @@
         address: Address::from(word(&said.address)?.as_str()),
         zone: word(&said.zone)?,
         label: word(&said.label)?,
-        asked: said.asked,
         stays: said.stays,
         planned: said.planned,
     };
@@ -293,6 +291,7 @@
         ReleaseOrder::Resume => Q::Resume(v1::FleetResume {}),
         ReleaseOrder::Back => Q::Back(v1::FleetBack {}),
         ReleaseOrder::End => Q::End(v1::FleetEnd {}),
+        ReleaseOrder::Recount { of } => Q::Recount(v1::FleetRecount { hosts: *of == Of::Hosts }),
         ReleaseOrder::Turn { name, label, refused } => Q::WantTurn(v1::FleetWantTurn {
             name: name.0.to_string(),
             label: label.clone(),
@@ -312,6 +311,7 @@
         Q::Resume(_) => ReleaseOrder::Resume,
         Q::Back(_) => ReleaseOrder::Back,
         Q::End(_) => ReleaseOrder::End,
+        Q::Recount(m) => ReleaseOrder::Recount { of: of_in(m.hosts) },
         Q::WantTurn(m) => {
             ReleaseOrder::Turn { name: name(&m.name)?, label: word(&m.label)?, refused: m.refused }
         }
--- a/crates/fleet/tests/words.rs
+++ b/crates/fleet/tests/words.rs
@@ -73,7 +73,6 @@
         address: Address::default(),
         zone: "z".to_owned(),
         label: "v2".to_owned(),
-        asked: true,
         stays: true,
         planned: true,
     };
@@ -169,6 +168,7 @@
         release(ReleaseOrder::Resume),
         release(ReleaseOrder::Back),
         release(ReleaseOrder::End),
+        release(ReleaseOrder::Recount { of: Of::Hosts }),
         release(ReleaseOrder::Turn { name: Name::from("n"), label: String::new(), refused: true }),
         Question::Order(Order::ByHand { who: Name::from("n"), address: None, why: "why".to_owned() }),
     ];
--- a/src/fleet/bounds.rs
+++ b/src/fleet/bounds.rs
@@ -179,6 +179,15 @@
 /// heard of it.
 pub type Sizes = BTreeMap<String, u32>;
 
+/// How many are there in each zone, ready or not.
+pub fn sizes_seen<'a>(units: impl Iterator<Item = &'a Unit>) -> Sizes {
+    let mut sizes = Sizes::new();
+    for unit in units.filter(|u| u.stand != Stand::Out) {
+        *sizes.entry(unit.zone.clone()).or_default() += 1;
+    }
+    sizes
+}
+
 /// How many there are of something, and how many of them are in.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Count {
@@ -265,7 +274,17 @@
         out: impl Fn(&Unit) -> bool,
     ) -> Counts {
         let mut counts = Counts::default();
+        let units: Vec<&Unit> = units.collect();
+        let seen = sizes_seen(units.iter().copied());
+        // Where nobody is missing by what is agreed on, who is remembered and gone is gone for good.
+        let whole = |zone: &str| {
+            let there = seen.get(zone).copied().unwrap_or(0);
+            sizes.get(zone).is_some_and(|size| *size <= there)
+        };
         for unit in units {
+            if unit.stand == Stand::Out && whole(&unit.zone) {
+                continue;
+            }
             let there = u32::from(unit.stand == Stand::In && !out(unit));
             let add = |count: &mut Count| {
                 count.size += 1;
@@ -293,8 +312,9 @@
             }
         }
         for (zone, size) in sizes {
-            let count = counts.zones.entry(zone.clone()).or_default();
-            count.size = count.size.max(*size);
+            // Those that are gone count as far as they are missed.
+            let there = seen.get(zone).copied().unwrap_or(0);
+            counts.zones.entry(zone.clone()).or_default().size = there.max(*size);
         }
         for count in counts.zones.values() {
             counts.fleet.size += count.size;
@@ -377,34 +397,31 @@
 
     /// One more of them is out from now on.
     pub fn goes(&mut self, unit: &Unit) {
-        let less = |count: Option<&mut Count>| {
-            if let Some(count) = count {
-                count.there = count.there.saturating_sub(1);
-            }
-        };
-        less(Some(&mut self.fleet));
-        less(self.zones.get_mut(&unit.zone));
-        less(self.cells.get_mut(&cell_of(unit)));
-        less(self.kinds.get_mut(&unit.kind));
+        self.moves(unit, |n| *n = n.saturating_sub(1));
+    }
+
+    /// One that counts as out is in again.
+    pub fn returns(&mut self, unit: &Unit) {
+        self.moves(unit, |n| *n += 1);
+    }
+
+    /// What is used stays and is borne by one more, or by one fewer.
+    fn moves(&mut self, unit: &Unit, by: impl Fn(&mut u32)) {
+        by(&mut self.fleet.there);
         let cell = cell_of(unit);
+        let each =
+            [self.zones.get_mut(&unit.zone), self.cells.get_mut(&cell), self.kinds.get_mut(&unit.kind)];
+        each.into_iter().flatten().for_each(|count| by(&mut count.there));
         for role in roles(unit.role) {
             for key in [(false, role, unit.zone.clone()), (true, role, cell.clone())] {
-                let ready = self.ready.entry(key).or_default();
-                *ready = ready.saturating_sub(1);
+                by(self.ready.entry(key).or_default());
             }
-            // Its work goes to the others: the sum stays, over one fewer.
             for place in [String::new(), unit.zone.clone()] {
-                let sum = self.used.entry((role, place)).or_default();
-                sum.1 = sum.1.saturating_sub(1);
+                by(&mut self.used.entry((role, place)).or_default().1);
             }
         }
     }
 
-    /// How many there are in each zone, as counted.
-    pub fn sizes(&self) -> Sizes {
-        self.zones.iter().map(|(zone, count)| (zone.clone(), count.size)).collect()
-    }
-
     /// How many are out and how many may be: of the fleet (no name), and each zone.
     pub fn room(&self, bounds: &Bounds) -> Vec<(String, u32, u32)> {
         let fleet = (String::new(), self.fleet.out(), bounds.fleet.of(self.fleet.size));
--- a/src/fleet/conduct.rs
+++ b/src/fleet/conduct.rs
@@ -2,7 +2,7 @@
 //! at who is there, and names the next step. What it keeps for itself are times of its own, which its successor counts
 //! anew; all that must not be lost is in the agreed value.
 
-use super::bounds::{Binds, Bounds, Counts, Of, Sizes, Stand, Unit};
+use super::bounds::{sizes_seen, Binds, Bounds, Counts, Of, Sizes, Stand, Unit};
 use super::planted::{is, Plant};
 use super::release::{key, Care, Plan, Release, Step, Turn, TurnNo, MOST_LEFT, MOST_TURNS};
 use super::signs::Signs;
@@ -100,7 +100,9 @@
         return if turn.stays { Stage::Back } else { Stage::Begun };
     };
     let other = unit.run != turn.run;
-    let fits = turn.label.is_empty() || turn.label == unit.label || is(Plant::LabelUnchecked);
+    // A model host carries no label: its keeper is told what it is to be.
+    let any = turn.label.is_empty() || turn.of == Of::Hosts || is(Plant::LabelUnchecked);
+    let fits = any || turn.label == unit.label;
     match unit.stand {
         Stand::In if other && !turn.stays && fits => Stage::Back,
         Stand::In if other && !turn.stays => Stage::Wrong,
@@ -153,8 +155,7 @@
         if let Some(step) = self.turns(now, care, view) {
             return Some(step);
         }
-        let of = care.release.as_deref().filter(|r| !r.done).map(|r| r.plan.of);
-        if let Some(step) = of.and_then(|of| grown(care, view, of)) {
+        if let Some(step) = [Of::Dispatchers, Of::Hosts].into_iter().find_map(|of| grown(care, view, of)) {
             return Some(step);
         }
         if care.halted.is_some() {
@@ -173,6 +174,7 @@
     fn turns(&mut self, now: Ms, care: &Care, view: &View) -> Option<Step> {
         let release = care.release.as_deref().filter(|r| !r.done);
         let (mut over, mut back) = (Vec::new(), Vec::new());
+        let mut counts = release.map(|r| (r, self.counts(care, view.units(r.plan.of), r.plan.of, &r.bounds)));
         for (number, turn) in &care.turns {
             let unit = view.units(turn.of).iter().find(|u| u.name == turn.who);
             let stage = stage(turn, unit);
@@ -195,9 +197,14 @@
                 Stage::Back => {}
                 Stage::Granted if seen.unbegun => back.push(*number),
                 Stage::Granted => {
-                    if care.halted.is_some() || forward || now - seen.first > begin {
+                    // What failed since it was given, or is used more now, may have taken its room: then it is not
+                    // told, or not again.
+                    let full = counts.as_mut().is_some_and(|(release, counts)| {
+                        turn.planned && !release.back && !still_fits(counts, unit, &release.bounds)
+                    });
+                    if care.halted.is_some() || forward || full || now - seen.first > begin {
                         self.revoke.push(*number);
-                    } else if !turn.asked {
+                    } else {
                         self.tell.push(*number);
                     }
                 }
@@ -257,13 +264,13 @@
         let mut counts = self.counts(care, units, plan.of, bounds);
         if self.wave.replace((release.wave, release.back)) != Some((release.wave, release.back)) {
             self.over = None;
-            self.signs.begin_wave();
         }
         let planned = care.turns.values().filter(|t| t.planned).count();
         if !release.back {
             let turning = |name: &Name| care.turn_of(plan.of, name).is_some();
             let turned = turned(release, units, turning);
-            if let Some(why) = self.signs.look(units.iter().filter(|u| plan.takes(u)), &turned, turning) {
+            if let Some(why) = self.signs.look(now, units.iter().filter(|u| plan.takes(u)), &turned, turning)
+            {
                 return Some(Step::Halt(why));
             }
         }
@@ -299,7 +306,8 @@
         if !turns.is_empty() {
             return Some(Step::Grant(turns));
         }
-        self.why = binds.map(|binds| binds.to_string()).or(waits);
+        let out = (planned > 0).then(|| format!("{planned} turns are not over"));
+        self.why = binds.map(|binds| binds.to_string()).or(waits).or(out);
         None
     }
 
@@ -340,7 +348,6 @@
                 address: unit.address.clone(),
                 zone: unit.zone.clone(),
                 label: if release.back { plan.before.clone() } else { plan.label.clone() },
-                asked: false,
                 stays: plan.stays,
                 planned: true,
             });
@@ -390,9 +397,10 @@
             if left || care.turn_of(plan.of, &unit.name).is_some_and(|(n, _)| !self.before.contains(n)) {
                 continue;
             }
-            // Back, what is there and not ready may be told at once: it takes no room.
-            let there = unit.stand == Stand::In || release.back && unit.stand == Stand::Coming;
+            // Back, a dispatcher that is there and not ready may be told at once: it takes no room. A model host that is
+            // cold will be ready by itself.
             let hosts = plan.of == Of::Hosts;
+            let there = unit.stand == Stand::In || release.back && !hosts && unit.stand == Stand::Coming;
             match there {
                 true if hosts && blocked.contains_key(unit.zone.as_str()) => {}
                 true => order.push(unit),
@@ -422,9 +430,6 @@
         if wants.is_empty() || !view.whole || care.turns.len() >= MOST_TURNS {
             return None;
         }
-        if let Some(step) = grown(care, view, Of::Dispatchers) {
-            return Some(step);
-        }
         let running = care.release.as_deref().filter(|r| !r.done && r.plan.of == Of::Dispatchers);
         let bounds = running.map_or(own, |r| &r.bounds);
         let mut counts = self.counts(care, &view.dispatchers, Of::Dispatchers, bounds);
@@ -447,7 +452,6 @@
                 address: unit.address.clone(),
                 zone: unit.zone.clone(),
                 label: want.label.clone(),
-                asked: true,
                 stays: false,
                 planned: false,
             });
@@ -487,13 +491,22 @@
 
 /// The fleet is larger than was agreed.
 fn grown(care: &Care, view: &View, of: Of) -> Option<Step> {
-    let seen = Counts::new(view.units(of).iter(), &Sizes::new(), &Bounds::default(), |_| false).sizes();
+    let seen = sizes_seen(view.units(of).iter());
     let known = care.sizes(of);
     let more: Sizes =
         seen.into_iter().filter(|(zone, n)| *n > known.get(zone).copied().unwrap_or(0)).collect();
     (!more.is_empty()).then_some(Step::Count(of, more))
 }
 
+/// Whether one whose turn is given could still be given it.
+fn still_fits(counts: &mut Counts, unit: Option<&Unit>, bounds: &Bounds) -> bool {
+    let Some(unit) = unit.filter(|u| u.stand == Stand::In) else { return true };
+    counts.returns(unit);
+    let fits = counts.may_go(unit, bounds).is_ok();
+    counts.goes(unit);
+    fits
+}
+
 /// Voters go one after another, never two: with one more gone nothing more might be agreed on.
 fn voter_binds(
     unit: &Unit,
--- a/src/fleet/member/mod.rs
+++ b/src/fleet/member/mod.rs
@@ -230,6 +230,7 @@
     },
     TurnAct {
         to: Address,
+        turn: TurnNo,
     },
     Revoke {
         turn: TurnNo,
@@ -509,6 +510,11 @@
         self.roll.as_ref()
     }
 
+    /// The release as this dispatcher sees it.
+    pub fn release_status(&self) -> CareStatus {
+        self.care_status()
+    }
+
     /// The newest value seen, agreed on or not.
     pub fn newest(&self) -> Option<&Agreed> {
         self.newest.as_ref().map(|(_, value)| value)
@@ -655,12 +661,12 @@
                 };
                 self.told(to, verdict);
             }
-            (Errand::TurnAct { to }, answer) => {
+            (Errand::TurnAct { to, turn }, answer) => {
                 let verdict = match answer {
                     Some(Answer::Verdict { verdict, ticket }) => Some((verdict, ticket)),
                     _ => None,
                 };
-                self.turn_told(&to, verdict, out);
+                self.turn_told(&to, turn, verdict, out);
             }
             (Errand::ByHand { call, note }, answer) => {
                 let reply = match answer {
--- a/src/fleet/member/orders.rs
+++ b/src/fleet/member/orders.rs
@@ -58,6 +58,10 @@
     Resume,
     Back,
     End,
+    /// Whoever is missing now is missed no more.
+    Recount {
+        of: Of,
+    },
     /// Wants a turn for a dispatcher, or goes on to; `refused`: wants it no more.
     Turn {
         name: Name,
--- a/src/fleet/member/releasing.rs
+++ b/src/fleet/member/releasing.rs
@@ -4,7 +4,7 @@
 use super::*;
 use crate::fleet::acts::Verdict;
 use crate::fleet::agreed::Refusal;
-use crate::fleet::bounds::{Bounds, Counts, Of, Sizes, Stand, Tally, Unit};
+use crate::fleet::bounds::{sizes_seen, Bounds, Counts, Of, Sizes, Stand, Tally, Unit};
 use crate::fleet::conduct::{stage, told_at, waves, Conduct, Stage, Told as TurnTold, View, Wants};
 use crate::fleet::planted::{is, Plant};
 use crate::fleet::release::{Care, Plan, Release, Step, Turn, TurnNo, Word};
@@ -13,9 +13,13 @@
 
 /// The fleet is looked at so often in a beat, while there is something to look after.
 const LOOKS: f64 = 2.0;
+/// With nothing to look after the fleet is counted once in so many leases.
+const COUNTED: f64 = 1.0;
 /// The roll is whole once it has been called for so many beats: whoever is there was heard, and whoever is silent
 /// is known to be.
 const WHOLE_AFTER: f64 = 12.0;
+/// A turn that was told and does not show is told again after so many beats.
+const TOLD_AGAIN: f64 = 4.0;
 /// A member that wants its turn asks again within this.
 const WANTS_FOR: Ms = 2_000.0;
 /// Those that may wait for a turn at once, and turns remembered as taken back.
@@ -29,7 +33,6 @@
 pub(super) struct TurnActs {
     known: Known,
     out: bool,
-    next: Ms,
     /// An act that was not answered may still come there before this.
     pub(super) unsure_until: Ms,
 }
@@ -56,6 +59,8 @@
     tell: Vec<TurnNo>,
     revoke: Vec<TurnNo>,
     pub(super) acts: BTreeMap<Address, TurnActs>,
+    /// When a turn may be told again, and asked back again.
+    tells: BTreeMap<TurnNo, Ms>,
     revokes: BTreeMap<TurnNo, Ms>,
     wants: BTreeMap<Name, (String, Ms)>,
     halting: Option<Halting>,
@@ -160,11 +165,13 @@
         let now = self.now;
         self.care.wants.retain(|_, (_, until)| now < *until);
         let Some(care) = self.agreed.as_ref().map(|value| value.care.clone()) else { return };
-        let idle = !care.is_active() && self.care.wants.is_empty();
-        if idle || now < self.care.next_look || self.care.step.is_some() {
+        if now < self.care.next_look || self.care.step.is_some() {
             return;
         }
-        self.care.next_look = now + self.look_every();
+        // With nothing to look after the fleet is only counted, now and then.
+        let idle = !care.is_active() && self.care.wants.is_empty();
+        self.care.next_look =
+            now + if idle { COUNTED * self.settings.lease.lease } else { self.look_every() };
         let (view, voters, me) = (self.view_of_fleet(), self.voters_now(), self.settings.me.clone());
         let wants: Vec<Wants> = (self.care.wants.iter())
             .map(|(name, (label, _))| Wants { name: name.clone(), label: label.clone() })
@@ -188,8 +195,7 @@
     /// When there is something to look at or to tell.
     pub(super) fn care_wants_at(&self) -> Option<Ms> {
         let holds = self.holds.contains_key(&Self::roll_call());
-        let active = self.agreed_care().is_some_and(Care::is_active) || !self.care.wants.is_empty();
-        let look = (holds && active).then(|| match self.care.step {
+        let look = holds.then(|| match self.care.step {
             Some(_) => self.now + self.look_every(),
             None => self.care.next_look,
         });
@@ -240,6 +246,7 @@
             }
         }
         self.care.revokes.retain(|number, _| care.turns.contains_key(number));
+        self.care.tells.retain(|number, _| care.turns.contains_key(number));
     }
 
     fn tell_turn(&mut self, number: TurnNo, turn: &Turn, hold: Hold, out: &mut Vec<Output>) {
@@ -249,26 +256,28 @@
             return self.told_turn(&told, out);
         }
         let Some(to) = told_at(turn, self.settings.keeper.as_ref()).cloned() else { return };
-        let (now, every) = (self.now, self.settings.beat);
+        let next = self.care.tells.get(&number).copied().unwrap_or(f64::NEG_INFINITY);
         let acts = self.care.acts.entry(to.clone()).or_default();
-        if acts.out || now < acts.next {
+        // One act at a time to each: a keeper is told of many, one after another.
+        if acts.out || self.now < next {
             return;
         }
         let (ticket, good_for) = acts.known.good_for(hold.until);
-        // A keeper is told of many, one after another.
-        acts.next = if turn.of == Of::Hosts { now } else { now + every };
         (acts.out, acts.unsure_until) = (true, hold.until);
+        // That it was obeyed is seen in a beat or in the list, some time after.
+        self.care.tells.insert(number, self.now + TOLD_AGAIN * self.settings.beat);
         self.acts += 1;
         let (term, holder, act) = (hold.term, self.me(), self.acts);
         let body = told.write();
         let act = Act { duty: Self::roll_call(), term, holder, number: act, ticket, good_for, body };
         self.count("turns told");
-        self.ask(to.clone(), Question::Act(act), Errand::TurnAct { to }, out);
+        self.ask(to.clone(), Question::Act(act), Errand::TurnAct { to, turn: number }, out);
     }
 
     pub(super) fn turn_told(
         &mut self,
         to: &Address,
+        turn: TurnNo,
         answer: Option<(Verdict, Ticket)>,
         out: &mut Vec<Output>,
     ) {
@@ -279,9 +288,10 @@
         acts.known.answered(now, ticket);
         acts.unsure_until = f64::NEG_INFINITY;
         if verdict == Verdict::Unknown {
-            acts.next = now;
-            self.tell_turns(out);
+            self.care.tells.remove(&turn);
         }
+        // The next one for the same receiver, or the same with a ticket.
+        self.tell_turns(out);
     }
 
     fn ask_back(&mut self, number: TurnNo, turn: &Turn, errand: Errand, out: &mut Vec<Output>) {
@@ -358,10 +368,7 @@
 
     /// A halt that this dispatcher gave is agreed on.
     fn halt_agreed(&mut self, value: &Agreed) {
-        let said = value.care.turns.iter().map(|(number, turn)| {
-            // Whoever asked for its turn has had the leave since it was agreed on.
-            (*number, (turn.who.clone(), turn.asked.then_some(true)))
-        });
+        let said = value.care.turns.iter().map(|(number, turn)| (*number, (turn.who.clone(), None)));
         self.care.halting = Some(Halting { since: self.now, said: said.collect(), next: self.now });
     }
 
@@ -430,14 +437,13 @@
         let every = self.roll.as_ref().map_or(0.0, |roll| roll.beat_every(self.settings.beat));
         let young = roll.is_none_or(|since| self.now - since < WHOLE_AFTER * every);
         let view = self.view_of_fleet();
-        let sizes_of = |of: Of, bounds: &Bounds| {
-            Counts::new(view.units(of).iter(), &Sizes::new(), bounds, |_| false).sizes()
-        };
+        let sizes_of = |of: Of| sizes_seen(view.units(of).iter());
         let word = match order {
             ReleaseOrder::Halt { .. } => return None,
             ReleaseOrder::Turn { name, label, refused } => {
-                return Some(self.order_turn(name, label, refused))
+                return Some(self.order_turn(name, label, refused, young))
             }
+            ReleaseOrder::End => Word::End,
             _ if young => {
                 let why = "the roll is not whole yet, a holder has just begun: try again in a moment";
                 return Some(Reply::No(why.to_owned()));
@@ -445,7 +451,12 @@
             ReleaseOrder::Start { plan, skip, dry } => {
                 let bounds =
                     if plan.of == Of::Hosts { self.settings.bounds.1 } else { self.settings.bounds.0 };
-                let sizes = sizes_of(plan.of, &bounds);
+                let mut sizes = sizes_of(plan.of);
+                let known = self.agreed_care().map(|care| care.sizes(plan.of).clone()).unwrap_or_default();
+                for (zone, size) in known {
+                    let seen = sizes.entry(zone).or_default();
+                    *seen = (*seen).max(size);
+                }
                 let units = view.units(plan.of);
                 if let Err(why) = self.fits(&plan, &bounds, units, &sizes, skip) {
                     return Some(Reply::No(why));
@@ -466,18 +477,11 @@
                     left: BTreeMap::new(),
                     turned: 0,
                 };
-                Word::Start(Box::new(release), sizes)
-            }
-            ReleaseOrder::Resume | ReleaseOrder::Back => {
-                let release = self.agreed_care().and_then(|care| care.release.as_deref());
-                let sizes = release.map(|r| sizes_of(r.plan.of, &r.bounds)).unwrap_or_default();
-                if order == ReleaseOrder::Back {
-                    Word::Back(sizes)
-                } else {
-                    Word::Resume(sizes)
-                }
+                Word::Start(Box::new(release))
             }
-            ReleaseOrder::End => Word::End,
+            ReleaseOrder::Resume => Word::Resume,
+            ReleaseOrder::Back => Word::Back,
+            ReleaseOrder::Recount { of } => Word::Recount(of, sizes_of(of)),
         };
         self.wish(call, Change::Word(word));
         None
@@ -504,17 +508,25 @@
         }
     }
 
-    fn order_turn(&mut self, name: Name, label: String, refused: bool) -> Reply {
+    fn order_turn(&mut self, name: Name, label: String, refused: bool, young: bool) -> Reply {
         let turn = self.agreed_care().and_then(|care| care.turn_of(Of::Dispatchers, &name));
-        if let Some((number, turn)) = turn.filter(|(_, turn)| turn.asked) {
-            return Reply::Done(format!("turn {} is {}'s: it may stop now", number.0, turn.who.0));
+        if let Some((number, turn)) = turn {
+            let view = self.view_of_fleet();
+            let unit = view.dispatchers.iter().find(|u| u.name == name);
+            return match stage(turn, unit) {
+                Stage::Granted => Reply::Waits(format!("turn {} is given and being told", number.0)),
+                _ => Reply::Done(format!("turn {}: {} drains and ends", number.0, turn.who.0)),
+            };
         }
         if refused {
             self.care.wants.remove(&name);
             return Reply::Done(format!("{} waits no more", name.0));
         }
         if self.roll.as_ref().is_none_or(|roll| roll.address(&name).is_none()) {
-            return Reply::No(format!("the roll-call knows no {}", name.0));
+            return match young {
+                true => Reply::Waits("the roll is not whole yet".to_owned()),
+                false => Reply::No(format!("the roll-call knows no {}", name.0)),
+            };
         }
         if self.care.wants.len() >= MOST_WANTS {
             return Reply::No("too many wait for a turn".to_owned());
@@ -561,16 +573,17 @@
         value: Option<&Agreed>,
     ) -> Reply {
         let done = done.map(|()| match word {
-            Word::Start(release, _) => format!("release {} begins", release.plan.name),
+            Word::Start(release) => format!("release {} begins", release.plan.name),
             Word::Halt(_) => {
                 if let Some(value) = value {
                     self.halt_agreed(value);
                 }
                 String::new()
             }
-            Word::Resume(_) => "it goes on".to_owned(),
-            Word::Back(_) => "it goes back".to_owned(),
+            Word::Resume => "it goes on".to_owned(),
+            Word::Back => "it goes back".to_owned(),
             Word::End => "it is ended as it stands".to_owned(),
+            Word::Recount(of, sizes) => format!("{} {of} are counted", sizes.values().sum::<u32>()),
             Word::Note(_) => "noted".to_owned(),
         });
         self.care.next_look = self.now;
@@ -579,16 +592,16 @@
                 Reply::Waits("halted; asking those whose turn may still begin".to_owned())
             }
             (_, Ok(words)) => Reply::Done(words),
-            (Word::Start(..), Err(Refusal::Busy)) => {
+            (Word::Start(_), Err(Refusal::Busy)) => {
                 Reply::No("another release is not done: 'release status' shows it".to_owned())
             }
-            (Word::Start(..), Err(Refusal::Stopped)) => {
+            (Word::Start(_), Err(Refusal::Stopped)) => {
                 Reply::No("halted: 'resume' first, or 'release end'".to_owned())
             }
-            (Word::Resume(_), Err(_)) => {
+            (Word::Resume, Err(_)) => {
                 Reply::No("nothing is halted: there is nothing to go on with".to_owned())
             }
-            (Word::Back(_), Err(_)) => Reply::No("there is nothing to go back on".to_owned()),
+            (Word::Back, Err(_)) => Reply::No("there is nothing to go back on".to_owned()),
             (Word::End, Err(_)) => Reply::No("no release is under way".to_owned()),
             (_, Err(why)) => Reply::No(format!("nothing was changed ({why:?})")),
         }
--- a/src/fleet/release.rs
+++ b/src/fleet/release.rs
@@ -23,8 +23,6 @@
     pub zone: String,
     /// What it is to come back under; empty: anything.
     pub label: String,
-    /// It asked for its turn and goes by itself: nobody tells it.
-    pub asked: bool,
     /// It is not to come back.
     pub stays: bool,
     /// Part of the release that is under way, not asked for beside it.
@@ -114,7 +112,8 @@
     pub halted: Option<String>,
     /// How often an operator had it go on: who waits for turns begins to wait anew.
     pub resumed: u64,
-    /// How many dispatchers and model hosts each zone has.
+    /// How many dispatchers and model hosts each zone has: counted up as they are seen, and down by an operator's word
+    /// alone, as one that is missing may have failed.
     pub dispatchers: Sizes,
     pub hosts: Sizes,
     /// What operators did by hand without agreement; the last few.
@@ -141,13 +140,14 @@
 /// What operators say, at any dispatcher.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Word {
-    Start(Box<Release>, Sizes),
+    Start(Box<Release>),
     Halt(String),
-    /// Goes on, with the sizes as they are now.
-    Resume(Sizes),
-    Back(Sizes),
+    Resume,
+    Back,
     /// Ends a release that stands.
     End,
+    /// There are as many as are seen now: whoever is missing is missed no more.
+    Recount(Of, Sizes),
     Note(String),
 }
 
@@ -342,26 +342,24 @@
     /// Why it does not count.
     pub fn word(&mut self, word: &Word) -> Result<(), No> {
         match word {
-            Word::Start(release, sizes) => {
+            Word::Start(release) => {
                 if self.release.as_deref().is_some_and(|r| !r.done) {
                     return Err(No::Busy);
                 }
                 if self.halted.is_some() {
                     return Err(No::Stopped);
                 }
-                *self.sizes_mut(release.plan.of) = sizes.clone();
                 self.release = Some(release.clone());
                 Ok(())
             }
             // A halt that is there already is agreed on once more, as it may have been a try only.
             Word::Halt(why) => self.halt(why).or(Ok(())),
-            Word::Resume(sizes) => {
+            Word::Resume => {
                 self.halted.take().ok_or(No::Nothing)?;
                 self.resumed += 1;
-                self.recount(sizes);
                 Ok(())
             }
-            Word::Back(sizes) => {
+            Word::Back => {
                 let halted = self.halted.is_some();
                 let release = self.release.as_deref_mut().ok_or(No::Nothing)?;
                 // What goes back already, or went, has nothing to go back on; and what left for good does not return.
@@ -373,7 +371,6 @@
                 release.left.clear();
                 self.halted = None;
                 self.resumed += 1;
-                self.recount(sizes);
                 Ok(())
             }
             Word::End => {
@@ -382,6 +379,10 @@
                 self.halted = None;
                 Ok(())
             }
+            Word::Recount(of, sizes) => {
+                *self.sizes_mut(*of) = sizes.clone();
+                Ok(())
+            }
             Word::Note(note) => {
                 self.notes.push(note.clone());
                 if self.notes.len() > MOST_NOTES {
@@ -391,11 +392,4 @@
             }
         }
     }
-
-    /// The fleet is as large as an operator says that it is now.
-    fn recount(&mut self, sizes: &Sizes) {
-        if let (Some(of), false) = (self.release.as_deref().map(|r| r.plan.of), sizes.is_empty()) {
-            *self.sizes_mut(of) = sizes.clone();
-        }
-    }
 }
--- a/src/fleet/signs.rs
+++ b/src/fleet/signs.rs
@@ -1,9 +1,10 @@
 //! Whether those that turned do worse than those that did not: what became of the tasks that each answered, and how
-//! often each fell by itself. Counted within one wave, so that a burst, which meets both, is no sign; with enough
-//! cases, over enough members, and more than once in a row.
+//! often each fell by itself. Compared within short slices of time, so that a burst, which meets both, is no sign (in the
+//! manner of Mantel and Haenszel, 1959); with enough cases, over enough members, and more than once in a row.
 
 use super::bounds::{Tally, Unit};
 use super::{Name, Run};
+use crate::interface::Ms;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Tasks of those that turned before anything is said of them, and harmed ones among them.
@@ -21,6 +22,9 @@
 const FALLS: u32 = 2;
 const FALLS_MORE: f64 = 3.0;
 
+/// A slice is at least so long: what is heard of members is up to a beat old, more of a large fleet.
+const SLICE: Ms = 1_000.0;
+
 /// A group's tasks.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Group {
@@ -42,50 +46,75 @@
     }
 }
 
-/// One unit as it was when the counting began, or when its process did.
+/// Slices summed: those that turned against what the others of the same slices lead to expect.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Sum {
+    with: Group,
+    without: Group,
+    expected: f64,
+    variance: f64,
+}
+
+impl Sum {
+    fn add(&mut self, with: Group, without: Group) {
+        // Nothing can be said of a time in which one side had no tasks.
+        if with.cases == 0 || without.cases == 0 {
+            return;
+        }
+        let (n, m) = (with.cases as f64, without.cases as f64);
+        let p = (with.harmed + without.harmed) as f64 / (n + m);
+        self.expected += n * without.part();
+        self.variance += p * (1.0 - p) * n * (1.0 + n / m);
+        self.with.add(with);
+        self.without.add(without);
+    }
+
+    fn is_worse(&self, others: &[f64]) -> bool {
+        let Sum { with, without, expected, variance } = *self;
+        if with.cases < LEAST_CASES || with.harmed < LEAST_HARMED || without.cases < LEAST_CASES {
+            return false;
+        }
+        let more = with.harmed as f64 - expected;
+        let below = others.iter().filter(|other| **other < with.part()).count();
+        more >= MARGIN * with.cases as f64
+            && more >= ERRORS * variance.sqrt()
+            && below as f64 >= ABOVE * others.len() as f64
+    }
+}
+
+/// One unit as it was when the slice began.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Base {
     run: Run,
     tally: Tally,
 }
 
-/// What was seen of a wave and of the release so far.
+/// What was seen of a release so far.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Signs {
     base: BTreeMap<Name, Base>,
-    /// What those that have not turned answered under processes of before, in this wave.
-    past: Group,
+    began: Option<Ms>,
+    sum: Sum,
+    /// Of those that have not turned, member by member, in slices that count.
+    others: BTreeMap<Name, Group>,
     in_a_row: u32,
-    /// Falls over the release.
     runs: BTreeMap<Name, Run>,
     falls: BTreeMap<Name, u32>,
 }
 
 impl Signs {
-    /// A wave begins: what was counted before it counts no more.
-    pub fn begin_wave(&mut self) {
-        (self.base, self.past, self.in_a_row) = (BTreeMap::new(), Group::default(), 0);
-    }
-
     /// Takes a look. `turned`: those that turned; `turning`: those whose turn it is, whose end is no fall.
     pub fn look<'a>(
         &mut self,
+        now: Ms,
         units: impl Iterator<Item = &'a Unit>,
         turned: &BTreeSet<Name>,
         turning: impl Fn(&Name) -> bool,
     ) -> Option<String> {
-        let (mut with, mut without) = (Group::default(), self.past);
-        let mut others: Vec<f64> = Vec::new();
+        let units: Vec<&Unit> = units.collect();
         let (mut members, mut falls) = ((0, 0), (0, 0));
-        for unit in units {
-            let has_turned = turned.contains(&unit.name);
+        for unit in &units {
             if turning(&unit.name) {
-                // Its process of before counts with those that have not turned.
-                if let Some(base) = self.base.remove(&unit.name) {
-                    if base.run == unit.run {
-                        self.past.add(Group::of(&unit.tally.since(&base.tally)));
-                    }
-                }
                 self.runs.remove(&unit.name);
                 continue;
             }
@@ -93,22 +122,10 @@
                 *self.falls.entry(unit.name.clone()).or_default() += 1;
             }
             let fell = self.falls.get(&unit.name).copied().unwrap_or(0);
-            // A process that is new in this wave counts from its begin.
-            let fresh = Base { run: unit.run, tally: if has_turned { Tally::default() } else { unit.tally } };
-            let base = self.base.entry(unit.name.clone()).or_insert(fresh);
-            if base.run != unit.run {
-                *base = Base { run: unit.run, tally: Tally::default() };
-            }
-            let group = Group::of(&unit.tally.since(&base.tally));
-            if has_turned {
-                with.add(group);
+            if turned.contains(&unit.name) {
                 (members.0, falls.0) = (members.0 + 1, falls.0 + fell);
             } else {
-                without.add(group);
                 (members.1, falls.1) = (members.1 + 1, falls.1 + fell);
-                if group.cases >= EACH {
-                    others.push(group.part());
-                }
             }
         }
         let rate = |(falls, members): (u32, u32)| f64::from(falls) / f64::from(members.max(1));
@@ -119,53 +136,88 @@
                 falls.1
             ));
         }
-        let worse = is_worse(with, without, &others);
-        self.in_a_row = if worse { self.in_a_row + 1 } else { 0 };
+        if now - *self.began.get_or_insert(now) < SLICE {
+            return None;
+        }
+        self.began = Some(now);
+        self.end_slice(&units, turned, turning);
+        let others: Vec<f64> =
+            self.others.values().filter(|g| g.cases >= EACH).map(|group| group.part()).collect();
+        self.in_a_row = if self.sum.is_worse(&others) { self.in_a_row + 1 } else { 0 };
+        let Sum { with, without, expected, .. } = self.sum;
         (self.in_a_row >= IN_A_ROW).then(|| {
             format!(
-                "those that turned do worse: {} of {} tasks harmed, {} of {} at the others",
+                "those that turned do worse: {} of {} tasks harmed where {expected:.0} were to be expected, {} of {} at \
+                 the others",
                 with.harmed, with.cases, without.harmed, without.cases
             )
         })
     }
-}
 
-fn is_worse(with: Group, without: Group, others: &[f64]) -> bool {
-    if with.cases < LEAST_CASES || with.harmed < LEAST_HARMED || without.cases < LEAST_CASES {
-        return false;
+    /// Counts what came since the slice began.
+    fn end_slice(&mut self, units: &[&Unit], turned: &BTreeSet<Name>, turning: impl Fn(&Name) -> bool) {
+        let (mut with, mut without) = (Group::default(), Group::default());
+        let mut each: Vec<(&Name, Group)> = Vec::new();
+        for unit in units {
+            let now = Base { run: unit.run, tally: unit.tally };
+            let before = self.base.insert(unit.name.clone(), now);
+            // A process that is new began within the slice; one that has not been seen tells nothing yet.
+            let Some(before) = before.filter(|_| !turning(&unit.name)) else { continue };
+            let from = if before.run == unit.run { before.tally } else { Tally::default() };
+            let group = Group::of(&unit.tally.since(&from));
+            if turned.contains(&unit.name) {
+                with.add(group);
+            } else {
+                without.add(group);
+                each.push((&unit.name, group));
+            }
+        }
+        self.sum.add(with, without);
+        if with.cases > 0 {
+            for (name, group) in each {
+                self.others.entry(name.clone()).or_default().add(group);
+            }
+        }
     }
-    let (p, q) = (with.part(), without.part());
-    let all = (with.harmed + without.harmed) as f64 / (with.cases + without.cases) as f64;
-    let error = (all * (1.0 - all) * (1.0 / with.cases as f64 + 1.0 / without.cases as f64)).sqrt();
-    let below = others.iter().filter(|other| **other < p).count();
-    p >= q + MARGIN && p - q >= ERRORS * error && below as f64 >= ABOVE * others.len() as f64
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
 
-    fn worse(with: (u64, u64), without: (u64, u64)) -> bool {
+    /// Cases and harmed ones.
+    type Pair = (u64, u64);
+
+    fn worse(slices: &[(Pair, Pair)], others: &[f64]) -> bool {
         let group = |(cases, harmed)| Group { cases, harmed };
-        is_worse(group(with), group(without), &[])
+        let mut sum = Sum::default();
+        slices.iter().for_each(|(with, without)| sum.add(group(*with), group(*without)));
+        sum.is_worse(others)
     }
 
     #[test]
     fn little_evidence_is_no_sign() {
-        assert!(!worse((39, 39), (1000, 0)));
-        assert!(!worse((1000, 7), (100_000, 0)));
-        assert!(!worse((1000, 25), (100_000, 0)), "under the margin");
-        assert!(worse((1000, 40), (100_000, 0)));
-        assert!(worse((40, 20), (1000, 50)));
-        assert!(!worse((40, 4), (1000, 50)));
+        assert!(!worse(&[((39, 39), (1000, 0))], &[]));
+        assert!(!worse(&[((1000, 7), (100_000, 0))], &[]));
+        assert!(!worse(&[((1000, 25), (100_000, 0))], &[]), "under the margin");
+        assert!(worse(&[((1000, 40), (100_000, 0))], &[]));
+        assert!(worse(&[((40, 20), (1000, 50))], &[]));
+        assert!(!worse(&[((40, 4), (1000, 50))], &[]));
+    }
+
+    #[test]
+    fn a_burst_that_meets_both_is_no_sign_whenever_those_that_turned_came() {
+        // The others had long quiet times, those that turned were there for the burst alone.
+        let quiet = ((0, 0), (10_000, 10));
+        assert!(!worse(&[quiet, quiet, ((100, 40), (1000, 400))], &[]));
+        assert!(worse(&[quiet, quiet, ((100, 40), (1000, 100))], &[]));
     }
 
     #[test]
     fn a_zone_that_does_badly_on_both_sides_is_no_sign() {
-        let group = |cases, harmed| Group { cases, harmed };
         // Three of ten others do as badly.
         let others = [0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.5, 0.5, 0.5];
-        assert!(!is_worse(group(100, 50), group(1000, 150), &others));
-        assert!(is_worse(group(100, 50), group(1000, 10), &others[..7]));
+        assert!(!worse(&[((100, 50), (1000, 150))], &others));
+        assert!(worse(&[((100, 50), (1000, 10))], &others[..7]));
     }
 }
