Drills of releases and drains: processes, hosts under load, a list's keeper, operators

Seen: a release of nine said done with two under the old label. A holder that has just begun did not know of them and took the rest for all (src/fleet/conduct.rs, Finish); ruled out: turns lost (seven were begun, seven over) and members out (all nine were in). Also: bounds that never let a host go were counted among those meant alone (bounds.rs).

--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -415,6 +415,9 @@
         let arrival = match self.admit(&submit) {
             Ok(arrival) => arrival,
             Err(body) => {
+                if let (Some(record), Body::Final(end)) = (&mut self.record, &*body) {
+                    record.answered(end.answer(), false);
+                }
                 out.push(Output::ToClient { conn, frame: frame(stream.0, *body) });
                 return self.client_answered(conn);
             }
--- a/crates/faults/src/drill/mod.rs
+++ b/crates/faults/src/drill/mod.rs
@@ -2,6 +2,7 @@
 //! instants. The judge reads what receivers of acts obeyed, and what the relays carried; never what a process says.
 
 mod relay;
+pub mod release;
 
 pub use relay::{Way, Ways};
 
@@ -105,7 +106,7 @@
 }
 
 /// A drill.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub struct Drill {
     pub name: String,
     pub seed: u64,
@@ -117,6 +118,7 @@
     /// Troubles of the script, and how many more are drawn.
     pub spells: Vec<Spell>,
     pub drawn: usize,
+    pub release: Option<release::Release>,
 }
 
 /// What came of it.
@@ -132,6 +134,7 @@
     pub without: BTreeMap<&'static str, Vec<Ms>>,
     pub bytes: u64,
     pub connections: u64,
+    pub released: Option<release::Released>,
 }
 
 /// Troubles and what is beyond them.
@@ -191,6 +194,21 @@
     child: Option<Child>,
     /// The file as it was some seconds before.
     before: Option<Vec<u8>>,
+    /// Its settings but for what goes with its label, and its label.
+    text: String,
+    label: String,
+    /// What it tells its supervisor, and how much of it was read.
+    told: PathBuf,
+    read: usize,
+    /// It has its turn and has not ended yet; it had it and was not in since.
+    turning: bool,
+    planned: bool,
+    asleep: bool,
+    /// A trouble ended it: it comes back when that is over.
+    by_trouble: bool,
+    again_at: Option<Ms>,
+    out_since: Option<Ms>,
+    in_since: Option<Ms>,
 }
 
 impl Process {
@@ -214,12 +232,28 @@
         if self.child.is_some() {
             return Ok(());
         }
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join("log"))?;
+        let append = |path: &Path| std::fs::OpenOptions::new().create(true).append(true).open(path);
+        let (log, told) = (append(&self.folder.join("log"))?, append(&self.told)?);
         let mut command = Command::new(program);
-        command.arg("serve").arg(&self.settings).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        command.arg("serve").arg(&self.settings).stdin(Stdio::null()).stdout(told).stderr(log);
         self.child = Some(command.spawn()?);
+        (self.turning, self.asleep, self.by_trouble) = (false, false, false);
         Ok(())
     }
+
+    /// Whether its process is there.
+    fn runs(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// Lines that it told since the last look.
+    fn new_lines(&mut self) -> Vec<String> {
+        let text = std::fs::read_to_string(&self.told).unwrap_or_default();
+        let new = text.get(self.read..).unwrap_or_default();
+        let whole = new.rfind('\n').map_or(0, |at| at + 1);
+        self.read += whole;
+        new[..whole].lines().map(str::to_owned).collect()
+    }
 }
 
 impl Drop for Process {
@@ -269,7 +303,16 @@
         let behind = receiver(at, drill, seen.clone()).await?;
         tells.push(ways.relay(drill.members + at, behind).await?);
     }
-    let mut processes = Vec::new();
+    let processes = Rc::new(RefCell::new(Vec::new()));
+    let (mut around, mut keeper) = (None, None);
+    if let Some(release) = &drill.release {
+        let fleet = release::start_fleet(&release.day).await?;
+        let (release, seen, processes) = (release.clone(), seen.clone(), processes.clone());
+        let new = release::Around::new(release, fleet, seen, processes, drill.lease, place.program);
+        let behind = new.keep().await?;
+        keeper = Some(ways.relay(drill.members + drill.receivers, behind).await?);
+        around = Some(new);
+    }
     let mut ports = Vec::new();
     for at in 0..drill.members {
         // A port of its own, taken and let go for the process, on an address that no other drill has.
@@ -287,27 +330,64 @@
         ways.is_at(at, from);
         let file = (at < drill.voters).then(|| folder.join("voter"));
         let settings = folder.join("settings.conf");
-        std::fs::write(
-            &settings,
-            settings_of(drill, place.service, at, &ports, from, file.as_deref(), &tells),
-        )?;
+        let keeper = keeper.as_deref();
+        let text = settings_of(drill, place.service, at, &ports, from, file.as_deref(), &tells, keeper);
+        let label = "v1".to_owned();
+        let written = around.as_ref().map_or_else(|| plain(&text), |around| around.text(&text, &label));
+        std::fs::write(&settings, written)?;
         let listens = ports[at].1.clone();
-        let name = format!("d{at}");
-        processes.push(Process { name, settings, file, folder, listens, child: None, before: None });
+        let (name, told) = (format!("d{at}"), folder.join("told"));
+        processes.borrow_mut().push(Process {
+            name,
+            settings,
+            file,
+            folder,
+            listens,
+            child: None,
+            before: None,
+            text,
+            label,
+            told,
+            read: 0,
+            turning: false,
+            planned: false,
+            asleep: false,
+            by_trouble: false,
+            again_at: None,
+            out_since: None,
+            in_since: None,
+        });
     }
-    for process in &mut processes {
+    for process in processes.borrow_mut().iter_mut() {
         process.start(place.program)?;
     }
     tokio::time::sleep(Duration::from_millis(300)).await;
-    for process in &mut processes {
+    for process in processes.borrow_mut().iter_mut() {
         if let Some(status) = process.child.as_mut().map(Child::try_wait).transpose()?.flatten() {
             let log = std::fs::read_to_string(process.folder.join("log")).unwrap_or_default();
             return Err(io::Error::other(format!("{} ended at once ({status}): {log}", process.name)));
         }
     }
-    let mut playing = Playing { drill, place, ways: ways.clone(), processes, seen: seen.clone() };
+    let mut jobs = Vec::new();
+    if let Some(around) = &around {
+        jobs.push(spawn_local(around.clone().supervise()));
+        let own: Vec<String> = ports.iter().map(|(own, ..)| own.clone()).collect();
+        around.clients(&own, drill.seed);
+        jobs.extend(around.operate(place.folder)?);
+    }
+    let mut playing = Playing {
+        drill,
+        place,
+        ways: ways.clone(),
+        processes: processes.clone(),
+        seen: seen.clone(),
+        around: around.clone(),
+    };
     let last = playing.troubles().await?;
     drop(playing);
+    let ended = around.map(|around| around.end());
+    jobs.iter().for_each(|job| job.abort());
+    processes.borrow_mut().clear();
     let mut seen = seen.borrow_mut();
     let mut report = std::mem::take(&mut seen.report);
     let mut judge = std::mem::take(&mut seen.judge);
@@ -315,6 +395,10 @@
     (report.terms, report.story, report.breaches) = (judge.terms(), judge.story, judge.breaches);
     report.bytes = (0..drill.members).map(|at| ways.bytes_from(at)).sum();
     report.connections = ways.connections();
+    if let Some((released, breaches)) = ended {
+        report.breaches.extend(breaches);
+        report.released = Some(released);
+    }
     Ok(report)
 }
 
@@ -326,6 +410,7 @@
     IpAddr::V4(Ipv4Addr::new(127, 1 + high % 250, low, 10 + at as u8))
 }
 
+#[allow(clippy::too_many_arguments)]
 fn settings_of(
     drill: &Drill,
     service: &str,
@@ -334,11 +419,11 @@
     from: IpAddr,
     file: Option<&Path>,
     tells: &[String],
+    keeper: Option<&str>,
 ) -> String {
     let (own, fleet, known) = &ports[at];
     let mut out = format!("name d{at}\nnumber {at} of {}\nzone z{}\nlisten {own}\n", drill.members, at % 3);
-    // Nobody tells a list here: what is drilled does not need one.
-    out += "list-feed 127.0.0.1:9\n";
+    out += "list-feed {feed}\n";
     out += service;
     out += &format!("\nfleet\n    listen {fleet}\n    address {known}\n    from {from}\n");
     out += &format!("    lease {}ms\n    drift 0.01\n    beat {}ms\n", drill.lease, drill.lease / 5.0);
@@ -351,10 +436,18 @@
     for tell in tells {
         out += &format!("    tell {tell}\n");
     }
-    out += "    tell-every 10ms\nend\n";
+    if let (Some(keeper), Some(release)) = (keeper, &drill.release) {
+        out += &format!("    keeper {keeper}\n{}", release.bounds_text);
+    }
+    out += "    label {label}\n    tell-every 10ms\nend\n";
     out
 }
 
+/// Without a release nobody tells a list: what is drilled does not need one.
+fn plain(text: &str) -> String {
+    text.replace("{feed}", "127.0.0.1:9").replace("{label}", "v1")
+}
+
 /// A receiver of acts: listens, obeys or refuses, and tells the judge.
 async fn receiver(at: usize, drill: &Drill, seen: Rc<RefCell<Seen>>) -> io::Result<String> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
@@ -424,8 +517,9 @@
     drill: &'a Drill,
     place: &'a Place<'a>,
     ways: Ways,
-    processes: Vec<Process>,
+    processes: Rc<RefCell<Vec<Process>>>,
     seen: Rc<RefCell<Seen>>,
+    around: Option<Rc<release::Around>>,
 }
 
 impl Playing<'_> {
@@ -453,7 +547,7 @@
             while when - kept_files > 1_500.0 {
                 kept_files += 1_500.0;
                 self.until(kept_files).await;
-                for process in &mut self.processes {
+                for process in self.processes.borrow_mut().iter_mut() {
                     if let Some(file) = process.file.as_ref().filter(|_| process.before.is_none()) {
                         process.before = std::fs::read(file).ok();
                     }
@@ -475,12 +569,14 @@
     fn holder(&self) -> Option<usize> {
         let seen = self.seen.borrow();
         let name = &seen.judge.holder()?.name.0;
-        self.processes.iter().position(|p| *p.name == **name)
+        self.processes.borrow().iter().position(|p| *p.name == **name)
     }
 
     fn cut(&self, who: usize, ways: (bool, bool), on: bool, others: impl Fn(usize) -> bool) {
         let hold = |way: &mut Way| way.held = if on { way.held + 1 } else { way.held.saturating_sub(1) };
-        for other in (0..self.drill.members + self.drill.receivers).filter(|o| *o != who && others(*o)) {
+        let keeper = usize::from(self.drill.release.is_some());
+        let ends = self.drill.members + self.drill.receivers + keeper;
+        for other in (0..ends).filter(|o| *o != who && others(*o)) {
             if ways.0 {
                 self.ways.change(who, other, hold);
             }
@@ -508,6 +604,16 @@
         }
     }
 
+    /// SIGKILL, and the stand-ins' transcript says so.
+    fn kill(&self, at: usize) {
+        let process = &mut self.processes.borrow_mut()[at];
+        if let Some(around) = self.around.as_ref().filter(|_| process.child.is_some()) {
+            around.note_killed(process);
+        }
+        process.kill();
+        process.again_at = None;
+    }
+
     /// Begins a trouble; who is hit.
     async fn begin(&mut self, spell: &Spell) -> usize {
         let holder = self.holder();
@@ -538,12 +644,12 @@
         match spell.trouble {
             Trouble::Kill | Trouble::KillMany | Trouble::KillVoters | Trouble::KillAll => {
                 for at in self.many(spell.trouble, who) {
-                    self.processes[at].kill();
+                    self.kill(at);
                 }
             }
             Trouble::FileLost | Trouble::FileOld => {
-                let process = &mut self.processes[who];
-                process.kill();
+                self.kill(who);
+                let process = &self.processes.borrow()[who];
                 match (&process.file, &process.before) {
                     (Some(file), Some(before)) if spell.trouble == Trouble::FileOld => {
                         // What cannot be put back is a kill and no more.
@@ -555,8 +661,16 @@
                     _ => {}
                 }
             }
-            Trouble::Stop => self.processes[who].signal(Signal::TERM),
-            Trouble::Sleep => self.processes[who].signal(Signal::STOP),
+            Trouble::Stop => {
+                let process = &mut self.processes.borrow_mut()[who];
+                process.by_trouble = true;
+                process.signal(Signal::TERM);
+            }
+            Trouble::Sleep => {
+                let process = &mut self.processes.borrow_mut()[who];
+                process.asleep = true;
+                process.signal(Signal::STOP);
+            }
             Trouble::Cut { out, back } => self.cut(who, (out, back), true, |_| true),
             Trouble::CutFromVoters => self.cut(who, (true, true), true, |o| o < voters),
             Trouble::CutFromReceivers => self.cut(who, (true, true), true, |o| o >= members),
@@ -575,7 +689,7 @@
 
     /// A full disk: where the file is written beside its place there is a folder, which nothing replaces.
     fn block_disk(&self, who: usize, on: bool) {
-        if let Some(file) = &self.processes[who].file {
+        if let Some(file) = &self.processes.borrow()[who].file {
             let beside = file.with_extension("new");
             let _ = std::fs::remove_file(&beside);
             let _ = if on { std::fs::create_dir(&beside) } else { std::fs::remove_dir(&beside) };
@@ -585,7 +699,7 @@
     /// By the operators' command, as they would.
     fn hand_over(&self, who: usize) {
         let mut command = Command::new(self.place.program);
-        command.args(["fleet", "--at", &self.processes[who].listens, "hand-over", "roll-call"]);
+        command.args(["fleet", "--at", &self.processes.borrow()[who].listens, "hand-over", "roll-call"]);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
         if let Ok(mut child) = command.spawn() {
             // Waited for on a thread of its own: it ends within a second.
@@ -604,15 +718,27 @@
             | Trouble::KillVoters
             | Trouble::KillAll => {
                 for at in self.many(spell.trouble, who) {
-                    let process = &mut self.processes[at];
-                    if spell.trouble == Trouble::Stop || process.child.is_none() {
+                    let mut processes = self.processes.borrow_mut();
+                    let process = &mut processes[at];
+                    if spell.trouble == Trouble::Stop || process.child.is_none() && process.again_at.is_none()
+                    {
                         // One that was told to stop and has not ended by now is killed.
+                        if let Some(around) = self.around.as_ref().filter(|_| process.runs()) {
+                            around.note_killed(process);
+                        }
                         process.kill();
+                        if let Some(around) = &self.around {
+                            std::fs::write(&process.settings, around.text(&process.text, &process.label))?;
+                        }
                         process.start(self.place.program)?;
                     }
                 }
             }
-            Trouble::Sleep => self.processes[who].signal(Signal::CONT),
+            Trouble::Sleep => {
+                let process = &mut self.processes.borrow_mut()[who];
+                process.asleep = false;
+                process.signal(Signal::CONT);
+            }
             Trouble::Cut { out, back } => self.cut(who, (out, back), false, |_| true),
             Trouble::CutFromVoters => self.cut(who, (true, true), false, |o| o < voters),
             Trouble::CutFromReceivers => self.cut(who, (true, true), false, |o| o >= members),
--- a/crates/faults/src/duties/draw_release.rs
+++ b/crates/faults/src/duties/draw_release.rs
@@ -36,7 +36,7 @@
         hosts,
         bounds: (Bounds::default(), Bounds::default()),
         version: Version::Good,
-        ops: vec![Op { at: START, node: 0, act: Act::Start(forward(of)) }],
+        ops: vec![Op { at: START, node: 0, act: Act::Start(Box::new(forward(of))) }],
         after_halt: None,
         drains: 200.0,
         away: 150.0,
@@ -55,7 +55,7 @@
 /// The plan of a seed.
 pub fn draw(seed: u64, shape: &Shape) -> Plan {
     let mut rng = WyRand::new_seed(seed ^ 0x0e1e_a5e0);
-    let large = seed % shape.large_every == 0;
+    let large = seed.is_multiple_of(shape.large_every);
     let voters = [3, 3, 5][rng.generate_range(0..3usize)];
     let (members, hosts) = match large {
         true => (300, 100),
@@ -69,14 +69,14 @@
     plan.long = 0.002;
     let most = |number: u32, per_mille: u32| Most { number, per_mille };
     let mut chance = || rng.generate::<f64>();
-    let mut bounds = Bounds::default();
-    bounds.zone = if large { most(u32::MAX, 100) } else { most(if chance() < 0.6 { 1 } else { 2 }, 1000) };
-    bounds.fleet = match chance() {
+    let zone = if large { most(u32::MAX, 100) } else { most(if chance() < 0.6 { 1 } else { 2 }, 1000) };
+    let fleet = match chance() {
         _ if large => most(u32::MAX, 100),
         c if c < 0.3 => most(2, 1000),
         c if c < 0.6 => most(u32::MAX, 340),
         _ => Most::ALL,
     };
+    let mut bounds = Bounds { zone, fleet, ..Bounds::default() };
     if bounds.fleet.number < bounds.zone.number {
         bounds.zone.number = bounds.fleet.number;
     }
--- a/crates/faults/src/duties/service.rs
+++ b/crates/faults/src/duties/service.rs
@@ -25,7 +25,7 @@
 /// What an operator does.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Act {
-    Start(ReleasePlan),
+    Start(Box<ReleasePlan>),
     Halt,
     Resume,
     Back,
@@ -745,6 +745,15 @@
             self.met(&format!("halted by a sign: {}", kind_of(&status.halted)));
         }
         let Some(service) = &mut self.service else { return };
+        let forward = service.resumed.is_none() && status.of == Of::Dispatchers && status.left.is_empty();
+        let behind = |n: &Serving| !n.removed && n.label == "v1";
+        if status.state == "done" && forward && service.released.state != "done" {
+            if let Some(at) = service.nodes.iter().position(behind) {
+                let what = format!("at {now:.1} ms it is done, and d{at} is under the old label");
+                self.judge.breach_with("done early", what, &[]);
+            }
+        }
+        let Some(service) = &mut self.service else { return };
         (service.released.state, service.released.why) = (status.state.clone(), status.why.clone());
         if service.released.why.is_empty() {
             service.released.why = status.halted;
@@ -815,7 +824,7 @@
             }
         }
         let order = match act {
-            Act::Start(plan) => ReleaseOrder::Start { plan: Box::new(plan), skip: false, dry: false },
+            Act::Start(plan) => ReleaseOrder::Start { plan, skip: false, dry: false },
             Act::Halt => ReleaseOrder::Halt { why: "an operator says so".to_owned() },
             Act::Resume => ReleaseOrder::Resume,
             Act::Back => ReleaseOrder::Back,
--- a/crates/standin/src/feed.rs
+++ b/crates/standin/src/feed.rs
@@ -17,7 +17,7 @@
     name: Rc<str>,
     told: RefCell<BTreeMap<String, v1::HostLine>>,
     version: Cell<u64>,
-    followers: RefCell<Vec<UnboundedSender<v1::HostList>>>,
+    followers: RefCell<Vec<(Rc<str>, UnboundedSender<v1::HostList>)>>,
     delay: Cell<Ms>,
     silent: Cell<bool>,
 }
@@ -64,10 +64,15 @@
 
     /// Followers now.
     pub fn followers(&self) -> usize {
-        self.inner.followers.borrow_mut().retain(|f| !f.is_closed());
+        self.inner.followers.borrow_mut().retain(|(_, f)| !f.is_closed());
         self.inner.followers.borrow().len()
     }
 
+    /// Whether somebody of this name follows now.
+    pub fn is_followed_by(&self, name: &str) -> bool {
+        self.inner.followers.borrow().iter().any(|(who, f)| **who == *name && !f.is_closed())
+    }
+
     /// A change of the fleet, told to all followers after the delay.
     pub fn change(&self, line: v1::HostLine) {
         let feed = self.clone();
@@ -88,7 +93,7 @@
     }
 
     fn push(&self, list: &v1::HostList) {
-        self.inner.followers.borrow_mut().retain(|f| f.send(list.clone()).is_ok());
+        self.inner.followers.borrow_mut().retain(|(_, f)| f.send(list.clone()).is_ok());
     }
 
     fn list(&self, kind: v1::ListKind, mut hosts: Vec<v1::HostLine>) -> v1::HostList {
@@ -108,7 +113,7 @@
         let Some(session) = welcome::<T>(stream, v1::Party::Feed, &self.inner.name).await else { return };
         let Session { them, mut events, out, .. } = session;
         let mut number = 0;
-        let (peer, conn) = (Rc::from(them.name), self.inner.transcript.new_conn());
+        let (peer, conn): (Rc<str>, u64) = (Rc::from(them.name), self.inner.transcript.new_conn());
         let (send, mut lists) = unbounded_channel();
         loop {
             let list = tokio::select! { biased;
@@ -116,9 +121,11 @@
                 event = events.recv() => match event {
                     Some(Event::Frame(Frame { stream, body: Some(Body::Follow(follow)) })) => {
                         number = stream;
-                        if follow.changes && !self.inner.followers.borrow().iter().any(|f| f.same_channel(&send)) {
-                            self.inner.followers.borrow_mut().push(send.clone());
+                        let mut followers = self.inner.followers.borrow_mut();
+                        if follow.changes && !followers.iter().any(|(_, f)| f.same_channel(&send)) {
+                            followers.push((peer.clone(), send.clone()));
                         }
+                        drop(followers);
                         let hosts = self.inner.told.borrow().values().cloned().collect();
                         Some(self.list(v1::ListKind::Full, hosts)).filter(|_| !self.inner.silent.get())
                     }
--- a/src/fleet/bounds.rs
+++ b/src/fleet/bounds.rs
@@ -4,7 +4,7 @@
 
 use super::{Address, Name, Run};
 use crate::interface::{Ms, Role};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 /// What is taken out of service and brought back.
@@ -422,6 +422,16 @@
         }
     }
 
+    /// Zones of which some are not seen at all, though the fleet agreed on them.
+    pub fn missing(&self, units: &[Unit]) -> Option<String> {
+        let seen = sizes_seen(units.iter());
+        let lacks = |(zone, count): (&String, &Count)| {
+            let there = seen.get(zone).copied().unwrap_or(0);
+            (there < count.size).then(|| format!("{} of zone {zone} are not there", count.size - there))
+        };
+        self.zones.iter().find_map(lacks)
+    }
+
     /// How many are out and how many may be: of the fleet (no name), and each zone.
     pub fn room(&self, bounds: &Bounds) -> Vec<(String, u32, u32)> {
         let fleet = (String::new(), self.fleet.out(), bounds.fleet.of(self.fleet.size));
@@ -429,25 +439,27 @@
         std::iter::once(fleet).chain(self.zones.iter().map(zone)).collect()
     }
 
-    /// A place of which the bounds never let any go, whatever is in.
-    pub fn never(&self, units: &[Unit], bounds: &Bounds) -> Option<String> {
+    /// A place of which the bounds never let any go that is meant, whatever is in.
+    pub fn never(&self, units: &[Unit], bounds: &Bounds, meant: impl Fn(&Unit) -> bool) -> Option<String> {
         if bounds.fleet.of(self.fleet.size) == 0 {
             return Some(format!("the bounds let none of a fleet of {} go", self.fleet.size));
         }
-        let none = |(zone, count): (&String, &Count)| {
-            let never = count.size > 0 && bounds.zone.of(count.size) == 0;
-            never.then(|| format!("the bounds let none of zone {zone}'s {} go", count.size))
+        let zones: BTreeSet<&String> = units.iter().filter(|u| meant(u)).map(|u| &u.zone).collect();
+        let none = |zone: &&String| {
+            let size = self.zones.get(*zone).map_or(0, |count| count.size);
+            (bounds.zone.of(size) == 0).then(|| format!("the bounds let none of zone {zone}'s {size} go"))
         };
-        if let Some(why) = self.zones.iter().find_map(none) {
+        if let Some(why) = zones.iter().find_map(none) {
             return Some(why);
         }
+        let places = |unit: &Unit| {
+            let (zone, cell) = (unit.zone.clone(), cell_of(unit));
+            roles(unit.role).flat_map(move |role| [(false, role, zone.clone()), (true, role, cell.clone())])
+        };
         let mut all: BTreeMap<(bool, Role2, String), u32> = BTreeMap::new();
-        for unit in units {
-            for role in roles(unit.role) {
-                *all.entry((false, role, unit.zone.clone())).or_default() += 1;
-                *all.entry((true, role, cell_of(unit))).or_default() += 1;
-            }
-        }
+        units.iter().flat_map(places).for_each(|place| *all.entry(place).or_default() += 1);
+        let asked: BTreeSet<_> = units.iter().filter(|u| meant(u)).flat_map(places).collect();
+        all.retain(|place, _| asked.contains(place));
         let least = |cell: bool, role: Role2| match (cell, role) {
             (false, 0) => bounds.readers_zone,
             (false, _) => bounds.writers_zone,
--- a/src/fleet/conduct.rs
+++ b/src/fleet/conduct.rs
@@ -287,7 +287,16 @@
             false => plan.wave(release.wave).saturating_sub(release.given),
         };
         if order.is_empty() && waits.is_none() && planned == 0 {
-            return Some(Step::Finish);
+            // Nobody is left that is seen; one that is not seen may be one of them. A model host that is gone comes back
+            // as another.
+            let beside = care.turns.values().any(|turn| turn.of == plan.of);
+            self.why = match view.whole {
+                false => Some("the roll is not whole yet".to_owned()),
+                true if beside => Some("turns beside the release are not over".to_owned()),
+                true if plan.of == Of::Hosts => None,
+                true => counts.missing(units),
+            };
+            return self.why.is_none().then_some(Step::Finish);
         }
         if room == 0 && !order.is_empty() {
             if planned > 0 {
--- a/src/fleet/member/releasing.rs
+++ b/src/fleet/member/releasing.rs
@@ -558,8 +558,7 @@
             return Err("the settings of the fleet have no 'keeper' to list hosts as draining".to_owned());
         }
         let counts = Counts::new(units.iter(), sizes, bounds, |_| false);
-        let meant: Vec<Unit> = units.iter().filter(|u| plan.takes(u)).cloned().collect();
-        match counts.never(&meant, bounds) {
+        match counts.never(units, bounds, |unit| plan.takes(unit)) {
             Some(why) => Err(why),
             None => Ok(()),
         }
