--- /dev/null
+++ b/crates/cindercleat-cli/tests/common/mod.rs
@@ -0,0 +1,98 @@
+//! What tests of fleets among processes share: three dispatchers that vote, and the program's commands.
+#![allow(dead_code)]
+
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+pub fn program() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_cindercleat"))
+}
+
+pub fn run(args: &[&str]) -> (Option<i32>, String, String) {
+    let out = program().args(args).output().expect("it starts");
+    let text = |bytes| String::from_utf8_lossy(bytes).into_owned();
+    (out.status.code(), text(&out.stdout), text(&out.stderr))
+}
+
+pub fn folder(name: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("cindercleat-test-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&path).expect("the folder for passing files takes it");
+    path
+}
+
+pub const SERVICE: &str = "zones z\nzone z\nlist-feed 127.0.0.1:9\n\
+    profile p\n effect at-most-once\n quoted 1s\n patience 2s\nend\n\
+    kind r\n does reads\n memory 1\nend\nkind w\n does writes\n memory 1\nend\n\
+    limits\n release 500ms\n launches 4\n connect 250ms\n drain-grace 1s\n fall 4 within 1s\n \
+    cold 0.3 ramp 4s\n stop-grace 100ms\nend\n";
+
+/// Three dispatchers that vote, on an address that only this test has.
+pub struct Fleet {
+    pub at: Vec<String>,
+    pub children: Vec<Child>,
+    pub settings: Vec<PathBuf>,
+}
+
+impl Fleet {
+    pub fn start(name: &str, host: &str) -> Fleet {
+        let folder = folder(name);
+        let port = || {
+            let taken = TcpListener::bind((host, 0)).expect("a port");
+            taken.local_addr().expect("it has one").to_string()
+        };
+        let at: Vec<String> = (0..3).map(|_| port()).collect();
+        let voters: Vec<String> =
+            at.iter().enumerate().map(|(n, at)| format!(" voter d{n} {at}\n")).collect();
+        let mut fleet = Fleet { at: at.clone(), children: Vec::new(), settings: Vec::new() };
+        for (n, at) in at.iter().enumerate() {
+            let file = folder.join(format!("voter-{n}"));
+            let text = format!(
+                "name d{n}\nnumber {n} of 3\nlisten {}\n{SERVICE}fleet\n listen {at}\n file {}\n lease 600ms\n{}end\n",
+                port(),
+                file.display(),
+                voters.concat()
+            );
+            let path = folder.join(format!("d{n}.conf"));
+            std::fs::write(&path, text).expect("written");
+            fleet.children.push(serve(&path));
+            fleet.settings.push(path);
+        }
+        fleet
+    }
+
+    pub fn fleet(&self, args: &[&str]) -> (Option<i32>, String, String) {
+        run(&[&["fleet", "--at", &self.at[0]], args].concat())
+    }
+
+    /// Asks until something is so, for ten seconds at most.
+    pub fn until(&self, what: &str, is: impl Fn(&serde_json::Value) -> bool) -> serde_json::Value {
+        let end = Instant::now() + Duration::from_secs(10);
+        loop {
+            let (_, out, err) = self.fleet(&["status", "--json"]);
+            let status: serde_json::Value = serde_json::from_str(&out).unwrap_or_default();
+            if is(&status) {
+                return status;
+            }
+            assert!(Instant::now() < end, "{what}: {out}{err}");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for child in &mut self.children {
+            // Ours, by its own handle; it may be gone.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+pub fn serve(settings: &Path) -> Child {
+    let mut command = program();
+    command.arg("serve").arg(settings).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+    command.spawn().expect("it starts")
+}
--- a/crates/faults/src/duties/mod.rs
+++ b/crates/faults/src/duties/mod.rs
@@ -8,6 +8,7 @@
 mod judge;
 pub mod service;
 pub mod small;
+pub mod small_release;
 
 pub use draw::{draw, Plan, Shape, Trouble};
 pub use judge::{Breach, Judge};
--- a/crates/faults/tests/explored.rs
+++ b/crates/faults/tests/explored.rs
@@ -1,7 +1,8 @@
-//! Small cases of duties, explored through every order of steps, and by walks at random.
+//! Small cases of duties and of releases, explored through every order of steps, and by walks at random.
 
 use cindercleat::fleet::planted::{plant, Plant};
 use cindercleat_faults::duties::small::Small;
+use cindercleat_faults::duties::small_release::SmallRelease;
 use cindercleat_faults::explore::{explore, wander, Explored};
 
 /// Two contenders and three voters; messages that come late, twice or never; a restart of each kind.
@@ -33,6 +34,12 @@
 /// The same with a voter that starts again in between.
 const ONE_TRY_AGAIN: Small = Small { voter_restarts: 1, ..ONE_TRY };
 
+/// A release over three with room for one, halted at every point.
+const HALTED: SmallRelease =
+    SmallRelease { failures: 1, losses: 1, successions: 1, halts: 1, resumes: 1, back: false };
+/// The same, and it goes back.
+const BACK: SmallRelease = SmallRelease { failures: 0, resumes: 0, back: true, ..HALTED };
+
 fn tell(name: &str, found: &Explored) {
     let whole = if found.whole { "all there are" } else { "as far as asked" };
     println!("{name}: {} states, {} steps, {whole}", found.states, found.depth);
@@ -55,6 +62,28 @@
     }
 }
 
+#[test]
+fn nothing_is_wrong_in_the_smallest_release() {
+    for (name, case) in [("halted", HALTED), ("back", BACK)] {
+        let found = explore(&case, 60_000, 80);
+        tell(name, &found);
+        assert_eq!(found.wrong, None, "{name}");
+        assert_eq!(wander(&case, 1, 300, 60), None, "{name}");
+    }
+}
+
+#[test]
+fn planted_faults_of_releases_are_found_with_their_steps() {
+    for (fault, says) in [(Plant::ToldBeforeAgreed, "turn"), (Plant::TurnTwice, "turns")] {
+        plant(Some(fault));
+        let found = wander(&HALTED, 1, 20_000, 60);
+        plant(None);
+        let (walks, what, story) = found.unwrap_or_else(|| panic!("{fault:?} is not found"));
+        println!("{fault:?}: walk {walks}: {what}: {}", story.join("; "));
+        assert!(what.contains(says), "{what}");
+    }
+}
+
 #[test]
 fn a_planted_fault_is_found_with_its_steps() {
     plant(Some(Plant::PromiseBroken));
@@ -76,6 +105,11 @@
         ("held", HELD),
         ("changes", CHANGES),
     ];
+    for (name, case) in [("halted", HALTED), ("back", BACK)] {
+        let found = explore(&case, 3_000_000, 200);
+        tell(name, &found);
+        assert_eq!(found.wrong, None, "{name}");
+    }
     std::thread::scope(|scope| {
         for (name, case) in cases {
             scope.spawn(move || {
--- a/crates/faults/tests/releases.rs
+++ b/crates/faults/tests/releases.rs
@@ -204,6 +204,17 @@
     assert!(released.begun >= 6, "{released:?}");
 }
 
+#[test]
+fn a_third_that_joins_in_the_middle_turns_too() {
+    let (_, released) = with(Of::Dispatchers, 14, |plan| {
+        for node in 6..9 {
+            plan.troubles.push(spell(210.0, 8_000.0, Who::Node(node), Trouble::Kill));
+        }
+        plan.length = 90_000.0;
+    });
+    assert_eq!((released.state.as_str(), released.begun), ("done", 9), "{released:?}");
+}
+
 #[test]
 fn a_worse_version_is_halted_and_goes_back() {
     let (played, released) = with(Of::Dispatchers, 15, |plan| {
