--- a/src/fleet/conduct.rs
+++ b/src/fleet/conduct.rs
@@ -212,16 +212,14 @@
                 }
                 // In under another label than wanted, on the way back: its turn is over, and if it is to go it waits for
                 // room like any other.
-                Stage::Wrong if goes_back && care.halted.is_none() => {
-                    if lasted >= settle {
-                        let tried = self.tried.entry(turn.who.clone()).or_default();
-                        *tried += u32::from(!forward);
-                        if *tried > TOLD_BACK {
-                            let label = unit.map_or("", |u| &u.label);
-                            return leave(care, *number, format!("stays under {label}"));
-                        }
-                        back.push(*number);
+                Stage::Wrong if goes_back && care.halted.is_none() && lasted >= settle => {
+                    let tried = self.tried.entry(turn.who.clone()).or_default();
+                    *tried += u32::from(!forward);
+                    if *tried > TOLD_BACK {
+                        let label = unit.map_or("", |u| &u.label);
+                        return leave(care, *number, format!("stays under {label}"));
                     }
+                    back.push(*number);
                 }
                 // There and not ready under the new version: it is told at once, as what it is now. It is out already.
                 Stage::Starting if goes_back && care.halted.is_none() => {
