--- a/crates/faults/src/duties/service.rs
+++ b/crates/faults/src/duties/service.rs
@@ -111,6 +111,8 @@
     wrong_since: Option<Ms>,
     dies_at: Ms,
     removed: bool,
+    /// It was in at least once: nobody can miss it before.
+    was_in: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -189,6 +191,7 @@
             wrong_since: None,
             dies_at: f64::INFINITY,
             removed: false,
+            was_in: false,
         };
         let host = |at: usize| Host {
             name: Name::from(format!("h{at}").as_str()),
@@ -569,7 +572,7 @@
                 if !wrong && now > serving.turned_at {
                     serving.planned = false;
                 }
-                serving.out_since = None;
+                (serving.out_since, serving.was_in) = (None, true);
             } else {
                 serving.out_since.get_or_insert(now);
             }
@@ -616,7 +619,8 @@
         let (bounds, outs): (Bounds, Vec<(usize, bool)>) = match of {
             Of::Dispatchers => {
                 let recounted = service.recounted;
-                let nodes = service.nodes.iter().enumerate().filter(|(_, n)| !n.removed || !recounted);
+                let nodes =
+                    service.nodes.iter().enumerate().filter(|(_, n)| n.was_in && (!n.removed || !recounted));
                 let out = |n: &Serving| (n.planned && n.out_since.is_some()) || long(n.out_since);
                 (service.play.bounds.0, nodes.map(|(at, n)| (at, at == who || out(n))).collect())
             }
