--- a/crates/faults/src/drill/release.rs
+++ b/crates/faults/src/drill/release.rs
@@ -450,8 +450,15 @@
                 return;
             }
             let why = String::from_utf8_lossy(&done.stderr).trim().to_owned();
-            let again =
-                ["in a moment", "majority", "calls the roll", "no answer", "refused", "another answer"];
+            let again = [
+                "in a moment",
+                "majority",
+                "calls the roll",
+                "no answer",
+                "refused",
+                "another answer",
+                "protocol error",
+            ];
             if !again.iter().any(|words| why.contains(words)) {
                 *self.released.borrow_mut().refused.entry(format!("{what}: {why}")).or_default() += 1;
                 return;
