--- a/crates/faults/src/duties/service.rs
+++ b/crates/faults/src/duties/service.rs
@@ -3,7 +3,7 @@
 //! work, what the voters' files hold; never what a member thinks.
 
 use super::*;
-use cindercleat::fleet::bounds::{Bounds, Most, Of, Sizes, Stand, Tally, Unit};
+use cindercleat::fleet::bounds::{Bounds, Most, Of, Stand, Tally, Unit};
 use cindercleat::fleet::conduct::Told;
 use cindercleat::fleet::member::{Fares, ReleaseOrder};
 use cindercleat::fleet::release::{Plan as ReleasePlan, TurnNo};
@@ -918,12 +918,4 @@
             _ => self.push(now + 50.0, What::Op(number)),
         }
     }
-
-    /// Sizes as they truly are, for tests.
-    pub fn sizes(members: usize) -> Sizes {
-        (0..members).fold(Sizes::new(), |mut sizes, at| {
-            *sizes.entry(format!("z{}", at % 3)).or_default() += 1;
-            sizes
-        })
-    }
 }
