A silent agent is asked again within the drain grace, the list read when it returns

Log of n5: 4.019 list feed lost reason="it says nothing" 6.622, 9.324 the same; called again 0.4 s after the third 12.227 list feed lost reason="it says nothing" The call made at 9.7 s, before discovery came back (told at 10.98 s), is never answered, and is given up only after the 2.5 s that a watch may say nothing; then up to 2 s more pass before the next. What the agent gets at the return counts at once, so with a grace of 0.5 s every dispatcher that was in such a call breaks the rule.

At fault: shell.rs FEED_AGAIN_MOST, read_feed's one limit for first answer and watch; bounds.rs FEED_QUIET.

Waits are spread by the seed. A long list that has begun to come is waited for; what came while the process did not run is read first.

--- a/crates/cindercleat-cli/src/node.rs
+++ b/crates/cindercleat-cli/src/node.rs
@@ -81,6 +81,9 @@
     let given = Given {
         memory: said.limits.memory_mb.max(1.0) * f64::from(1 << 20),
         descriptors: said.limits.sockets,
+        connect_timeout: conf.settings.connect_timeout,
+        discovery: conf.settings.discovery,
+        drain_grace: conf.settings.drain_grace,
         host_idle: conf.link_idle,
         most_held: conf.most_tasks,
         clients_resume: conf.clients_resume,
@@ -93,6 +96,8 @@
         most_list: allowed.most_list,
         most_bodies: allowed.most_bodies,
         feed_wait_ms: allowed.feed_wait as u32,
+        drain_ms: allowed.drain as u32,
+        most_drained: allowed.most_drained,
     };
     let program = program(said.name, seed, conf, &allowed);
     Ok(Configuration { listen: said.listen, discovery: said.discovery, seed, known, program, bounds })
@@ -123,10 +128,9 @@
         stop_moves: allowed.stop_moves,
         most_frame: allowed.most_body,
         most_clients: allowed.most_clients,
-        // The list feed's, to connect.
         greet_within: conf.settings.connect_timeout,
         single: Some(Single { clients: allowed.clients, most_links: allowed.most_links }),
-        feed_quiet: allowed.feed_quiet,
+        feed: allowed.feed,
     };
     ProgramSettings {
         name,
--- a/crates/cindercleat-cli/src/settings.rs
+++ b/crates/cindercleat-cli/src/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::conf::{Line, Problem, Section, Time};
 use crate::fleet_settings::{self, Fleet};
+use cindercleat::feed::FeedSettings;
 use cindercleat::interface::*;
 use cindercleat_dispatcher::shell::Places;
 use cindercleat_dispatcher::{Limits, ProgramSettings, Service};
@@ -150,6 +151,7 @@
         Some(line) => (line.value(1)?, line.must_after("more")?),
         None => (1_000.0, 200.0),
     };
+    let greet_within = or("greet-within", 5_000.0)?;
     let own = Limits {
         most_tasks: limits.value_or("most-tasks", 20_000)?,
         streams_per_link: limits.value_or("streams-per-link", 100)?,
@@ -168,11 +170,11 @@
         stop_grace: or("stop-grace", 10_000.0)?,
         most_frame: limits.value_or("most-frame", 1 << 20)?,
         most_clients: limits.value_or("most-clients", 12_000)?,
-        greet_within: or("greet-within", 5_000.0)?,
+        greet_within,
         stop_notice: 0.0,
         stop_moves: None,
         single: None,
-        feed_quiet: f64::INFINITY,
+        feed: FeedSettings::unhurried(greet_within),
     };
     if own.window == 0 || own.streams_per_link == 0 || own.links_per_host == 0 {
         return Err(limits.head.wrong("window, streams-per-link and links-per-host of at least 1"));
--- a/crates/dispatcher/src/settings.rs
+++ b/crates/dispatcher/src/settings.rs
@@ -2,6 +2,7 @@
 
 use cindercleat::callers::CallerSettings;
 use cindercleat::channels::ChannelSettings;
+use cindercleat::feed::FeedSettings;
 use cindercleat::interface::{DispatcherId, Ms, Settings, ZoneId};
 use cindercleat::single::SingleSettings;
 
@@ -60,8 +61,8 @@
     /// Where a connection carries one call at a time, and ends with a call that is called off: what is decided
     /// about clients' connections, and how many there may be to all hosts.
     pub single: Option<Single>,
-    /// The list feed says something at least this often.
-    pub feed_quiet: Ms,
+    /// Of the calls to the list feed.
+    pub feed: FeedSettings,
 }
 
 /// What holds where a connection carries one call at a time.
--- a/crates/dispatcher/src/shell.rs
+++ b/crates/dispatcher/src/shell.rs
@@ -6,6 +6,7 @@
 
 use crate::ledger::{ConnId, Input, Ledger, Level, LinkId, Output, StreamNo};
 use crate::{keep, ProgramSettings};
+use cindercleat::feed::FeedCalls;
 use cindercleat::fleet::bounds::{Tally, Unit};
 use cindercleat::fleet::rollcall::HostReport;
 use cindercleat::interface::{DispatcherId, HostId, Ms};
@@ -33,9 +34,8 @@
     pub peers: BTreeMap<u32, String>,
 }
 
-/// How long to wait before the list feed is called again: at first, and at most.
-const FEED_AGAIN: Ms = 100.0;
-const FEED_AGAIN_MOST: Ms = 2000.0;
+/// How long to wait when no connection can be taken in.
+const ACCEPT_AGAIN: Ms = 100.0;
 /// Streams that one client may have open on a connection.
 const MOST_CALLS: u32 = 1024;
 
@@ -69,6 +69,7 @@
 
 struct Inner<T, C, W: Wire> {
     settings: ProgramSettings,
+    seed: u64,
     places: RefCell<Places>,
     transport: T,
     clock: C,
@@ -122,6 +123,7 @@
         let inner = Inner {
             ledger: RefCell::new(ledger),
             settings,
+            seed,
             places: RefCell::new(places),
             transport,
             clock,
@@ -358,7 +360,7 @@
                 // Too many open files, or a connection gone again: others may still be had.
                 Err(problem) => {
                     tracing::warn!(%problem, "connection not taken");
-                    let again = self.inner.clock.now() + FEED_AGAIN;
+                    let again = self.inner.clock.now() + ACCEPT_AGAIN;
                     self.inner.clock.sleep_until(again).await;
                 }
             }
@@ -444,7 +446,7 @@
 
     /// Follows the list feed, one address after another, for as long as the dispatcher serves.
     async fn follow_list(self) {
-        let mut wait = FEED_AGAIN;
+        let mut calls = FeedCalls::new(self.inner.settings.limits.feed, self.inner.seed);
         let mut at = 0;
         loop {
             let feeds = self.inner.places.borrow().feeds.clone();
@@ -454,25 +456,25 @@
             let address = &feeds[at % feeds.len()];
             let reason = tokio::select! { biased;
                 () = self.inner.moved.notified() => {
-                    wait = FEED_AGAIN;
+                    calls.moved();
                     continue;
                 }
-                reason = self.read_feed(address, &mut wait) => reason,
+                reason = self.read_feed(address, &mut calls) => reason,
             };
             tracing::warn!(address, reason, "list feed lost");
             self.input(Input::ListRefused);
             at += 1;
-            let again = self.inner.clock.now() + wait;
-            wait = (2.0 * wait).min(FEED_AGAIN_MOST);
+            let again = self.inner.clock.now() + calls.lost();
             tokio::select! { biased;
-                () = self.inner.moved.notified() => wait = FEED_AGAIN,
+                () = self.inner.moved.notified() => calls.moved(),
                 () = self.inner.clock.sleep_until(again) => {}
             }
         }
     }
 
-    async fn read_feed(&self, address: &str, wait: &mut Ms) -> String {
-        let until = self.inner.clock.now() + self.inner.settings.limits.greet_within;
+    async fn read_feed(&self, address: &str, calls: &mut FeedCalls) -> String {
+        calls.calling();
+        let until = self.inner.clock.now() + self.inner.settings.limits.feed.connect;
         let called = async {
             let stream = self.inner.transport.connect(address).await.map_err(|e| e.to_string())?;
             self.inner.wire.connect(stream, v1::Party::Feed, self.setup("", 1)).await
@@ -489,9 +491,17 @@
         let mut number = 1;
         follow(number);
         let clock = &self.inner.clock;
+        let mut heard = clock.now();
         loop {
-            let quiet = self.inner.settings.limits.feed_quiet;
-            let until = clock.now() + quiet;
+            let quiet = calls.quiet();
+            let until = heard + quiet;
+            let silent = async {
+                clock.sleep_until(until).await;
+                // Guards against a process that did not run for a while: what came meanwhile is read first.
+                for _ in 0..3 {
+                    yield_now().await;
+                }
+            };
             let next = tokio::select! { biased;
                 () = self.inner.follow.notified() => {
                     number += 1;
@@ -500,14 +510,15 @@
                 }
                 next = events.recv() => next,
                 // Guards against a feed that is gone without a word.
-                () = clock.sleep_until(until), if quiet.is_finite() => {
+                () = silent, if quiet.is_finite() => {
                     out.close();
                     return "it says nothing".to_owned();
                 }
             };
             match next {
                 Some(Event::Frame(Frame { body: Some(Body::List(list)), .. })) => {
-                    *wait = FEED_AGAIN;
+                    calls.answered();
+                    heard = clock.now();
                     let told = |line: &v1::HostLine| {
                         (line.host.clone(), line.condition().as_str_name(), line.started_ms)
                     };
@@ -520,6 +531,8 @@
                     out.close();
                     return bye.reason;
                 }
+                // A long list has begun to come.
+                Some(Event::Partly) => calls.begins(),
                 Some(_) => {}
                 None => return "the connection ended".to_owned(),
             }
--- a/crates/http1/src/feed.rs
+++ b/crates/http1/src/feed.rs
@@ -3,7 +3,7 @@
 use crate::framing::{Came, Reading};
 use crate::{list, session, words, Bounds, Session, Shared};
 use bytes::BytesMut;
-use cindercleat_protocol::session::{Io, Setup};
+use cindercleat_protocol::session::{Event, Io, Setup};
 use cindercleat_protocol::{v1, Body, Frame};
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -47,7 +47,7 @@
         let answered = tokio::select! { biased;
             // Nobody listens any more: the watch ends here, or it would go on for ever beside the next one.
             () = dropped(said) => return "given up".to_owned(),
-            answered = answer(&mut io, bounds, &mut bytes) => answered,
+            answered = answer(&mut io, bounds, &mut bytes, shared) => answered,
         };
         let body = match answered {
             Ok(body) => body,
@@ -68,7 +68,13 @@
     while said.recv().await.is_some() {}
 }
 
-async fn answer<S: Io>(io: &mut S, bounds: Bounds, bytes: &mut BytesMut) -> Result<BytesMut, String> {
+async fn answer<S: Io>(
+    io: &mut S,
+    bounds: Bounds,
+    bytes: &mut BytesMut,
+    shared: &Shared,
+) -> Result<BytesMut, String> {
+    let mut begun = false;
     let mut reading = Reading::new(bounds.most_list);
     let mut body = BytesMut::new();
     loop {
@@ -83,6 +89,10 @@
             None => match io.read_buf(bytes).await {
                 Ok(0) if reading.may_end() => return Ok(body),
                 Ok(0) => return Err("the connection ended".to_owned()),
+                Ok(_) if !begun => {
+                    begun = true;
+                    shared.tell(Event::Partly);
+                }
                 Ok(_) => {}
                 Err(problem) => return Err(problem.to_string()),
             },
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -36,6 +36,10 @@
     pub most_bodies: usize,
     /// How long the list feed may wait with an answer, in whole milliseconds.
     pub feed_wait_ms: u32,
+    /// After the last answer on a connection: how long, in milliseconds, and how many bytes of what still comes
+    /// are taken before it is closed.
+    pub drain_ms: u32,
+    pub most_drained: usize,
 }
 
 /// The platform's protocol; clones share their bounds.
--- /dev/null
+++ b/src/feed.rs
@@ -0,0 +1,95 @@
+//! What a dispatcher decides about its calls to discovery: how long one may say nothing before it is given up, and
+//! when the next is made.
+//!
+//! Like [`channels`](crate::channels) it does no I/O and reads no clock; chance comes from the seed.
+
+use crate::interface::Ms;
+use nanorand::{Rng, WyRand};
+
+/// Times of the calls to discovery.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FeedSettings {
+    /// A connection must be up by then.
+    pub connect: Ms,
+    /// The first answer on a connection, which waits for nothing, must have begun to come by then, counted from the
+    /// connection; a whole one, and each later one, which may wait for a change, be there by the second.
+    pub first_quiet: Ms,
+    pub quiet: Ms,
+    /// The wait after a call that was lost, doubled each time up to the most.
+    pub again_first: Ms,
+    pub again_most: Ms,
+}
+
+/// The waits after a lost call where nothing bounds them but what a feed bears.
+const AGAIN_FIRST: Ms = 100.0;
+const AGAIN_MOST: Ms = 2_000.0;
+
+impl FeedSettings {
+    /// Of a feed that speaks only when there is something to tell, and whose wire finds a dead peer by itself.
+    pub fn unhurried(connect: Ms) -> Self {
+        let never = f64::INFINITY;
+        let (again_first, again_most) = (AGAIN_FIRST, AGAIN_MOST);
+        FeedSettings { connect, first_quiet: never, quiet: never, again_first, again_most }
+    }
+
+    /// How long after discovery can be reached (again) its list is asked for on a connection that is up, whatever
+    /// became of the calls before: the last of them was made just too early and is given up first.
+    pub fn asks_within(&self) -> Ms {
+        let given_up = self.connect + self.first_quiet.max(self.quiet);
+        given_up + self.again_first.max(self.again_most) + self.connect
+    }
+}
+
+/// One dispatcher's calls to discovery.
+#[derive(Clone, Debug)]
+pub struct FeedCalls {
+    settings: FeedSettings,
+    rng: WyRand,
+    wait: Ms,
+    /// Whether anything came on the present connection.
+    answered: bool,
+}
+
+impl FeedCalls {
+    pub fn new(settings: FeedSettings, seed: u64) -> Self {
+        FeedCalls { settings, rng: WyRand::new_seed(seed), wait: settings.again_first, answered: false }
+    }
+
+    /// A connection is about to be made.
+    pub fn calling(&mut self) {
+        self.answered = false;
+    }
+
+    /// An answer has begun to come.
+    pub fn begins(&mut self) {
+        self.answered = true;
+    }
+
+    /// A list came.
+    pub fn answered(&mut self) {
+        (self.answered, self.wait) = (true, self.settings.again_first);
+    }
+
+    /// Discovery is at another address: there is no reason to wait.
+    pub fn moved(&mut self) {
+        self.wait = self.settings.again_first;
+    }
+
+    /// For how long the present connection may say nothing.
+    pub fn quiet(&self) -> Ms {
+        if self.answered {
+            self.settings.quiet
+        } else {
+            self.settings.first_quiet
+        }
+    }
+
+    /// The connection is over; gives the wait before the next. Guards against hundreds of dispatchers that lose
+    /// discovery at one instant and come back to it at one instant, each time: chance takes up to half of it.
+    pub fn lost(&mut self) -> Ms {
+        let chance: f64 = self.rng.generate();
+        let wait = self.wait.min(self.settings.again_most) * (1.0 - chance / 2.0);
+        self.wait = (2.0 * self.wait).min(self.settings.again_most);
+        wait
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! cindercleat: routing decisions for language-model servers that read and write in two stages.
 //!
 //! [`control::Control`] decides about tasks, [`channels::Channels`] about the connections to a host,
-//! [`callers::Caller`] and [`single::Single`] about a client's, [`bounds::Allowed`] about how much of all there
+//! [`callers::Caller`] and [`single::Single`] about a client's, [`feed::FeedCalls`] about calls to discovery, [`bounds::Allowed`] about how much of all there
 //! may be; [`interface`] holds the plain types that callers exchange with the first.
 #![forbid(unsafe_code)]
 
@@ -9,6 +9,7 @@
 pub mod callers;
 pub mod channels;
 pub mod control;
+pub mod feed;
 pub mod fleet;
 pub mod interface;
 pub mod single;
--- /dev/null
+++ b/tests/bounds.rs
@@ -0,0 +1,65 @@
+//! What a dispatcher on a machine of its own allows itself.
+
+use cindercleat::bounds::{Allowed, Given, OWN_DESCRIPTORS, TOLD_WITHIN};
+use cindercleat::interface::Discovery;
+
+fn given() -> Given {
+    Given {
+        memory: 32e6,
+        descriptors: 256,
+        connect_timeout: 250.0,
+        discovery: Discovery::Pushed,
+        drain_grace: 2_000.0,
+        host_idle: Some(15_000.0),
+        most_held: Some(20_000),
+        clients_resume: false,
+    }
+}
+
+#[test]
+fn all_that_is_allowed_fits_into_what_is_given() {
+    let allowed = Allowed::of(&given()).expect("room for work");
+    assert!(allowed.most_clients + allowed.most_links + OWN_DESCRIPTORS <= 256);
+    assert!(allowed.most_clients * 3 >= 256, "a third of the descriptors is the clients'");
+    assert!(allowed.most_tasks <= allowed.most_clients);
+    assert!(allowed.most_bodies < 8_000_000 && allowed.link_idle < 15_000.0 / 2.0);
+    assert_eq!(allowed.stop_moves, None, "streams are cut only where clients come back");
+    assert!(Allowed::of(&Given { descriptors: OWN_DESCRIPTORS, ..given() }).is_none());
+    assert!(Allowed::of(&Given { descriptors: 3, ..given() }).is_none());
+}
+
+/// Where lists are asked for, a change counts as told six seconds after discovery had it and could be reached, or
+/// sooner if the settings say so, whatever calls were lost: the sum of silence, waits and connects stays under that
+/// with room, for any connect time up to 1 s, and so does a watch that falls silent.
+#[test]
+fn a_list_that_is_asked_for_is_asked_for_well_before_it_counts_as_told() {
+    for told_within in [10_000.0, 6_000.0] {
+        for connect_timeout in [50.0, 250.0, 500.0, 1_000.0] {
+            let discovery = Discovery::Asked { told_within };
+            let allowed =
+                Allowed::of(&Given { connect_timeout, discovery, ..given() }).expect("room for work");
+            let feed = allowed.feed;
+            assert!(feed.asks_within() <= 0.92 * TOLD_WITHIN, "{connect_timeout}: {}", feed.asks_within());
+            let watch = feed.quiet + feed.again_most + feed.connect;
+            assert!(watch < allowed.feed_wait + 4_000.0, "a silent watch is opened anew: {watch}");
+            assert!(feed.quiet > allowed.feed_wait, "an answer may wait");
+        }
+    }
+}
+
+/// Where lists are pushed, what the agent gets when discovery returns counts as told at once: the agent is asked
+/// again well within the drain grace, whatever calls it did not answer. A call that was not answered before the
+/// return is never answered.
+#[test]
+fn an_agent_that_was_silent_is_asked_again_within_the_drain_grace() {
+    for drain_grace in [250.0, 500.0, 2_000.0] {
+        for connect_timeout in [50.0, 250.0, 1_000.0] {
+            let allowed =
+                Allowed::of(&Given { connect_timeout, drain_grace, ..given() }).expect("room for work");
+            let feed = allowed.feed;
+            let asks = feed.connect + feed.first_quiet + feed.again_most + feed.connect;
+            assert!(asks <= 0.85 * drain_grace, "{drain_grace}, {connect_timeout}: {asks}");
+            assert!(feed.quiet > allowed.feed_wait && feed.asks_within() < TOLD_WITHIN / 2.0);
+        }
+    }
+}
