A client that has gone gets no attempt any more, and last answers survive the close

- An attempt that waited for its connection went out when that came up, though its client had gone, wherever the settings forbid calling attempts off (may_cancel false: the decisions say nothing then).
- 8 KiB behind an open request hid that its client had closed: server.rs stopped reading there.
It reads on now, to one more request's length and within the bytes that all may hold together, and ends the connection beyond.
- A connection was closed over unread bytes right after its last answer: the system then resets it, and the reset takes an answer that was not read yet.
What comes behind the last answer is never taken as a request.

--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -410,7 +410,8 @@
                     self.unreleased.entry(host.clone()).or_default().push((held, since));
                     self.withheld.insert(host.clone());
                 }
-                Some(Use::Launch(task, _)) if !ready => {
+                // Nor does one whose client has gone meanwhile: nobody waits for it.
+                Some(Use::Launch(task, _)) if !ready || self.is_answered(task) => {
                     self.close_stream(id, stream);
                     self.end_launch(task, Outcome::Void, 0.0, Load::default());
                 }
@@ -425,6 +426,10 @@
         }
     }
 
+    fn is_answered(&self, task: TaskId) -> bool {
+        self.tasks.get(&task).is_some_and(|task| task.answered)
+    }
+
     fn close_stream(&mut self, id: LinkId, stream: StreamNo) -> Option<Use> {
         self.links.close_stream(id, stream, self.now, &mut self.timers)
     }
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -7,11 +7,12 @@
 use cindercleat_protocol::{v1, Body, Frame};
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
-/// Bytes that one turn of reading takes at most, and that may wait behind a request that is being answered.
+/// Bytes that one turn of reading takes at most.
 const TURN: usize = 8 << 10;
 /// The head of a stream, and its end where nothing more is taken on the connection.
 const STREAM: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n\
@@ -76,19 +77,41 @@
 }
 
 /// Why there is no next request.
-enum Stop {
+enum Last {
     /// The connection is over, or to be closed without a word.
     Over,
-    Refuse(Refusal),
+    /// The answer was the last on its connection.
+    Answered,
+    Refused(Refusal),
 }
 
 impl<S: Io> Client<S> {
     async fn run(mut self) {
-        let refused = loop {
+        let refusal = match self.serve().await {
+            Last::Over => None,
+            Last::Answered => Some(None),
+            Last::Refused(refusal) => Some(Some(refusal)),
+        };
+        if let Some(Some(Refusal { status, why })) = &refusal {
+            let text = plain(status, why, "", false);
+            self.lease.set(0);
+            self.bytes = BytesMut::new();
+            let _ = self.write(&text).await;
+        }
+        // The last word is written: whoever reads what it is sent has it before the end.
+        let _ = self.io.shutdown().await;
+        if refusal.is_some() {
+            self.drain().await;
+        }
+        self.shared.end();
+    }
+
+    /// Answers requests, one after another; gives how the last one ended.
+    async fn serve(&mut self) -> Last {
+        loop {
             let (asks, keeps) = match self.receive().await {
                 Ok(received) => received,
-                Err(Stop::Over) => break None,
-                Err(Stop::Refuse(refusal)) => break Some(refusal),
+                Err(last) => return last,
             };
             self.stream += 1;
             let body = match asks {
@@ -96,50 +119,58 @@
                 Asks::Ready => Body::Ping(v1::Ping {}),
             };
             self.shared.say(self.stream, body);
-            let goes_on = self.answer(keeps).await;
+            let ended = self.answer(keeps).await;
             self.lease.set(0);
-            if !goes_on {
-                break None;
+            if let Some(last) = ended {
+                return last;
             }
-        };
-        if let Some(Refusal { status, why }) = refused {
-            let text = plain(status, why, "", false);
-            self.lease.set(0);
-            self.bytes = BytesMut::new();
-            let _ = self.write(&text).await;
         }
-        // The last word is written: whoever reads what it is sent has it before the end.
-        tokio::select! { biased;
-            () = self.shared.closed() => {}
-            _ = self.io.shutdown() => {}
+    }
+
+    /// Takes what still comes and drops it, until the client closes, its place is wanted, or a bound is reached.
+    /// Guards against an answer that is lost on its way: a close over unread bytes resets the connection, and
+    /// the reset overtakes what the client has not read yet.
+    async fn drain(&mut self) {
+        let (mut left, mut scrap) = (self.wire.bounds.most_drained, [0; TURN / 8]);
+        let leaving = self.shared.leaving.get();
+        let until = tokio::time::sleep(Duration::from_millis(u64::from(self.wire.bounds.drain_ms)));
+        tokio::pin!(until);
+        while left > 0 {
+            tokio::select! { biased;
+                read = self.io.read(&mut scrap) => match read {
+                    Ok(0) | Err(_) => return,
+                    Ok(bytes) => left = left.saturating_sub(bytes),
+                },
+                () = &mut until => return,
+                () = self.shared.left(), if !leaving => return,
+            }
         }
-        self.shared.end();
     }
 
     /// Reads the next request, whole.
-    async fn receive(&mut self) -> Result<(Asks, bool), Stop> {
+    async fn receive(&mut self) -> Result<(Asks, bool), Last> {
         let mut told = false;
         let head = loop {
             if let Some(head) =
-                framing::request(&mut self.bytes).map_err(|fault| Stop::Refuse(wrong(fault)))?
+                framing::request(&mut self.bytes).map_err(|fault| Last::Refused(wrong(fault)))?
             {
                 break head;
             }
             self.more(&mut told).await?;
         };
         let most = self.wire.bounds.most_body;
-        let too_long = || Stop::Refuse(refusal(words::TOO_LONG, "the body is too long"));
+        let too_long = || Last::Refused(refusal(words::TOO_LONG, "the body is too long"));
         if matches!(head.length, Length::Known(bytes) if bytes > most as u64) {
             return Err(too_long());
         }
-        let kind = kind(&head).map_err(Stop::Refuse)?;
+        let kind = kind(&head).map_err(Last::Refused)?;
         let mut reading = framing::Body::new(head.length, most);
         let mut body = BytesMut::new();
         if let Length::Known(bytes) = head.length {
             body.reserve((bytes as usize).min(2 * self.bytes.len()));
         }
         loop {
-            match reading.next(&mut self.bytes).map_err(|fault| Stop::Refuse(wrong(fault)))? {
+            match reading.next(&mut self.bytes).map_err(|fault| Last::Refused(wrong(fault)))? {
                 Some(Part::Data(data)) => {
                     if body.len() + data.len() > most {
                         return Err(too_long());
@@ -148,7 +179,7 @@
                     self.lease.set(body.len());
                     // Guards against many large bodies at once, which memory would not bear.
                     if self.lease.held.get() > self.wire.bounds.most_bodies {
-                        return Err(Stop::Refuse(refusal(words::BOUNCED, "too much is being sent")));
+                        return Err(Last::Refused(refusal(words::BOUNCED, "too much is being sent")));
                     }
                 }
                 Some(Part::End) => break,
@@ -157,12 +188,12 @@
         }
         let asks = match kind {
             Kind::Ready => Asks::Ready,
-            Kind::Task => Asks::Task(Box::new(submit(&head, body.freeze()).map_err(Stop::Refuse)?)),
+            Kind::Task => Asks::Task(Box::new(submit(&head, body.freeze()).map_err(Last::Refused)?)),
         };
         Ok((asks, head.keeps))
     }
 
-    async fn more(&mut self, told: &mut bool) -> Result<(), Stop> {
+    async fn more(&mut self, told: &mut bool) -> Result<(), Last> {
         let begun = !self.bytes.is_empty() || self.lease.bytes > 0;
         if begun && !*told {
             *told = true;
@@ -176,15 +207,15 @@
         self.bytes.reserve(if resting { TURN / 8 } else { TURN });
         tokio::select! { biased;
             () = self.shared.closed() => {
-                Err(if resting { Stop::Over } else {
-                    Stop::Refuse(refusal(words::SLOW, "the request did not come in time"))
+                Err(if resting { Last::Over } else {
+                    Last::Refused(refusal(words::SLOW, "the request did not come in time"))
                 })
             }
             read = self.io.read_buf(&mut self.bytes) => match read {
-                Ok(0) | Err(_) => Err(Stop::Over),
+                Ok(0) | Err(_) => Err(Last::Over),
                 Ok(_) => Ok(()),
             },
-            () = self.shared.left(), if resting => Err(Stop::Over),
+            () = self.shared.left(), if resting => Err(Last::Over),
         }
     }
 
@@ -197,23 +228,25 @@
         }
     }
 
-    /// Writes the answer to the open request; tells whether another request may follow.
-    async fn answer(&mut self, keeps: bool) -> bool {
-        let mut begun = false;
+    /// Writes the answer to the open request; gives how the connection ends, if no other may follow.
+    async fn answer(&mut self, keeps: bool) -> Option<Last> {
+        let (mut begun, own) = (false, self.lease.bytes);
         let mut text = Vec::new();
         loop {
-            let room = self.bytes.len() < TURN;
-            self.bytes.reserve(if room { 512 } else { 0 });
+            self.bytes.reserve(TURN / 16);
             let frame = tokio::select! { biased;
                 frame = self.said.recv() => frame,
-                () = self.shared.closed() => return false,
-                read = self.io.read_buf(&mut self.bytes), if room => match read {
+                () = self.shared.closed() => return Some(Last::Over),
+                read = self.io.read_buf(&mut self.bytes) => match read {
                     // The client is gone: the session ends, and with it what was open.
-                    Ok(0) | Err(_) => return false,
+                    Ok(0) | Err(_) => return Some(Last::Over),
+                    // Guards against bytes behind an open request, which would hide that its client has gone:
+                    // they are read on, to one more request's length, and no further.
+                    Ok(_) if self.piled_up(own) => return Some(Last::Over),
                     Ok(_) => continue,
                 },
             };
-            let Some(mut frame) = frame else { return false };
+            let Some(mut frame) = frame else { return Some(Last::Over) };
             let (mut messages, mut end) = (0, None);
             text.clear();
             loop {
@@ -244,10 +277,10 @@
                 }
             }
             if !text.is_empty() && !self.write(&text).await {
-                return false;
+                return Some(Last::Over);
             }
             if let Some(goes_on) = end {
-                return goes_on;
+                return (!goes_on).then_some(Last::Answered);
             }
             if messages > 0 {
                 self.shared.tell(Event::Flushed { stream: self.stream, messages });
@@ -255,6 +288,14 @@
         }
     }
 
+    /// Whether more waits behind an open request than one request may be, or than all may hold together.
+    /// `own`: the bytes of the open one.
+    fn piled_up(&mut self, own: usize) -> bool {
+        let bounds = self.wire.bounds;
+        self.lease.set(own + self.bytes.len().saturating_sub(TURN));
+        self.bytes.len() > bounds.most_body + framing::MOST_HEAD || self.lease.held.get() > bounds.most_bodies
+    }
+
     /// The last of an answer; tells whether another request may follow, or nothing if this is not its last.
     fn end(&self, body: &Body, begun: bool, keeps: bool, text: &mut Vec<u8>) -> Option<bool> {
         let keeps = keeps && !self.shared.leaving.get();
--- a/crates/http1/tests/session.rs
+++ b/crates/http1/tests/session.rs
@@ -196,6 +196,80 @@
     });
 }
 
+#[test]
+fn a_client_that_closes_behind_bytes_of_its_own_is_seen_to_have_gone() {
+    for behind in [1, 9_000, 16_000] {
+        run(async move {
+            let wire = Http1::new(BOUNDS);
+            let (mut io, mut session) = client(&wire).await;
+            io.write_all(ask("{}").as_bytes()).await.expect("written");
+            assert!(matches!(body(&mut session).await, Some((1, Body::Submit(_)))));
+            io.write_all(&vec![b'x'; behind]).await.expect("written");
+            drop(io);
+            let ended = tokio::time::timeout(Duration::from_millis(100), body(&mut session)).await;
+            assert_eq!(ended, Ok(None), "{behind} bytes behind an open request hide its client's end");
+            assert_eq!(wire.held(), 0);
+        });
+    }
+}
+
+#[test]
+fn bytes_behind_an_open_request_are_bounded() {
+    run(async {
+        let wire = Http1::new(BOUNDS);
+        let (mut io, mut session) = client(&wire).await;
+        io.write_all(ask("{}").as_bytes()).await.expect("written");
+        assert!(matches!(body(&mut session).await, Some((1, Body::Submit(_)))));
+        // Written at once: as much as a connection in memory takes.
+        io.write_all(&vec![b'x'; 200_000]).await.expect("written");
+        assert_eq!(body(&mut session).await, None, "the connection is over");
+        assert!(wire.held() < 20_000);
+    });
+}
+
+#[test]
+fn what_comes_behind_the_last_answer_is_dropped_for_a_bounded_time_and_never_taken() {
+    run(async {
+        let (mut io, mut session) = client(&Http1::new(BOUNDS)).await;
+        io.write_all(ask("{}").replace("Host: x", "Host: x\r\nConnection: close").as_bytes())
+            .await
+            .expect("written");
+        assert!(matches!(body(&mut session).await, Some((1, Body::Submit(_)))));
+        session.out.send(frame(1, last(v1::Answer::Bounced, 0.0)));
+        assert!(until(&mut io, "").await.starts_with("HTTP/1.1 503 "), "the answer, and its end");
+        io.write_all(ask("{}").as_bytes()).await.expect("it is still there to take it");
+        let ended = tokio::time::timeout(Duration::from_millis(600), body(&mut session)).await;
+        assert_eq!(ended, Ok(None), "no second request after the last answer, and an end in time");
+    });
+}
+
+/// On sockets: a close over bytes that nobody read resets the connection, and the reset takes the answer with it.
+#[test]
+fn a_refusal_reaches_a_client_that_is_still_sending() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        for _ in 0..20 {
+            let mut io = tokio::net::TcpStream::connect(address).await.expect("connected");
+            let (far, _) = listener.accept().await.expect("accepted");
+            let mut session = Http1::new(BOUNDS).serve(far, setup()).await.expect("a session");
+            let head = ask("").replace("Content-Length: 0", "Content-Length: 60000000");
+            io.write_all(head.as_bytes()).await.expect("written");
+            for _ in 0..3 {
+                tokio::task::yield_now().await;
+                let _ = io.write_all(&[b'x'; 500]).await;
+            }
+            let mut answer = Vec::new();
+            let read = tokio::time::timeout(Duration::from_secs(5), io.read_to_end(&mut answer)).await;
+            assert!(matches!(read, Ok(Ok(_))), "no reset: {read:?}");
+            assert!(answer.starts_with(b"HTTP/1.1 413 ") && answer.ends_with(b"\n"));
+            drop(io);
+            assert_eq!(body(&mut session).await, None);
+        }
+    });
+}
+
 #[test]
 fn a_client_that_closes_ends_its_session_and_half_a_request_is_told_and_refused_when_closed() {
     run(async {
