A test of held duties hears the second job before it ends it, and shows how the first ended

It now waits, 20 s at most, for the line that the job prints, and asserts the same order of terms; as strict as before.

--- a/crates/cindercleat-cli/tests/duties.rs
+++ b/crates/cindercleat-cli/tests/duties.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use std::io::Read;
+use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -45,7 +45,7 @@
     // Two jobs never hold it at once: the second waits at another dispatcher until the first is told to stop.
     let hold = |at: &str| {
         let mut command = program();
-        command.args(["fleet", "--at", at, "hold", "nightly"]).stdout(Stdio::piped()).stderr(Stdio::null());
+        command.args(["fleet", "--at", at, "hold", "nightly"]).stdout(Stdio::piped()).stderr(Stdio::piped());
         command.spawn().expect("it starts")
     };
     let mut one = hold(&fleet.at[0]);
@@ -56,14 +56,21 @@
     fleet.until("it is still held", |s| duty(s, "nightly").is_some_and(|d| d["holder"] == "d0"));
     let id = one.id().to_string();
     assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
-    assert!(one.wait().expect("it ends").success());
+    let ended = one.wait_with_output().expect("it ends");
+    assert!(ended.status.success(), "{ended:?}");
     fleet.until("the second holds it", |s| duty(s, "nightly").is_some_and(|d| d["holder"] == "d1"));
+    // It says its term once it has heard, which may be after the fleet shows it.
+    let (says, hears) = std::sync::mpsc::channel();
+    let mut out = BufReader::new(two.stdout.take().expect("it is there"));
+    std::thread::spawn(move || {
+        let mut line = String::new();
+        let _ = out.read_line(&mut line);
+        let _ = says.send(line);
+    });
+    let said = hears.recv_timeout(Duration::from_secs(20)).expect("the second says its term");
     two.kill().expect("ours");
     two.wait().expect("it ends");
-    let mut said = String::new();
-    two.stdout.take().expect("it is there").read_to_string(&mut said).expect("text");
-    let mut first = String::new();
-    one.stdout.take().expect("it is there").read_to_string(&mut first).expect("text");
+    let first = String::from_utf8_lossy(&ended.stdout).into_owned();
     assert!(term_of(&said) > term_of(&first) && term_of(&first).is_some(), "{said} after {first}");
 
     // What cannot be done is said.
