--- a/crates/cindercleat-cli/tests/duties.rs
+++ b/crates/cindercleat-cli/tests/duties.rs
@@ -48,7 +48,7 @@
         command.args(["fleet", "--at", at, "hold", "nightly"]).stdout(Stdio::piped()).stderr(Stdio::piped());
         command.spawn().expect("it starts")
     };
-    let mut one = hold(&fleet.at[0]);
+    let one = hold(&fleet.at[0]);
     fleet.until("it is held", |s| duty(s, "nightly").is_some_and(|d| d["holder"] == "d0"));
     let mut two = hold(&fleet.at[1]);
     std::thread::sleep(Duration::from_millis(1_500));
