KNOWN-RED: a job loses its duty with no fault given; the command says why it is lost

Ruled out: the signal (the job had ended before it), the test's own reading (mended before). Not known: whether its lease was not renewed or its term changed; both printed the same line. The command now says which.

--- a/crates/cindercleat-cli/src/fleet.rs
+++ b/crates/cindercleat-cli/src/fleet.rs
@@ -376,7 +376,7 @@
             Ok(Reply::Holds { term: Some(now), good_for }) => {
                 if term.is_some_and(|before| before != now) {
                     end(child.as_mut(), clock, sure_until).await?;
-                    return lost(&duty);
+                    return lost(&duty, "it has another term");
                 }
                 // Counted from before it was asked for.
                 (sure_until, length) = (asked + good_for, length.max(good_for));
@@ -408,7 +408,12 @@
         let left = sure_until - clock.now();
         if term.is_some() && left < END_AT * length {
             end(child.as_mut(), clock, sure_until - KILL_AT * length).await?;
-            return lost(&duty);
+            let why = match &reply {
+                Ok(Reply::Holds { .. }) => "its lease was not renewed",
+                Ok(_) => "it is not said to be held any more",
+                Err(why) => why,
+            };
+            return lost(&duty, why);
         }
         if let Some(status) = child.as_mut().map(Child::try_wait).transpose()?.flatten() {
             let _ = give(clock, at, &Order::LetGo { duty, job }).await;
@@ -426,8 +431,8 @@
     }
 }
 
-fn lost(duty: &Duty) -> io::Result<bool> {
-    eprintln!("cindercleat: {} is lost", duty.0);
+fn lost(duty: &Duty, why: &str) -> io::Result<bool> {
+    eprintln!("cindercleat: {} is lost: {why}", duty.0);
     Ok(false)
 }
 
