A job keeps its duty while voters' disks are slow: retries cost no write, and wait as long as a try

Ruled out: the job's signal and the test's reading (earlier), a jump of the clock, a lost message (none is lost here). With writes so slow that two of them do not fit into an answer's time (0.6), a duty may still be lost: then answers are late. The loop of 'fleet hold' is now crates/fleet/src/job.rs, over any transport and clock, and what it decides src/fleet/job.rs.

--- a/crates/cindercleat-cli/src/fleet.rs
+++ b/crates/cindercleat-cli/src/fleet.rs
@@ -5,8 +5,9 @@
 use cindercleat::fleet::bounds::Of;
 use cindercleat::fleet::member::{Order, ReleaseOrder, Reply, Status};
 use cindercleat::fleet::rollcall::Standing;
-use cindercleat::fleet::{Address, Duty, Name};
-use cindercleat_fleet::ask::order;
+use cindercleat::fleet::{Address, Duty, Name, Term};
+use cindercleat_fleet::ask::order_any;
+use cindercleat_fleet::job::{Ended, Job, Work};
 use cindercleat_net::{Clock, SystemClock, Tcp};
 use clap::{Args, Subcommand};
 use rustix::process::{kill_process, Pid, Signal};
@@ -130,13 +131,8 @@
 
 /// An order is answered within this, or nobody is there.
 const WITHIN: f64 = 950.0;
-/// How often a duty that is not held yet is asked for, and in which part of a lease one that is.
-const AGAIN: f64 = 50.0;
-const AGAIN_PART: f64 = 0.25;
-/// A command is told to end when so much of what is sure is left, and killed when this much is.
-const END_AT: f64 = 0.45;
-const KILL_AT: f64 = 0.15;
-
+/// How often it is looked whether a command that was told to end has ended.
+const LOOK_EVERY: f64 = 2.0;
 /// Tells whether it was done.
 ///
 /// # Errors
@@ -203,14 +199,7 @@
 
 /// Gives an order to the first dispatcher that answers.
 pub(crate) async fn give(clock: &SystemClock, at: &[String], what: &Order) -> Result<Reply, String> {
-    let mut why = String::new();
-    for address in at {
-        match order(&Tcp, clock, address, what, WITHIN).await {
-            Ok(reply) => return Ok(reply),
-            Err(problem) => why = problem,
-        }
-    }
-    Err(why)
+    order_any(&Tcp, clock, at, what, WITHIN).await
 }
 
 pub(crate) fn say(reply: Result<Reply, String>) -> io::Result<bool> {
@@ -352,101 +341,61 @@
 /// Holds a duty until a signal, the command's end, or its loss.
 async fn hold(clock: &SystemClock, at: &[String], duty: &str, command: &[String]) -> io::Result<bool> {
     let stop = crate::serve::ends()?;
-    tokio::pin!(stop);
-    let (job, duty) = (RandomState::new().hash_one(std::process::id()), Duty::from(duty));
-    let mut child: Option<Child> = None;
-    let (mut term, mut sure_until, mut length) = (None, 0.0, 0.0_f64);
-    let mut told = false;
-    loop {
-        let asked = clock.now();
-        let wish = Order::Hold { duty: duty.clone(), job };
-        let asking = give(clock, at, &wish);
-        let within = if term.is_some() { AGAIN_PART * length } else { WITHIN };
-        // What is sure does not wait for an answer that may not come.
-        let reply = tokio::select! { biased;
-            reply = asking => reply,
-            () = clock.sleep_until(asked + within) => Err("no answer in time".to_owned()),
-            () = &mut stop => {
-                end(child.as_mut(), clock, sure_until).await?;
-                let _ = give(clock, at, &Order::LetGo { duty, job }).await;
-                return Ok(true);
-            }
-        };
-        match reply {
-            Ok(Reply::Holds { term: Some(now), good_for }) => {
-                if term.is_some_and(|before| before != now) {
-                    end(child.as_mut(), clock, sure_until).await?;
-                    return lost(&duty, "it has another term");
-                }
-                // Counted from before it was asked for.
-                (sure_until, length) = (asked + good_for, length.max(good_for));
-                if term.is_none() {
-                    term = Some(now);
-                    println!("term {}", now.0);
-                    if let Some((program, rest)) = command.split_first() {
-                        let mut command = std::process::Command::new(program);
-                        command.args(rest).env("CINDERCLEAT_TERM", now.0.to_string());
-                        command.env("CINDERCLEAT_DUTY", &*duty.0);
-                        child = Some(command.spawn()?);
-                    }
-                }
-            }
-            Ok(Reply::No(why)) => {
-                end(child.as_mut(), clock, sure_until).await?;
-                return say(Ok(Reply::No(why)));
-            }
-            // Not held yet, or any more; or nobody answers.
-            Ok(_) | Err(_) if term.is_none() => {
-                if let Err(why) = &reply {
-                    if !std::mem::replace(&mut told, true) {
-                        eprintln!("cindercleat: waiting: {why}");
-                    }
-                }
-            }
-            Ok(_) | Err(_) => {}
-        }
-        let left = sure_until - clock.now();
-        if term.is_some() && left < END_AT * length {
-            end(child.as_mut(), clock, sure_until - KILL_AT * length).await?;
-            let why = match &reply {
-                Ok(Reply::Holds { .. }) => "its lease was not renewed",
-                Ok(_) => "it is not said to be held any more",
-                Err(why) => why,
-            };
-            return lost(&duty, why);
-        }
-        if let Some(status) = child.as_mut().map(Child::try_wait).transpose()?.flatten() {
-            let _ = give(clock, at, &Order::LetGo { duty, job }).await;
-            return Ok(status.success());
-        }
-        let wait = if term.is_some() { (AGAIN_PART * length / 4.0).min(AGAIN) } else { AGAIN };
-        tokio::select! { biased;
-            () = &mut stop => {
-                end(child.as_mut(), clock, sure_until).await?;
-                let _ = give(clock, at, &Order::LetGo { duty, job }).await;
-                return Ok(true);
-            }
-            () = clock.sleep_until(clock.now() + wait) => {}
+    let (duty, number) = (Duty::from(duty), RandomState::new().hash_one(std::process::id()));
+    let mut work = HeldCommand { clock, duty: duty.clone(), command, child: None };
+    let job = Job { transport: &Tcp, clock, addresses: at, duty: duty.clone(), number };
+    match job.run(&mut work, stop).await? {
+        Ended::Stopped => Ok(true),
+        Ended::ByItself(success) => Ok(success),
+        Ended::Refused(why) => say(Ok(Reply::No(why))),
+        Ended::Lost(why) => {
+            eprintln!("cindercleat: {} is lost: {why}", duty.0);
+            Ok(false)
         }
     }
 }
 
-fn lost(duty: &Duty, why: &str) -> io::Result<bool> {
-    eprintln!("cindercleat: {} is lost: {why}", duty.0);
-    Ok(false)
+/// An operator's command that runs only while its duty is held; without one the term is printed and nothing is run.
+struct HeldCommand<'a> {
+    clock: &'a SystemClock,
+    duty: Duty,
+    command: &'a [String],
+    child: Option<Child>,
 }
 
-/// Tells the command to end, and kills it when the time is up.
-async fn end(child: Option<&mut Child>, clock: &SystemClock, by: f64) -> io::Result<()> {
-    let Some(child) = child else { return Ok(()) };
-    signal(child, Signal::TERM);
-    while child.try_wait()?.is_none() {
-        if clock.now() >= by {
-            child.kill()?;
-            child.wait()?;
-            break;
+impl Work for HeldCommand<'_> {
+    fn begin(&mut self, term: Term) -> io::Result<()> {
+        println!("term {}", term.0);
+        if let Some((program, arguments)) = self.command.split_first() {
+            let mut command = std::process::Command::new(program);
+            command.args(arguments).env("CINDERCLEAT_TERM", term.0.to_string());
+            command.env("CINDERCLEAT_DUTY", &*self.duty.0);
+            self.child = Some(command.spawn()?);
+        }
+        Ok(())
+    }
+
+    fn ended(&mut self) -> io::Result<Option<bool>> {
+        let status = self.child.as_mut().map(Child::try_wait).transpose()?.flatten();
+        Ok(status.map(|status| status.success()))
+    }
+
+    /// Tells the command to end, and kills it when the time is up.
+    async fn end(&mut self, by: f64) -> io::Result<()> {
+        let Some(child) = self.child.as_mut() else { return Ok(()) };
+        signal(child, Signal::TERM);
+        while child.try_wait()?.is_none() {
+            if self.clock.now() >= by {
+                child.kill()?;
+                child.wait()?;
+                break;
+            }
+            self.clock.sleep_until(self.clock.now() + LOOK_EVERY).await;
         }
-        clock.sleep_until(clock.now() + 2.0).await;
+        Ok(())
+    }
+
+    fn waits(&mut self, why: &str) {
+        eprintln!("cindercleat: waiting: {why}");
     }
-    Ok(())
 }
--- a/crates/fleet/src/ask.rs
+++ b/crates/fleet/src/ask.rs
@@ -75,3 +75,24 @@
     }
     Err("the dispatchers send one from one to another: try again in a moment".to_owned())
 }
+
+/// Gives an order to the first of several members that answers.
+///
+/// # Errors
+/// As [`order`], of the last one that was asked.
+pub async fn order_any<T: Transport, C: Clock>(
+    transport: &T,
+    clock: &C,
+    addresses: &[String],
+    what: &Order,
+    within: Ms,
+) -> Result<Reply, String> {
+    let mut problem = "no address was given".to_owned();
+    for address in addresses {
+        match order(transport, clock, address, what, within).await {
+            Ok(reply) => return Ok(reply),
+            Err(why) => problem = why,
+        }
+    }
+    Err(problem)
+}
--- a/src/fleet/member/holding.rs
+++ b/src/fleet/member/holding.rs
@@ -305,7 +305,9 @@
                 self.count("outbid");
                 self.highest = self.highest.max(by.map_or(0, |b| b.round));
                 let (doubled, chance) = (self.failures.min(AGAIN_DOUBLED), self.rng.generate::<f64>());
-                let wait = AGAIN * self.settings.lease.lease * f64::from(doubled).exp2();
+                // The other try takes as long as this one did: who comes back before only puts an end to it as well.
+                let took = self.now - asked;
+                let wait = took.max(AGAIN * self.settings.lease.lease * f64::from(doubled).exp2());
                 self.again_at = self.now + wait * (0.5 + chance);
                 self.failures += 1;
                 if purpose == Purpose::Step {
--- a/src/fleet/member/mod.rs
+++ b/src/fleet/member/mod.rs
@@ -339,6 +339,9 @@
     /// Its file was written at least once, so its life lasts.
     lasts: bool,
     saving: Option<SaveNo>,
+    /// What the write under way keeps, and what the last one kept that lasts.
+    under_way: Option<Box<Kept>>,
+    durable: Option<Box<Kept>>,
     saves: u64,
     /// Answers for when the write under way, and the one after it, lasts.
     after_save: Vec<(CallNo, Answer)>,
@@ -401,6 +404,8 @@
             voter: None,
             lasts: false,
             saving: None,
+            under_way: None,
+            durable: None,
             saves: 0,
             after_save: Vec::new(),
             after_next: Vec::new(),
--- a/src/fleet/member/voting.rs
+++ b/src/fleet/member/voting.rs
@@ -14,6 +14,7 @@
                 if let Some((ballot, value)) = &kept.taken {
                     self.saw(Some(ballot.clone()), value.clone());
                 }
+                self.durable = Some(Box::new(kept.clone()));
                 self.voter = Some(Voter::back(kept));
                 self.file = File::Good;
             }
@@ -53,8 +54,9 @@
     pub(super) fn save(&mut self, out: &mut Vec<Output>) {
         let (None, Some(voter)) = (self.saving, &self.voter) else { return };
         self.saves += 1;
-        let number = SaveNo(self.saves);
-        out.push(Output::Save { number, kept: Box::new(voter.kept.clone()) });
+        let (number, kept) = (SaveNo(self.saves), Box::new(voter.kept.clone()));
+        self.under_way = Some(kept.clone());
+        out.push(Output::Save { number, kept });
         self.saving = Some(number);
         self.after_save = std::mem::take(&mut self.after_next);
         self.count("saves");
@@ -66,7 +68,9 @@
         }
         self.saving = None;
         let answers = std::mem::take(&mut self.after_save);
+        let kept = self.under_way.take();
         if lasts {
+            self.durable = kept;
             self.lasts = true;
             out.extend(answers.into_iter().map(|(call, answer)| Output::Answer { call, answer }));
         } else {
@@ -86,12 +90,18 @@
             self.saw(Some(ballot.clone()), value.clone());
         }
         let answer = Answer::Vote(said);
-        if !save || is(Plant::SaidBeforeKept) {
+        let kept = self.voter.as_ref().map(|voter| &voter.kept);
+        // Guards against a question that is asked again while its answer waits for a slow disk: a write for each time
+        // that it was asked would keep the disk busy until the question's time is up.
+        if !save || self.durable.as_deref() == kept {
             out.push(Output::Answer { call, answer });
+        } else if is(Plant::SaidBeforeKept) {
+            out.push(Output::Answer { call, answer });
+            self.save(out);
+        } else if self.under_way.as_deref() == kept {
+            self.after_save.push((call, answer));
         } else {
             self.after_next.push((call, answer));
-        }
-        if save {
             self.save(out);
         }
         let old = |v: &Voter| !v.votes && !self.checking();
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 pub mod bounds;
 pub mod conduct;
 pub mod duties;
+pub mod job;
 pub mod member;
 pub mod planted;
 pub mod register;
