A held state's time runs on while connections fail, and its release goes to whoever was heard last

At fault: src/control.rs, learn_end (each outcome began the release time anew, also one of a connection that never came up) and plan (the time was looked at only when no decode engine was there). What is left of the time goes to the release: it is sent to the host if that was heard within a quarter of the release time, else to one that was, and again to those heard last; before, the next by name with a connection at rest, which a silent host keeps. Releases are a module of their own (ledger/releases.rs). Tests in dispatcher/tests/single.rs fail with either fault put back.

--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -8,15 +8,6 @@
 
 /// The whole of the credit is given back in so many parts.
 const CREDIT_PARTS: u32 = 2;
-/// A release that did not get through is tried again after this part of the release time.
-const RELEASE_PARTS: f64 = 4.0;
-/// For how many release times a release that does not get through is tried again.
-const RELEASE_TIMES: f64 = 10.0;
-/// Where any host passes a release on: the part of the release time that one has to answer, and that passes
-/// before the next is asked.
-const RELEASE_ANSWER: f64 = 4.0;
-const RELEASE_NEXT: f64 = 25.0;
-
 impl Ledger {
     pub(super) fn launch(&mut self, id: TaskId, host: HostId, until: Option<Ms>, out: &mut Vec<Output>) {
         let Some(task) = self.tasks.get_mut(&id) else { return };
@@ -218,119 +209,6 @@
         self.end_launch(id, if unsent { Outcome::Void } else { Outcome::TimedOut }, 0.0, Load::default());
     }
 
-    /// Lets the state held for a task go.
-    pub(super) fn release(&mut self, id: TaskId, out: &mut Vec<Output>) {
-        let Some(held) = self.tasks.get_mut(&id).and_then(|t| t.state.take()) else { return };
-        self.release_state(held, out);
-        self.forget_past(id);
-    }
-
-    fn release_state(&mut self, held: Held, out: &mut Vec<Output>) {
-        if planted::is(Plant::ReleaseForgotten) {
-            return;
-        }
-        let host = held.host.clone();
-        self.unreleased.entry(host.clone()).or_default().push((held, self.now));
-        if self.settings.limits.single.is_some() {
-            // Only what the decisions make of this tells whether its task goes on: see `is_withheld`.
-            self.withheld.insert(host);
-        } else {
-            self.flush_releases(&host, out);
-        }
-    }
-
-    /// A release did not get through: it is said again, or its state would stay pinned.
-    fn release_lost(&mut self, host: HostId, held: Held, since: Ms) {
-        let release = self.settings.policy.release;
-        let (host, again) = match self.settings.limits.single {
-            None => (host, release / RELEASE_PARTS),
-            // Where states go by their task's id, any host lets them go.
-            Some(_) => (self.another(&host).unwrap_or(host), release / RELEASE_NEXT),
-        };
-        self.unreleased.entry(host.clone()).or_default().push((held, since));
-        self.timers.set(self.now + again, Due::Release(host));
-    }
-
-    /// Another host that runs, as far as is known: one to which a link rests, else the next by name.
-    fn another(&self, host: &HostId) -> Option<HostId> {
-        let next = self.fleet.hosts.range(host.clone()..).chain(self.fleet.hosts.range(..host.clone()));
-        let others = next.filter(|(other, row)| *other != host && row.condition == Condition::Ready);
-        let names: Vec<&HostId> = others.map(|(other, _)| other).collect();
-        let linked = names.iter().find(|other| self.links.up(other, true).is_some());
-        linked.or(names.first()).map(|other| (*other).clone())
-    }
-
-    /// Whether letting a state go would end what its task still needs: where states go by their task's id, a
-    /// release does not tell a launch's from the next one's.
-    fn is_withheld(&self, held: &Held) -> bool {
-        let task = self.origins.get(&held.origin).and_then(|id| self.tasks.get(id));
-        task.is_some_and(|task| task.out.is_some() || task.state.is_some())
-    }
-
-    /// Lets go what is to be let go at a host, over any link that is up; else one is had. What is wanted is
-    /// kept until the host says that it is done: a release lost on its way would leave a state pinned. A process
-    /// that is gone holds nothing, and a host that cannot be reached for long has its own time limit.
-    pub(super) fn flush_releases(&mut self, host: &HostId, out: &mut Vec<Output>) {
-        if self.settings.limits.single.is_some() {
-            return self.flush_singly(host, out);
-        }
-        let Some(states) = self.unreleased.get_mut(host) else { return };
-        let oldest = self.now - RELEASE_TIMES * self.settings.policy.release;
-        states.retain(|(_, since)| *since >= oldest);
-        let row = self.fleet.hosts.get(host).filter(|row| row.condition != Condition::Gone);
-        match (self.links.up(host, false), row) {
-            (Some(link), _) => {
-                for (held, since) in self.unreleased.remove(host).unwrap_or_default() {
-                    let body = release(&held);
-                    let purpose = Use::Release(held, since);
-                    let stream = self.links.open_on(link, purpose, self.now, &mut self.timers);
-                    let Some(stream) = stream else { continue };
-                    self.timers.set(self.now + self.settings.limits.stall_limit, Due::Past(link, stream));
-                    self.links.send(link, stream, body, out);
-                }
-            }
-            (None, Some(row)) if !states.is_empty() => {
-                let address = row.line.address.clone();
-                let to = (&mut self.timers, out);
-                if !self.links.want(host, &address, self.now, &self.settings, to) {
-                    let again = Due::Release(host.clone());
-                    self.timers.set(self.now + self.settings.policy.release / RELEASE_PARTS, again);
-                }
-            }
-            (None, _) => {
-                self.unreleased.remove(host);
-            }
-        }
-    }
-
-    /// As `flush_releases`, where each release takes a connection, and any host passes it on.
-    fn flush_singly(&mut self, host: &HostId, out: &mut Vec<Output>) {
-        let release_time = self.settings.policy.release;
-        let oldest = self.now - RELEASE_TIMES * release_time;
-        for (held, since) in self.unreleased.remove(host).unwrap_or_default() {
-            if self.is_withheld(&held) {
-                self.withheld.insert(host.clone());
-                self.unreleased.entry(host.clone()).or_default().push((held, self.now));
-                continue;
-            }
-            if since < oldest {
-                continue;
-            }
-            let here = |to: &HostId| self.fleet.condition(to) != Condition::Gone;
-            let Some(via) = Some(host.clone()).filter(here).or_else(|| self.another(host)) else { continue };
-            let address = self.fleet.hosts.get(&via).map(|row| row.line.address.clone()).unwrap_or_default();
-            let (body, purpose) = (release(&held), Use::Release(held.clone(), since));
-            let to = (&mut self.timers, &mut *out);
-            match self.links.open(&via, &address, purpose, self.now, &self.settings, to) {
-                Ok((link, stream)) => {
-                    self.timers.set(self.now + release_time / RELEASE_ANSWER, Due::Past(link, stream));
-                    self.links.send(link, stream, body, out);
-                }
-                Err(_) => self.release_lost(via, held, since),
-            }
-        }
-    }
-
     pub(super) fn hold_ahead(&mut self, id: TaskId, host: &HostId, out: &mut Vec<Output>) {
         let Some(launch) = self.tasks.get(&id).and_then(|t| t.out.as_ref()) else { return };
         let state = state_of(self.settings.run, id, launch.no);
@@ -405,10 +283,9 @@
             let purpose = self.links.get(id).and_then(|l| l.streams.get(&stream).cloned());
             let frame = frame(stream.0, body);
             match purpose {
-                Some(Use::Release(held, since)) if self.is_withheld(&held) => {
+                Some(Use::Release(pending)) if self.is_withheld(&pending.held) => {
                     self.close_stream(id, stream);
-                    self.unreleased.entry(host.clone()).or_default().push((held, since));
-                    self.withheld.insert(host.clone());
+                    self.withhold(&host, pending);
                 }
                 // Nor does one whose client has gone meanwhile: nobody waits for it.
                 Some(Use::Launch(task, _)) if !ready || self.is_answered(task) => {
@@ -484,10 +361,7 @@
             let text = format!("link to {} over with {streams} streams: {reason}", link.host.0);
             out.push(Output::Log { level: Level::Warn, text });
         }
-        if self.unreleased.contains_key(&link.host) {
-            let again = self.now + self.settings.policy.release / RELEASE_PARTS;
-            self.timers.set(again, Due::Release(link.host.clone()));
-        }
+        self.retry_releases(&link.host);
         for (_, purpose) in link.streams {
             match purpose {
                 Use::Launch(task, _) => {
@@ -497,7 +371,7 @@
                     let (host, load) = (link.host.clone(), Load::default());
                     self.events.push(Event::Probed { host, outcome, latency: self.now - sent, load });
                 }
-                Use::Release(state, since) => self.release_lost(link.host.clone(), state, since),
+                Use::Release(pending) => self.release_lost(link.host.clone(), pending),
                 Use::Hold(..) | Use::Past => {}
             }
         }
@@ -556,9 +430,9 @@
                 true
             }
             // A call that was reset or refused ends alone: what else is on the link goes on.
-            (Some(Use::Release(state, since)), Some(Body::Goodbye(_))) => {
+            (Some(Use::Release(pending)), Some(Body::Goodbye(_))) => {
                 self.close_stream(id, stream);
-                self.release_lost(host.clone(), state, since);
+                self.release_lost(host.clone(), pending);
                 true
             }
             (Some(Use::Probe { .. }), Some(Body::Goodbye(_))) => {
@@ -708,10 +582,6 @@
     Event::Ended(Ended { task, launch, host, outcome, latency: 0.0, last, detail: 0.0, load })
 }
 
-fn release(held: &Held) -> Body {
-    Body::Release(v1::Release { state: Some(held.id), origin: held.origin.clone() })
-}
-
 /// What a launch says to its host; `state`: what a read is to leave, none for a write.
 fn body_of(task: &Task, state: Option<v1::StateId>, fleet: &Fleet, window: u32, wait_ms: Ms) -> Body {
     match state {
--- a/crates/dispatcher/src/ledger/links.rs
+++ b/crates/dispatcher/src/ledger/links.rs
@@ -1,7 +1,7 @@
 //! Links: connections to model hosts, and what is out on each. Which one a stream takes, when one more is
 //! dialled, asked whether it lives or closed, [`Channels`] decides.
 
-use super::tasks::Held;
+use super::releases::PendingRelease;
 use super::timers::{Due, Timers};
 use super::{LinkId, Output, StreamNo};
 use crate::settings::ProgramSettings;
@@ -18,8 +18,7 @@
         sent: Ms,
     },
     Hold(TaskId, LaunchNo),
-    /// A state is let go, since when that is wanted.
-    Release(Held, Ms),
+    Release(PendingRelease),
     /// Given up here; whatever still comes is old.
     Past,
 }
@@ -50,6 +49,8 @@
     of: BTreeMap<HostId, Vec<LinkId>>,
     made: u64,
     decide: BTreeMap<HostId, Channels>,
+    /// When a host last sent anything, on whatever link.
+    heard: BTreeMap<HostId, Ms>,
     /// When the timer of a host's links is due.
     armed: BTreeMap<HostId, Ms>,
     seed: u64,
@@ -157,6 +158,7 @@
         let Some(link) = self.all.get_mut(&id) else { return };
         link.up = true;
         let host = link.host.clone();
+        self.heard.insert(host.clone(), now);
         if let Some(channels) = self.decide.get_mut(&host) {
             channels.up(ChannelId(id.0), limit, now);
         }
@@ -191,11 +193,17 @@
     pub fn heard(&mut self, id: LinkId, now: Ms) {
         let Some(link) = self.all.get_mut(&id) else { return };
         link.heard = now;
+        self.heard.insert(link.host.clone(), now);
         if let Some(channels) = self.decide.get_mut(&link.host) {
             channels.heard(ChannelId(id.0), now);
         }
     }
 
+    /// When the host last sent anything; long ago if it never did.
+    pub fn heard_at(&self, host: &HostId) -> Ms {
+        self.heard.get(host).copied().unwrap_or(f64::NEG_INFINITY)
+    }
+
     /// The list tells of a new process there: what failed with the old one says nothing of it.
     pub fn renewed(&mut self, host: &HostId) {
         if let Some(channels) = self.decide.get_mut(host) {
@@ -233,10 +241,10 @@
         id
     }
 
-    /// Whether any host has a release that it has not answered.
-    pub fn releasing(&self) -> bool {
-        let mut all = self.all.values().flat_map(|link| link.streams.values());
-        all.any(|purpose| matches!(purpose, Use::Release(..)))
+    /// Releases that were sent and that no host has answered.
+    pub fn releasing(&self) -> usize {
+        let all = self.all.values().flat_map(|link| link.streams.values());
+        all.filter(|purpose| matches!(purpose, Use::Release(..))).count()
     }
 
     /// A link to the host that is up and takes streams; `resting`: one that carries nothing.
@@ -304,6 +312,7 @@
         let none = !self.of.contains_key(host);
         if none {
             self.decide.remove(host);
+            self.heard.remove(host);
             self.armed.remove(host);
         }
         none
--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -12,6 +12,7 @@
 mod hosts;
 mod links;
 mod record;
+mod releases;
 mod story;
 mod tasks;
 mod timers;
@@ -27,6 +28,7 @@
 use clients::Callers;
 use fleet::Fleet;
 use links::Links;
+use releases::PendingRelease;
 use std::collections::{BTreeMap, BTreeSet};
 use tasks::{Held, Task, Ticket};
 use timers::{Due, Timers};
@@ -141,6 +143,8 @@
     pub timers: usize,
     /// Hosts of which anything is known.
     pub hosts: usize,
+    /// Releases that no host has confirmed.
+    pub releases: usize,
 }
 
 pub struct Ledger {
@@ -156,8 +160,8 @@
     fleet: Fleet,
     links: Links,
     timers: Timers,
-    /// States to let go as soon as their hosts are reached, and since when.
-    unreleased: BTreeMap<HostId, Vec<(Held, Ms)>>,
+    /// Releases to send, by the host that is asked next.
+    unreleased: BTreeMap<HostId, Vec<PendingRelease>>,
     /// Hosts with releases that wait until nothing of their task is out or held.
     withheld: BTreeSet<HostId>,
     /// What the decisions have not been told yet.
@@ -250,6 +254,11 @@
         (ready, self.held().tasks as f64 / most as f64)
     }
 
+    /// The version of the newest list.
+    pub fn list_version(&self) -> u64 {
+        self.fleet.version
+    }
+
     /// Remembers from now on how its tasks end and what hosts say.
     pub fn keep_record(&mut self) {
         self.record = Some(record::Record::default());
@@ -296,12 +305,13 @@
             links: self.links.len(),
             timers: self.timers.len(),
             hosts: self.fleet.hosts.len(),
+            releases: self.unreleased.values().map(Vec::len).sum::<usize>() + self.links.releasing(),
         }
     }
 
     /// Whether a state is to be let go of which no host has said yet that it is.
     fn releasing(&self) -> bool {
-        !planted::is(Plant::StopDropsReleases) && (!self.unreleased.is_empty() || self.links.releasing())
+        !planted::is(Plant::StopDropsReleases) && self.held().releases > 0
     }
 
     /// Tells the decisions what happened and does what they decide, until nothing more follows. What is done
--- /dev/null
+++ b/crates/dispatcher/src/ledger/releases.rs
@@ -0,0 +1,203 @@
+//! Releases of KV states: what was held at a model host for a request and is not needed any more.
+//!
+//! A release is kept until a host has confirmed it. One that is lost on its way would leave the state pinned, so it is
+//! sent again: to the same host where states belong to one, and to another where any host passes a release on.
+
+use super::links::Use;
+use super::*;
+
+/// Where a state belongs to one host, its release is sent again after this part of the release time.
+const RETRY_PART: f64 = 4.0;
+/// Where any host passes a release on: the part of the release time within which a host has to confirm it, and the
+/// part that passes before the next host is asked.
+const CONFIRM_PART: f64 = 4.0;
+const NEXT_HOST_PART: f64 = 25.0;
+/// For how many release times a release that nobody confirms is sent again.
+const GIVE_UP_AFTER: f64 = 10.0;
+
+/// A release that no host has confirmed yet.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct PendingRelease {
+    pub held: Held,
+    /// Since when it is wanted.
+    pub since: Ms,
+    /// Hosts that were asked and have not confirmed it.
+    pub unconfirmed: Vec<HostId>,
+}
+
+impl PendingRelease {
+    fn new(held: Held, since: Ms) -> Self {
+        PendingRelease { held, since, unconfirmed: Vec::new() }
+    }
+
+    fn message(&self) -> Body {
+        let held = &self.held;
+        Body::Release(v1::Release { state: Some(held.id), origin: held.origin.clone() })
+    }
+}
+
+impl Ledger {
+    /// Lets the state held for a task go.
+    pub(super) fn release(&mut self, id: TaskId, out: &mut Vec<Output>) {
+        let Some(held) = self.tasks.get_mut(&id).and_then(|t| t.state.take()) else { return };
+        self.release_state(held, out);
+        self.forget_past(id);
+    }
+
+    pub(super) fn release_state(&mut self, held: Held, out: &mut Vec<Output>) {
+        if planted::is(Plant::ReleaseForgotten) {
+            return;
+        }
+        let host = held.host.clone();
+        self.add_release(host.clone(), PendingRelease::new(held, self.now));
+        if self.settings.limits.single.is_some() {
+            // Only what the decisions make of this tells whether its task goes on: see `is_withheld`.
+            self.withheld.insert(host);
+        } else {
+            self.flush_releases(&host, out);
+        }
+    }
+
+    fn add_release(&mut self, host: HostId, pending: PendingRelease) {
+        self.unreleased.entry(host).or_default().push(pending);
+    }
+
+    /// A release was not confirmed by the host that was asked: it is sent again.
+    pub(super) fn release_lost(&mut self, asked: HostId, mut pending: PendingRelease) {
+        let release_time = self.settings.policy.release;
+        let (next, wait) = if self.settings.limits.single.is_some() {
+            pending.unconfirmed.push(asked.clone());
+            (self.next_host_for(&mut pending).unwrap_or(asked), release_time / NEXT_HOST_PART)
+        } else {
+            (asked, release_time / RETRY_PART)
+        };
+        self.add_release(next.clone(), pending);
+        self.timers.set(self.now + wait, Due::Release(next));
+    }
+
+    /// Where a release goes that is due at a host: there, unless nothing was heard of that one lately and something was
+    /// of another, or it is gone.
+    fn host_for(&self, host: &HostId, pending: &mut PendingRelease) -> Option<HostId> {
+        let is_here = self.fleet.condition(host) != Condition::Gone;
+        if is_here && self.was_heard_lately(host) {
+            return Some(host.clone());
+        }
+        let other = self.next_host_for(pending);
+        match other {
+            Some(other) if !is_here || self.was_heard_lately(&other) => Some(other),
+            _ => Some(host.clone()).filter(|_| is_here),
+        }
+    }
+
+    fn was_heard_lately(&self, host: &HostId) -> bool {
+        self.links.heard_at(host) >= self.now - self.settings.policy.release / CONFIRM_PART
+    }
+
+    /// The host that most likely runs, of those that have not been asked: one that was heard lately and has a
+    /// connection at rest, one that was heard lately, or the one that was heard last. Once all were asked it begins
+    /// anew. Guards against a part of the fleet that falls silent at once: its connections at rest stay up, while
+    /// those of the hosts that work are busy.
+    fn next_host_for(&self, pending: &mut PendingRelease) -> Option<HostId> {
+        let ready = |(_, row): &(&HostId, &fleet::HostRow)| row.condition == Condition::Ready;
+        let hosts: Vec<&HostId> = self.fleet.hosts.iter().filter(ready).map(|(host, _)| host).collect();
+        if hosts.iter().all(|host| pending.unconfirmed.contains(host)) {
+            // The last one asked is not asked again at once, if there is another.
+            let asked = pending.unconfirmed.len();
+            pending.unconfirmed.drain(..asked.saturating_sub(1));
+        }
+        let rank = |host: &HostId| {
+            let fresh = self.was_heard_lately(host);
+            (fresh, fresh && self.links.up(host, true).is_some(), self.links.heard_at(host))
+        };
+        let order = |a: &&HostId, b: &&HostId| {
+            let (a, b) = (rank(a), rank(b));
+            (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2))
+        };
+        let unasked = hosts.into_iter().filter(|host| !pending.unconfirmed.contains(host));
+        unasked.max_by(order).cloned()
+    }
+
+    /// Whether letting a state go would end what its task still needs: where states go by their task's id, a
+    /// release does not tell a launch's from the next one's.
+    pub(super) fn is_withheld(&self, held: &Held) -> bool {
+        let task = self.origins.get(&held.origin).and_then(|id| self.tasks.get(id));
+        task.is_some_and(|task| task.out.is_some() || task.state.is_some())
+    }
+
+    /// A release that was to go out on a connection that has just come up waits until its task needs nothing more.
+    pub(super) fn withhold(&mut self, host: &HostId, pending: PendingRelease) {
+        self.add_release(host.clone(), pending);
+        self.withheld.insert(host.clone());
+    }
+
+    /// Lets go what is to be let go at a host, over any link that is up; else one is had. What is wanted is
+    /// kept until the host says that it is done: a release lost on its way would leave a state pinned. A process
+    /// that is gone holds nothing, and a host that cannot be reached for long has its own time limit.
+    pub(super) fn flush_releases(&mut self, host: &HostId, out: &mut Vec<Output>) {
+        if self.settings.limits.single.is_some() {
+            return self.flush_singly(host, out);
+        }
+        let Some(states) = self.unreleased.get_mut(host) else { return };
+        let oldest = self.now - GIVE_UP_AFTER * self.settings.policy.release;
+        states.retain(|pending| pending.since >= oldest);
+        let row = self.fleet.hosts.get(host).filter(|row| row.condition != Condition::Gone);
+        match (self.links.up(host, false), row) {
+            (Some(link), _) => {
+                for pending in self.unreleased.remove(host).unwrap_or_default() {
+                    let body = pending.message();
+                    let purpose = Use::Release(pending);
+                    let stream = self.links.open_on(link, purpose, self.now, &mut self.timers);
+                    let Some(stream) = stream else { continue };
+                    self.timers.set(self.now + self.settings.limits.stall_limit, Due::Past(link, stream));
+                    self.links.send(link, stream, body, out);
+                }
+            }
+            (None, Some(row)) if !states.is_empty() => {
+                let address = row.line.address.clone();
+                let to = (&mut self.timers, out);
+                if !self.links.want(host, &address, self.now, &self.settings, to) {
+                    let again = Due::Release(host.clone());
+                    self.timers.set(self.now + self.settings.policy.release / RETRY_PART, again);
+                }
+            }
+            (None, _) => {
+                self.unreleased.remove(host);
+            }
+        }
+    }
+
+    /// As `flush_releases`, where each release takes a connection, and any host passes it on.
+    fn flush_singly(&mut self, host: &HostId, out: &mut Vec<Output>) {
+        let release_time = self.settings.policy.release;
+        let oldest = self.now - GIVE_UP_AFTER * release_time;
+        for mut pending in self.unreleased.remove(host).unwrap_or_default() {
+            if self.is_withheld(&pending.held) {
+                pending.since = self.now;
+                self.withhold(host, pending);
+                continue;
+            }
+            if pending.since < oldest {
+                continue;
+            }
+            let Some(via) = self.host_for(host, &mut pending) else { continue };
+            let address = self.fleet.hosts.get(&via).map(|row| row.line.address.clone()).unwrap_or_default();
+            let (body, purpose) = (pending.message(), Use::Release(pending.clone()));
+            let to = (&mut self.timers, &mut *out);
+            match self.links.open(&via, &address, purpose, self.now, &self.settings, to) {
+                Ok((link, stream)) => {
+                    self.timers.set(self.now + release_time / CONFIRM_PART, Due::Past(link, stream));
+                    self.links.send(link, stream, body, out);
+                }
+                Err(_) => self.release_lost(via, pending),
+            }
+        }
+    }
+
+    /// The connection over which releases were to go is over: they go over another one.
+    pub(super) fn retry_releases(&mut self, host: &HostId) {
+        if self.unreleased.contains_key(host) {
+            let again = self.now + self.settings.policy.release / RETRY_PART;
+            self.timers.set(again, Due::Release(host.clone()));
+        }
+    }
+}
--- a/crates/dispatcher/tests/common/mod.rs
+++ b/crates/dispatcher/tests/common/mod.rs
@@ -252,6 +252,11 @@
         self.put(Input::Listed(list(v1::ListKind::Changes, &[(host, condition)])))
     }
 
+    /// The host that a link was dialled to.
+    pub fn host_of(&self, link: LinkId) -> &str {
+        &self.hosts[&link]
+    }
+
     /// The launches among outputs.
     pub fn launches(&self, out: &[Output]) -> Vec<Sent> {
         let launch = |output: &Output| {
--- a/crates/dispatcher/tests/single.rs
+++ b/crates/dispatcher/tests/single.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use cindercleat_dispatcher::ledger::{ConnId, Input, Output};
+use cindercleat_dispatcher::ledger::{ConnId, Input, LinkId, Output};
 use cindercleat_dispatcher::settings::Single;
 use cindercleat_dispatcher::{Limits, ProgramSettings};
 use cindercleat_protocol::v1::{Answer, Status};
@@ -268,3 +268,87 @@
     assert_eq!((held.hosts, held.links, held.tasks), (4, 0, 0));
     assert!(held.timers < 10, "{held:?}");
 }
+
+/// The links over which releases went, among outputs.
+fn release_links(out: &[Output]) -> Vec<LinkId> {
+    let release = |output: &Output| match output {
+        Output::ToHost { link, frame: Frame { body: Some(Body::Release(_)), .. } } => Some(*link),
+        _ => None,
+    };
+    out.iter().filter_map(release).collect()
+}
+
+/// A ledger that knows eight engines of each kind.
+fn many() -> Bench {
+    let mut bench = bench();
+    let names: Vec<String> =
+        ["r", "w"].iter().flat_map(|kind| (1..=8).map(move |at| format!("{kind}{at}"))).collect();
+    let ready: Vec<_> = names.iter().map(|name| (name.as_str(), v1::HostCondition::Ready)).collect();
+    bench.put(Input::Listed(list(v1::ListKind::Full, &ready)));
+    bench
+}
+
+#[test]
+fn a_release_reaches_an_engine_that_works_while_most_have_fallen_silent_with_connections_at_rest() {
+    let mut bench = many();
+    // Requests of many sessions, until a connection to each engine rests. What an engine says ends its attempt.
+    let mut linked = std::collections::BTreeSet::new();
+    let mut n = 1;
+    while linked.len() < 16 {
+        n += 1;
+        let text = v1::Submit { session: n, ..submit("draft") };
+        let origin = Some(v1::Origin { id: n.to_string(), ..v1::Origin::default() });
+        let out = asks(&mut bench, n, Body::Submit(v1::Submit { origin, ..text }));
+        let read = bench.launches(&out).pop().expect("a read goes out");
+        let out = bench.ended(&read, Status::ReadDone);
+        let write = bench.launches(&out).pop().expect("a write goes out");
+        bench.host(&write, tokens(0));
+        bench.ended(&write, Status::Fulfilled);
+        linked.extend([read.host, write.host]);
+        bench.pass(10.0);
+        assert!(n < 2_000, "every engine is used: {linked:?}");
+    }
+    // A state that is read, and from then on all but one engine are silent: their connections stay up. The one that
+    // works goes on with streams of other requests.
+    bench.hosts_answer_releases = false;
+    let busy = writing(&mut bench, 1, "busy", "draft");
+    bench.host(&busy, tokens(0));
+    let read = reading(&mut bench, 2, "last", "draft");
+    bench.ended(&read, Status::ReadDone);
+    bench.pass(1_000.0);
+    bench.host(&busy, tokens(1));
+    let since = bench.now;
+    let mut out = bench.put(Input::ClientClosed { conn: ConnId(2) });
+    let mut position = 2;
+    let reached = loop {
+        let asked: Vec<String> = release_links(&out).iter().map(|l| bench.host_of(*l).to_owned()).collect();
+        if asked.contains(&busy.host) {
+            break bench.now - since;
+        }
+        assert!(bench.now - since < 500.0, "asked until then: {asked:?}");
+        out = bench.pass(10.0);
+        bench.host(&busy, tokens(position));
+        position += 1;
+    };
+    assert!(reached <= 300.0, "in good time before it counts as left behind: {reached}");
+}
+
+#[test]
+fn a_state_is_let_go_in_time_while_no_connection_to_a_decode_engine_comes_up() {
+    let mut bench = many();
+    let read = reading(&mut bench, 1, "a", "draft");
+    // Connections to decode engines stay under way until their time is up; the one to the prefill engine rests.
+    bench.links_come_up = false;
+    let mut out = bench.ended(&read, Status::ReadDone);
+    let since = bench.now;
+    let mut dialled = 0;
+    while release_links(&out).is_empty() {
+        dialled += out.iter().filter(|output| matches!(output, Output::Dial { .. })).count();
+        assert!(bench.now - since < 2_000.0, "it lies there");
+        out = bench.pass(10.0);
+    }
+    assert!(dialled >= 2, "more than one was tried: {dialled}");
+    // What is held may be held for the release time and 0.3 s, whatever fails meanwhile.
+    let lay = bench.now - since;
+    assert!(lay <= 600.0, "let go after {lay}");
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -349,7 +349,10 @@
             self.hosts.heard[slot] = self.now;
         }
         task.over |= ended.last;
-        task.idle_since = self.now;
+        // While connections fail to come up, the time of a state that waits keeps running.
+        if !matches!(ended.outcome, Outcome::Unreachable | Outcome::Void) {
+            task.idle_since = self.now;
+        }
         let never_ran = self.hosts.only_reads(&out)
             || matches!(ended.outcome, Outcome::Full | Outcome::Unreachable | Outcome::Void);
         if !never_ran && ended.outcome != Outcome::Fulfilled {
@@ -423,8 +426,11 @@
         let left = self.settings.max_launches.saturating_sub(task.launches);
         // A state whose reader is gone is read again, and let go in case the list is wrong.
         task.want_release = task.state.is_some_and(|s| self.hosts.listed[s].condition == Condition::Gone);
+        let look_again = (RETRY_SHARE * self.settings.release).max(self.settings.tick);
+        let lies = self.now + look_again - task.idle_since > HOLD_SHARE * self.settings.release;
         let target = match task.state.filter(|_| !task.want_release) {
             _ if left == 0 => return self.give_up(task),
+            Some(_) if lies => return self.give_up(task),
             Some(reader) => self.choose_writer(task, reader),
             None if left < 2 => return self.give_up(task),
             None if !self.writers_have_room() => None,
@@ -441,11 +447,6 @@
             }
             return;
         }
-        let look_again = RETRY_SHARE * self.settings.release;
-        let held = self.now + look_again - task.idle_since;
-        if task.state.is_some() && held > HOLD_SHARE * self.settings.release {
-            return self.give_up(task);
-        }
         // Guards against a jam of held tasks that takes all the processor's time: they are not planned at
         // every step.
         if task.state.is_none() && self.now >= task.idle_since + LOOK * self.quoted_least {
