Headers of clients pass on to engines; nothing that came behind a large event is held back or lost

A class whose repeats go by a key: its clients send an idempotency key, which engines are to get as it was sent. At fault: http1/src/server.rs, submit, and host.rs, task, which passed on the content type alone. Now every end-to-end header goes on (RFC 9110), but for the id and the time, which the dispatcher says itself. Ruled out: another name for the id, a changed body. A small event behind a large one waited for the next bytes; with the engine's close behind it, the last chunk was lost, and a whole stream ended as a broken one.

--- a/crates/cindercleat-cli/src/node.rs
+++ b/crates/cindercleat-cli/src/node.rs
@@ -98,6 +98,7 @@
         feed_wait_ms: allowed.feed_wait as u32,
         drain_ms: allowed.drain as u32,
         most_drained: allowed.most_drained,
+        stall_ms: allowed.stall as u32,
     };
     let program = program(said.name, seed, conf, &allowed);
     Ok(Configuration { listen: said.listen, discovery: said.discovery, seed, known, program, bounds })
--- a/crates/dispatcher/tests/platform.rs
+++ b/crates/dispatcher/tests/platform.rs
@@ -26,6 +26,7 @@
     feed_wait_ms: 500,
     drain_ms: 500,
     most_drained: 40_000,
+    stall_ms: 4000,
 };
 
 const FEED: FeedSettings = FeedSettings {
--- a/crates/http1/src/framing.rs
+++ b/crates/http1/src/framing.rs
@@ -134,9 +134,42 @@
 }
 
 fn closes(headers: &[(String, Bytes)]) -> bool {
-    let said =
-        |value: &[u8]| value.split(|b| *b == b',').any(|t| t.trim_ascii().eq_ignore_ascii_case(b"close"));
-    all(headers, "connection").any(said)
+    is_connection_option(headers, "close")
+}
+
+/// Whether a name stands in the `Connection` header, which lists what concerns this connection alone.
+fn is_connection_option(headers: &[(String, Bytes)], name: &str) -> bool {
+    let named = |value: &[u8]| {
+        value.split(|b| *b == b',').any(|t| t.trim_ascii().eq_ignore_ascii_case(name.as_bytes()))
+    };
+    all(headers, "connection").any(named)
+}
+
+/// Headers that concern one connection or the framing of one message (RFC 9110, 7.6.1); each hop has its own.
+const HOP_BY_HOP: [&str; 12] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "host",
+    "content-length",
+];
+
+impl<F> Head<F> {
+    /// The headers that are meant for whoever serves the request, whatever stands between.
+    pub fn end_to_end(&self) -> impl Iterator<Item = &(String, Bytes)> {
+        let passes = |name: &str| {
+            let hop = HOP_BY_HOP.iter().any(|hop| hop.eq_ignore_ascii_case(name));
+            !hop && !is_connection_option(&self.headers, name)
+        };
+        self.headers.iter().filter(move |(name, _)| passes(name))
+    }
 }
 
 /// One step of a body.
--- a/crates/http1/src/host.rs
+++ b/crates/http1/src/host.rs
@@ -9,7 +9,6 @@
 use cindercleat_protocol::session::{Event, Io, Setup};
 use cindercleat_protocol::{v1, Body, Frame};
 use serde::Deserialize;
-use std::fmt::Write;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::mpsc;
@@ -99,7 +98,7 @@
         }
     }
 
-    fn begin(&self, frame: Frame) -> Option<(Call, String, Bytes)> {
+    fn begin(&self, frame: Frame) -> Option<(Call, Vec<u8>, Bytes)> {
         let host = &self.name;
         match frame.body? {
             Body::Read(read) => {
@@ -112,35 +111,39 @@
             }
             Body::Probe(_) => {
                 let head = format!("GET {} HTTP/1.1\r\nHost: {host}\r\n\r\n", words::LOAD_PATH);
-                Some((Call::Probe, head, Bytes::new()))
+                Some((Call::Probe, head.into_bytes(), Bytes::new()))
             }
             Body::Release(release) => {
                 let path = format!("{}{}", words::STATES, release.origin);
                 let head = format!("DELETE {path} HTTP/1.1\r\nHost: {host}\r\nContent-Length: 0\r\n\r\n");
-                Some((Call::Release, head, Bytes::new()))
+                Some((Call::Release, head.into_bytes(), Bytes::new()))
             }
             // What belongs to a call that is over.
             _ => None,
         }
     }
 
-    fn task(&self, origin: v1::Origin, wait_ms: f64, length: usize) -> String {
+    /// The head of a request: what its client said, with this hop's own framing, id and time.
+    fn task(&self, origin: v1::Origin, wait_ms: f64, length: usize) -> Vec<u8> {
         let mut head = format!("{} {} HTTP/1.1\r\nHost: {}\r\n", origin.method, origin.target, self.name);
-        // Writing to a string cannot fail.
-        let _ = write!(head, "{}: {}\r\nContent-Length: {length}\r\n", words::ID, origin.id);
-        if !origin.content_type.is_empty() {
-            let _ = write!(head, "Content-Type: {}\r\n", origin.content_type);
-        }
+        head += &format!("{}: {}\r\nContent-Length: {length}\r\n", words::ID, origin.id);
         if wait_ms > 0.0 {
-            let _ = write!(head, "{}: {}\r\n", words::PATIENCE, wait_ms.floor());
+            head += &format!("{}: {}\r\n", words::PATIENCE, wait_ms.floor());
+        }
+        let mut head = head.into_bytes();
+        for header in origin.headers {
+            head.extend_from_slice(header.name.as_bytes());
+            head.extend_from_slice(b": ");
+            head.extend_from_slice(&header.value);
+            head.extend_from_slice(b"\r\n");
         }
-        head.push_str("\r\n");
+        head.extend_from_slice(b"\r\n");
         head
     }
 
     /// Carries one call; tells whether another may follow.
-    async fn call(&mut self, stream: u64, mut call: Call, head: &str, body: &[u8]) -> bool {
-        let whole = [head.as_bytes(), body].concat();
+    async fn call(&mut self, stream: u64, mut call: Call, head: &[u8], body: &[u8]) -> bool {
+        let whole = [head, body].concat();
         if let Err((over, written)) = self.write(stream, &whole).await {
             if let Over::Theirs(reason) = over {
                 let bye = v1::Goodbye { reason, never_ran: written < whole.len() };
@@ -232,6 +235,7 @@
         let (mut ended, mut over) = (false, false);
         loop {
             // What has come is taken together: one message for the events of one turn.
+            let mut turn_is_full = false;
             loop {
                 if matches!(call, Call::Write { credit: 0, .. }) {
                     break;
@@ -244,7 +248,8 @@
                         if body.len() > self.bounds.most_chunk && !streams {
                             return Err(Over::Spoilt(Fault::TooLong("the answer")));
                         }
-                        if streams && body.len() >= TURN {
+                        turn_is_full = streams && body.len() >= TURN;
+                        if turn_is_full {
                             break;
                         }
                     }
@@ -269,6 +274,11 @@
                 self.shared.say(stream, said_of(call, head, &body));
                 return Ok(keeps);
             }
+            // Guards against events, or the end, that have come behind a full turn: they wait for nothing more, which may
+            // never come, and the connection's end does not make them undone.
+            if turn_is_full {
+                continue;
+            }
             if !self.more(stream, call).await? {
                 // The mark in the head says all of an answer that turns away.
                 if !reading.may_end() && !head.as_ref().is_some_and(turns_away) {
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -40,6 +40,8 @@
     /// are taken before it is closed.
     pub drain_ms: u32,
     pub most_drained: usize,
+    /// How long, in milliseconds, a client may take nothing of an answer that is being written.
+    pub stall_ms: u32,
 }
 
 /// The platform's protocol; clones share their bounds.
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -219,13 +219,24 @@
         }
     }
 
-    async fn write(&mut self, bytes: &[u8]) -> bool {
+    /// Writes an answer, as fast as the client takes it; tells whether it took all. Guards against a client that
+    /// takes nothing: nobody else looks after an answer whose task has ended.
+    async fn write(&mut self, mut bytes: &[u8]) -> bool {
         let closing = self.shared.closing.get();
-        tokio::select! { biased;
-            // What is said last is written as far as it goes at once.
-            () = self.shared.closed(), if !closing => false,
-            wrote = self.io.write_all(bytes) => wrote.is_ok(),
+        let stall = Duration::from_millis(u64::from(self.wire.bounds.stall_ms));
+        while !bytes.is_empty() {
+            let wrote = tokio::select! { biased;
+                // What is said last is written as far as it goes at once.
+                () = self.shared.closed(), if !closing => return false,
+                wrote = self.io.write(bytes) => wrote,
+                () = tokio::time::sleep(stall) => return false,
+            };
+            match wrote {
+                Ok(0) | Err(_) => return false,
+                Ok(taken) => bytes = &bytes[taken..],
+            }
         }
+        true
     }
 
     /// Writes the answer to the open request; gives how the connection ends, if no other may follow.
@@ -378,7 +389,10 @@
     let prompt_tokens = labels.prompt_tokens.unwrap_or(guessed).max(1);
     let session = head.text(words::SESSION).unwrap_or(id);
     let resent = head.text(words::RETRIED);
-    let content_type = head.text("content-type").unwrap_or_default();
+    // These two are the dispatcher's own to say.
+    let ours = |name: &str| [words::ID, words::PATIENCE].iter().any(|ours| ours.eq_ignore_ascii_case(name));
+    let theirs = head.end_to_end().filter(|(name, _)| !ours(name));
+    let headers = theirs.map(|(name, value)| v1::Header { name: name.clone(), value: value.clone() });
     Ok(v1::Submit {
         profile: profile.to_owned(),
         tenant: head.text(words::TENANT).unwrap_or_default().to_owned(),
@@ -396,7 +410,7 @@
             id: id.to_owned(),
             method: head.first.method.clone(),
             target: head.first.target.clone(),
-            content_type: content_type.to_owned(),
+            headers: headers.collect(),
         }),
     })
 }
--- a/crates/http1/tests/session.rs
+++ b/crates/http1/tests/session.rs
@@ -15,6 +15,7 @@
     feed_wait_ms: 500,
     drain_ms: 500,
     most_drained: 4000,
+    stall_ms: 4000,
 };
 
 fn run<F: Future<Output = ()>>(test: F) {
@@ -96,6 +97,8 @@
             let origin = submit.origin.expect("an origin");
             assert_eq!((origin.id.as_str(), origin.method.as_str()), ("9b1f03aa5c7e2d41", "POST"));
             assert_eq!(origin.target, "/v1/chat/completions?a=b");
+            let names: Vec<&str> = origin.headers.iter().map(|header| &*header.name).collect();
+            assert_eq!(names, ["X-Lane", "X-Entity", "X-Labels", "Content-Type"], "and no other");
             assert_eq!(wire.held(), 7, "its bytes are counted while it is open");
             session.out.send(frame(stream, text(0, "data: a\n\n")));
             assert!(until(&mut io, "9\r\ndata: a\n\n\r\n").await.starts_with("HTTP/1.1 200 "));
@@ -307,8 +310,11 @@
 fn origin() -> Option<v1::Origin> {
     let text = |text: &str| text.to_owned();
     let target = text("/v1/chat/completions?a=b");
-    let content_type = text("application/json");
-    Some(v1::Origin { id: text("9b1f"), method: text("POST"), target, content_type })
+    let headers = vec![
+        v1::Header { name: text("Content-Type"), value: "application/json".into() },
+        v1::Header { name: text("Idempotency-Key"), value: "k-7".into() },
+    ];
+    Some(v1::Origin { id: text("9b1f"), method: text("POST"), target, headers })
 }
 
 fn read() -> Body {
@@ -335,6 +341,7 @@
         let (mut io, mut session) = host().await;
         session.out.send(frame(1, read()));
         let asked = until(&mut io, "\r\n\r\n{}").await;
+        assert!(asked.contains("\r\nIdempotency-Key: k-7\r\n"), "{asked}");
         assert!(asked.starts_with("POST /v1/chat/completions?a=b HTTP/1.1\r\n"), "{asked}");
         assert!(asked.contains("\r\nX-Txn: 9b1f\r\n") && asked.contains("\r\nX-Remaining-Ms: 1234\r\n"));
         let answer = "HTTP/1.1 202 Accepted\r\nContent-Length: 22\r\n\r\n{\"cached_tokens\":4096}";
