--- a/crates/dispatcher/src/shell.rs
+++ b/crates/dispatcher/src/shell.rs
@@ -169,6 +169,11 @@
         self.inner.ledger.borrow().fares()
     }
 
+    /// The version of the newest list of model hosts.
+    pub fn list_version(&self) -> u64 {
+        self.inner.ledger.borrow().list_version()
+    }
+
     /// Remembers from now on how its tasks end and what hosts say: for a fleet that watches releases.
     pub fn keep_record(&self) {
         self.inner.ledger.borrow_mut().keep_record();
@@ -312,19 +317,31 @@
         }
     }
 
-    /// What has been said goes out before the end, as far as the peers take it within a moment.
+    /// What has been said goes out before the end, as far as the peers take it: clients that read slowly are waited
+    /// for as long as a stream may stall.
     async fn flush(&self) {
-        let until = self.inner.clock.now() + self.inner.settings.limits.greet_within;
-        let outs: Vec<W::Out> = self.inner.clients.borrow().values().cloned().collect();
-        outs.iter().for_each(Outbox::close);
-        for out in outs {
+        let limits = &self.inner.settings.limits;
+        let clients: Vec<W::Out> = self.inner.clients.borrow().values().cloned().collect();
+        if limits.single.is_some() {
+            // Guards against the end of an answer that is cut off with its connection while its client still reads.
+            clients.iter().for_each(Outbox::go_away);
+            self.wait_until_over(&clients, limits.stall_limit).await;
+        }
+        clients.iter().for_each(Outbox::close);
+        self.wait_until_over(&clients, limits.greet_within).await;
+        self.inner.links.borrow().values().for_each(|end| end.close());
+        yield_now().await;
+    }
+
+    /// Waits for the ends of connections, for so long at most.
+    async fn wait_until_over(&self, connections: &[W::Out], within: Ms) {
+        let until = self.inner.clock.now() + within;
+        for connection in connections {
             tokio::select! { biased;
-                () = out.over() => {}
+                () = connection.over() => {}
                 () = self.inner.clock.sleep_until(until) => {}
             }
         }
-        self.inner.links.borrow().values().for_each(|end| end.close());
-        yield_now().await;
     }
 
     fn setup(&self, expects: &str, most_calls: u32) -> Setup {
@@ -448,6 +465,7 @@
     async fn follow_list(self) {
         let mut calls = FeedCalls::new(self.inner.settings.limits.feed, self.inner.seed);
         let mut at = 0;
+        let mut said: Option<String> = None;
         loop {
             let feeds = self.inner.places.borrow().feeds.clone();
             if feeds.is_empty() {
@@ -461,7 +479,11 @@
                 }
                 reason = self.read_feed(address, &mut calls) => reason,
             };
-            tracing::warn!(address, reason, "list feed lost");
+            // Said once, not with each call, while it stays so.
+            if said.as_ref() != Some(&reason) {
+                tracing::warn!(address, reason, "list feed lost");
+                said = Some(reason);
+            }
             self.input(Input::ListRefused);
             at += 1;
             let again = self.inner.clock.now() + calls.lost();
@@ -517,8 +539,14 @@
             };
             match next {
                 Some(Event::Frame(Frame { body: Some(Body::List(list)), .. })) => {
-                    calls.answered();
                     heard = clock.now();
+                    let newest = self.inner.ledger.borrow().list_version();
+                    let whole = list.kind() == v1::ListKind::Full;
+                    if !calls.takes(whole, list.version, newest, heard) {
+                        out.close();
+                        return "its list is older than the one that is known".to_owned();
+                    }
+                    calls.answered();
                     let told = |line: &v1::HostLine| {
                         (line.host.clone(), line.condition().as_str_name(), line.started_ms)
                     };
--- /dev/null
+++ b/crates/dispatcher/tests/common/loopback.rs
@@ -0,0 +1,481 @@
+//! A dispatcher on TCP sockets of this machine, between clients, model hosts and discovery that do nothing but what the
+//! test says, in the order in which it says it.
+//!
+//! No order depends on a wait. The dispatcher's clock stands still until [`Loopback::advance`] moves it, a connection
+//! comes up when [`Gate::open`] lets it, and a time limit ends only a test that hangs.
+#![allow(dead_code)]
+
+use super::common::{settings, single_limits};
+use cindercleat::feed::FeedSettings;
+use cindercleat::interface::Ms;
+use cindercleat_dispatcher::shell::{Places, Shell};
+use cindercleat_dispatcher::{Limits, ProgramSettings};
+use cindercleat_http1::{Bounds, Http1};
+use cindercleat_net::{Clock, Tcp, Transport};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::future::Future;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, yield_now, JoinHandle, LocalSet};
+
+pub const BOUNDS: Bounds = Bounds {
+    most_body: 256 << 10,
+    most_chunk: 256 << 10,
+    most_list: 1 << 20,
+    most_bodies: 8 << 20,
+    feed_wait_ms: 500,
+    drain_ms: 500,
+    most_drained: 1 << 20,
+    stall_ms: 4000,
+};
+/// A test that takes longer hangs.
+const HANGS_AFTER: Duration = Duration::from_secs(30);
+const ADDRESS: &str = "127.0.0.1:0";
+
+/// A clock that stands still until it is moved.
+#[derive(Clone)]
+pub struct ManualClock {
+    now: Rc<Cell<Ms>>,
+    moved: Rc<Notify>,
+}
+
+impl Clock for ManualClock {
+    fn now(&self) -> Ms {
+        self.now.get()
+    }
+
+    async fn sleep_until(&self, at: Ms) {
+        loop {
+            let moved = self.moved.notified();
+            if self.now.get() >= at {
+                return;
+            }
+            moved.await;
+        }
+    }
+}
+
+/// TCP whose connections to some addresses come up only when they are let.
+#[derive(Clone, Default)]
+pub struct Gate {
+    shut: Rc<RefCell<BTreeSet<String>>>,
+    /// Connections that wait to come up, by address.
+    waiting: Rc<RefCell<Vec<String>>>,
+    changed: Rc<Notify>,
+}
+
+impl Gate {
+    pub fn shut(&self, address: &str) {
+        self.shut.borrow_mut().insert(address.to_owned());
+    }
+
+    pub fn open(&self, address: &str) {
+        self.shut.borrow_mut().remove(address);
+        self.changed.notify_waiters();
+    }
+
+    /// Waits until a connection to an address is wanted and is held up.
+    pub async fn held_up(&self, address: &str) {
+        until(|| self.waiting.borrow().iter().any(|waiting| waiting == address)).await;
+    }
+}
+
+impl Transport for Gate {
+    type Stream = TcpStream;
+    type Listener = TcpListener;
+
+    async fn connect(&self, address: &str) -> io::Result<TcpStream> {
+        if self.shut.borrow().contains(address) {
+            self.waiting.borrow_mut().push(address.to_owned());
+            loop {
+                let changed = self.changed.notified();
+                if !self.shut.borrow().contains(address) {
+                    break;
+                }
+                changed.await;
+            }
+        }
+        Tcp.connect(address).await
+    }
+
+    async fn listen(&self, address: &str) -> io::Result<TcpListener> {
+        Tcp.listen(address).await
+    }
+}
+
+/// Lets everything else run until something is so.
+pub async fn until(is: impl Fn() -> bool) {
+    while !is() {
+        yield_now().await;
+    }
+}
+
+/// One end of a connection that a test holds.
+pub struct Conn {
+    pub io: TcpStream,
+    /// Bytes that have come and were not looked at.
+    came: Vec<u8>,
+}
+
+/// A request as it came.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Request {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
+    }
+
+    pub fn id(&self) -> &str {
+        self.header("X-Txn").unwrap_or_default()
+    }
+}
+
+impl Conn {
+    pub fn new(io: TcpStream) -> Self {
+        io.set_nodelay(true).expect("a socket");
+        Conn { io, came: Vec::new() }
+    }
+
+    pub async fn say(&mut self, text: &str) {
+        self.io.write_all(text.as_bytes()).await.expect("written");
+    }
+
+    /// Reads on; false at the connection's end, in whatever way.
+    async fn more(&mut self) -> bool {
+        let mut part = [0; 4096];
+        match self.io.read(&mut part).await {
+            Ok(0) | Err(_) => false,
+            Ok(bytes) => {
+                self.came.extend_from_slice(&part[..bytes]);
+                true
+            }
+        }
+    }
+
+    /// All that came up to and with an end; what there is if the connection ends first.
+    pub async fn text_until(&mut self, end: &str) -> String {
+        loop {
+            let at = self.came.windows(end.len().max(1)).position(|w| w == end.as_bytes());
+            if let Some(at) = at {
+                let rest = self.came.split_off(at + end.len());
+                return String::from_utf8(std::mem::replace(&mut self.came, rest)).expect("text");
+            }
+            if !self.more().await {
+                return String::from_utf8(std::mem::take(&mut self.came)).expect("text");
+            }
+        }
+    }
+
+    /// The next request, whole; none if the connection ends without a byte of one.
+    pub async fn next_request(&mut self) -> Option<Request> {
+        let head = self.text_until("\r\n\r\n").await;
+        if head.is_empty() {
+            return None;
+        }
+        let mut request = Request { head, body: Vec::new() };
+        let length = request.header("Content-Length").map_or(0, |l| l.parse().expect("a length"));
+        while self.came.len() < length && self.more().await {}
+        request.body = self.came.drain(..length.min(self.came.len())).collect();
+        Some(request)
+    }
+
+    pub async fn request(&mut self) -> Request {
+        self.next_request().await.expect("a request")
+    }
+
+    /// What still comes up to the connection's end.
+    pub async fn rest(&mut self) -> String {
+        while self.more().await {}
+        String::from_utf8(std::mem::take(&mut self.came)).expect("text")
+    }
+}
+
+/// A model host that does what the test says.
+pub struct Host {
+    pub address: String,
+    listener: TcpListener,
+}
+
+impl Host {
+    pub async fn accept(&self) -> Conn {
+        Conn::new(self.listener.accept().await.expect("a connection").0)
+    }
+
+    /// The next connection's first request.
+    pub async fn asked(&self) -> (Conn, Request) {
+        let mut conn = self.accept().await;
+        let request = conn.request().await;
+        (conn, request)
+    }
+
+    /// Whether a connection has come up that was not accepted yet.
+    pub fn is_asked(&self) -> bool {
+        use std::future::poll_fn;
+        use std::task::{Context, Poll, Waker};
+        let mut context = Context::from_waker(Waker::noop());
+        let mut accept = std::pin::pin!(poll_fn(|context| self.listener.poll_accept(context)));
+        matches!(accept.as_mut().poll(&mut context), Poll::Ready(_))
+    }
+}
+
+pub struct Loopback {
+    pub shell: Shell<Gate, ManualClock, Http1>,
+    pub clock: ManualClock,
+    pub gate: Gate,
+    pub address: String,
+    hosts: BTreeMap<&'static str, Host>,
+    discovery: TcpListener,
+    /// The watch that is open, and the newest revision.
+    watch: RefCell<Option<Conn>>,
+    revision: Cell<u64>,
+    pub stop: Rc<Notify>,
+    served: JoinHandle<()>,
+}
+
+/// Bytes that a socket of the dispatcher's holds for a client that does not read; the system makes it a little more.
+const SMALL_BUFFER: u32 = 4096;
+
+fn listen_narrow() -> TcpListener {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    // Connections that are accepted have the listener's.
+    socket.set_send_buffer_size(SMALL_BUFFER).expect("a buffer");
+    socket.bind(ADDRESS.parse().expect("an address")).expect("a port");
+    socket.listen(128).expect("it listens")
+}
+
+pub fn limits() -> Limits {
+    let feed =
+        FeedSettings { connect: 250.0, first_quiet: 1e9, quiet: 1e9, again_first: 100.0, again_most: 1000.0 };
+    Limits { feed, most_frame: BOUNDS.most_body, stop_notice: 600.0, ..single_limits() }
+}
+
+/// Runs a test beside a dispatcher that knows a prefill engine "r1" and a decode engine "w1".
+pub fn run<F: Future<Output = ()>>(test: impl FnOnce(Loopback) -> F) {
+    run_with(ProgramSettings { limits: limits(), ..settings() }, &["r1", "w1"], test);
+}
+
+pub fn run_with<F: Future<Output = ()>>(
+    settings: ProgramSettings,
+    hosts: &[&'static str],
+    test: impl FnOnce(Loopback) -> F,
+) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let within = tokio::time::timeout(HANGS_AFTER, async {
+            let net = Loopback::start(settings, hosts).await;
+            test(net).await;
+        });
+        within.await.expect("the test does not hang");
+    });
+}
+
+impl Loopback {
+    async fn start(settings: ProgramSettings, names: &[&'static str]) -> Loopback {
+        let clock = ManualClock { now: Rc::new(Cell::new(1e6)), moved: Rc::default() };
+        let gate = Gate::default();
+        let mut hosts = BTreeMap::new();
+        for name in names {
+            let listener = TcpListener::bind(ADDRESS).await.expect("a port");
+            let address = listener.local_addr().expect("an address").to_string();
+            hosts.insert(*name, Host { address, listener });
+        }
+        let discovery = TcpListener::bind(ADDRESS).await.expect("a port");
+        let feeds = vec![discovery.local_addr().expect("an address").to_string()];
+        let places = Places { feeds, ..Places::default() };
+        let wire = Http1::new(BOUNDS);
+        let shell = Shell::speaking(wire, settings, places, gate.clone(), clock.clone(), 1);
+        let listener = listen_narrow();
+        let address = listener.local_addr().expect("an address").to_string();
+        let (stop, serving) = (Rc::new(Notify::new()), shell.clone());
+        let told = stop.clone();
+        let served = spawn_local(async move {
+            serving.serve(listener, told.notified()).await.expect("it serves");
+        });
+        let (watch, revision) = (RefCell::new(None), Cell::new(1));
+        let net = Loopback { shell, clock, gate, address, hosts, discovery, watch, revision, stop, served };
+        let mut call = net.discovery_call().await;
+        assert!(!call.request().await.head.contains("after="), "the whole list is asked for first");
+        call.say(&net.list(1, true, &net.all("up"))).await;
+        net.watched_on(call).await;
+        net
+    }
+
+    /// Keeps a connection to discovery once the watch that follows is open on it.
+    pub async fn watched_on(&self, mut call: Conn) {
+        let watch = call.request().await;
+        assert!(watch.head.contains(&format!("after={}&", self.revision.get())), "{watch:?}");
+        *self.watch.borrow_mut() = Some(call);
+    }
+
+    /// The watch that is open.
+    pub fn take_watch(&self) -> Conn {
+        self.watch.borrow_mut().take().expect("a watch is open")
+    }
+
+    /// Tells of changes on the watch that is open, and waits until the dispatcher has taken them in.
+    pub async fn tell(&self, lines: &[String]) {
+        self.revision.set(self.revision.get() + 1);
+        let mut call = self.take_watch();
+        call.say(&self.list(self.revision.get(), false, lines)).await;
+        self.watched_on(call).await;
+    }
+
+    /// The next connection to discovery.
+    pub async fn discovery_call(&self) -> Conn {
+        Conn::new(self.discovery.accept().await.expect("a connection").0)
+    }
+
+    pub fn host(&self, name: &str) -> &Host {
+        &self.hosts[name]
+    }
+
+    /// A line of the list for each host, all in one phase.
+    pub fn all(&self, phase: &str) -> Vec<String> {
+        self.hosts.keys().map(|name| self.line(name, phase)).collect()
+    }
+
+    pub fn line(&self, name: &str, phase: &str) -> String {
+        let flavor = if name.starts_with('r') { "reader" } else { "writer" };
+        let address = &self.hosts[name].address;
+        format!(
+            "{{\"id\":\"{name}\",\"host_port\":\"{address}\",\"locality\":\"north\",\"flavor\":\"{flavor}\",\
+             \"cell\":0,\"phase\":\"{phase}\",\"size\":1.0,\"up_since_ms\":0}}"
+        )
+    }
+
+    /// An answer of discovery.
+    pub fn list(&self, revision: u64, whole: bool, lines: &[String]) -> String {
+        let members = lines.join(",");
+        let text = format!("{{\"revision\":{revision},\"complete\":{whole},\"members\":[{members}]}}");
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len())
+    }
+
+    pub fn now(&self) -> Ms {
+        self.clock.now.get()
+    }
+
+    /// Moves the dispatcher's clock.
+    pub fn advance(&self, by: Ms) {
+        self.clock.now.set(self.clock.now.get() + by);
+        self.clock.moved.notify_waiters();
+    }
+
+    /// Moves the clock step by step until something is so, with everything else running in between.
+    pub async fn pass_until(&self, is: impl Fn() -> bool) {
+        while !is() {
+            self.advance(1.0);
+            for _ in 0..20 {
+                yield_now().await;
+            }
+        }
+    }
+
+    pub async fn connect(&self) -> Conn {
+        Conn::new(TcpStream::connect(&self.address).await.expect("it listens"))
+    }
+
+    /// A client whose socket holds as little as the system lets it.
+    pub async fn connect_narrow(&self) -> Conn {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(SMALL_BUFFER).expect("a buffer");
+        let address = self.address.parse().expect("an address");
+        Conn::new(socket.connect(address).await.expect("it listens"))
+    }
+
+    /// A client that has sent a request.
+    pub async fn ask(&self, id: &str, class: &str) -> Conn {
+        let mut conn = self.connect().await;
+        conn.say(&request(id, class)).await;
+        conn
+    }
+
+    /// The first attempt of a request at the prefill engine, which answers that it has read the prompt.
+    pub async fn prefilled(&self) -> Request {
+        let (mut conn, request) = self.host("r1").asked().await;
+        conn.say(READ).await;
+        request
+    }
+
+    /// A request that waits for the first token of its decode engine.
+    pub async fn decoding(&self, id: &str, class: &str) -> (Conn, Conn) {
+        let client = self.ask(id, class).await;
+        self.prefilled().await;
+        let (engine, request) = self.host("w1").asked().await;
+        assert_eq!(request.id(), id);
+        (client, engine)
+    }
+
+    /// The next connection's first request at any of several hosts.
+    pub async fn asked_at(&self, names: &[&str]) -> (Conn, Request) {
+        let accepted = std::future::poll_fn(|context| {
+            let ready = |name: &&str| match self.hosts[*name].listener.poll_accept(context) {
+                std::task::Poll::Ready(accepted) => Some(accepted.expect("a connection").0),
+                std::task::Poll::Pending => None,
+            };
+            names.iter().find_map(ready).map_or(std::task::Poll::Pending, std::task::Poll::Ready)
+        });
+        let mut conn = Conn::new(accepted.await);
+        let request = conn.request().await;
+        (conn, request)
+    }
+
+    /// The next request at either of two hosts on a new connection, with time passing until it comes.
+    pub async fn any_asked(&self) -> (Conn, Request) {
+        let asked = async {
+            loop {
+                let mut conn = tokio::select! {
+                    conn = self.host("r1").accept() => conn,
+                    conn = self.host("w1").accept() => conn,
+                };
+                if let Some(request) = conn.next_request().await {
+                    return (conn, request);
+                }
+            }
+        };
+        tokio::select! { biased;
+            asked = asked => asked,
+            () = self.pass_until(|| false) => unreachable!("it goes on"),
+        }
+    }
+
+    pub async fn no_request_is_open(&self) {
+        until(|| self.shell.held().tasks == 0).await;
+    }
+
+    /// Waits until the process would end.
+    pub async fn ended(self) {
+        self.served.await.expect("it serves to the end");
+    }
+
+    pub fn has_ended(&self) -> bool {
+        self.served.is_finished()
+    }
+}
+
+pub const READ: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":0}";
+pub const STREAM: &str =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+pub const EVENT: &str = "9\r\ndata: a\n\n\r\n";
+pub const END: &str = "0\r\n\r\n";
+pub const RELEASED: &str = "HTTP/1.1 204 No Content\r\n\r\n";
+
+pub fn request(id: &str, class: &str) -> String {
+    request_with(id, class, 4000, "{}")
+}
+
+pub fn request_with(id: &str, class: &str, remaining_ms: u32, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Txn: {id}\r\nX-Lane: {class}\r\n\
+         X-Remaining-Ms: {remaining_ms}\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
--- /dev/null
+++ b/crates/dispatcher/tests/streams.rs
@@ -0,0 +1,134 @@
+//! Events of streams are passed on as they come: none waits for the next one, for another client, or for its own chunk's
+//! neighbours. On TCP sockets; each event is asked for at the client before its engine writes anything more.
+
+mod common;
+#[path = "common/loopback.rs"]
+mod loopback;
+
+use cindercleat_dispatcher::settings::Single;
+use cindercleat_dispatcher::{Limits, ProgramSettings};
+use common::settings;
+use loopback::*;
+use tokio::io::AsyncWriteExt;
+
+/// A stream whose head and first event have come.
+async fn streaming(net: &Loopback, id: &str) -> (Conn, Conn) {
+    let (mut client, mut engine) = net.decoding(id, "draft").await;
+    engine.say(&format!("{STREAM}{EVENT}")).await;
+    assert!(client.text_until(EVENT).await.starts_with("HTTP/1.1 200 "));
+    (client, engine)
+}
+
+#[test]
+fn each_event_is_passed_on_before_the_next_is_written() {
+    run(|net| async move {
+        let (mut client, mut engine) = streaming(&net, "a").await;
+        for _ in 0..100 {
+            engine.say(EVENT).await;
+            assert_eq!(client.text_until(EVENT).await, EVENT);
+        }
+        engine.say(END).await;
+        assert_eq!(client.text_until(END).await, END);
+    });
+}
+
+#[test]
+fn an_event_that_came_in_pieces_does_not_wait_for_the_one_behind_it() {
+    run(|net| async move {
+        let (mut client, mut engine) = streaming(&net, "a").await;
+        // Byte by byte, and the beginning of the next chunk right behind the last byte.
+        for byte in EVENT.bytes() {
+            engine.io.write_all(&[byte]).await.expect("written");
+            tokio::task::yield_now().await;
+        }
+        engine.say("9\r\ndata").await;
+        assert_eq!(client.text_until(EVENT).await, EVENT);
+        engine.say(": a\n\n\r\n").await;
+        assert_eq!(client.text_until(EVENT).await, EVENT);
+        engine.say(END).await;
+        assert_eq!(client.text_until(END).await, END);
+    });
+}
+
+/// A large event and what comes behind it in the same moment: a small one, then the end and the engine's close.
+#[test]
+fn nothing_that_came_behind_a_large_event_waits_or_is_lost() {
+    run(|net| async move {
+        let (mut client, mut engine) = streaming(&net, "a").await;
+        let event = format!("data: {}\n\n", "x".repeat(60_000));
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        engine.say(&format!("{chunk}{EVENT}")).await;
+        assert_eq!(client.text_until(EVENT).await.len(), chunk.len() + EVENT.len());
+        engine.say(&format!("{chunk}{EVENT}{END}")).await;
+        drop(engine);
+        assert!(client.text_until(END).await.ends_with(&format!("{EVENT}{END}")));
+        net.no_request_is_open().await;
+    });
+}
+
+#[test]
+fn a_client_that_takes_nothing_holds_back_nobody_else() {
+    run(|net| async move {
+        let mut slow = net.connect_narrow().await;
+        slow.say(&request("slow", "draft")).await;
+        net.prefilled().await;
+        let (mut slow_engine, _) = net.host("w1").asked().await;
+        slow_engine.say(STREAM).await;
+        // Until neither the client's socket, nor the dispatcher, nor the engine's socket takes any more.
+        let event = format!("data: {}\n\n", "x".repeat(8_000));
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len()).repeat(500);
+        let filled = tokio::task::spawn_local(async move {
+            slow_engine.say(&chunk).await;
+            slow_engine
+        });
+        let (mut fast, mut engine) = streaming(&net, "fast").await;
+        for _ in 0..100 {
+            engine.say(EVENT).await;
+            assert_eq!(fast.text_until(EVENT).await, EVENT);
+        }
+        engine.say(END).await;
+        assert_eq!(fast.text_until(END).await, END);
+        assert!(!filled.is_finished(), "the slow one held its engine back all the while");
+        drop(slow);
+        net.no_request_is_open().await;
+    });
+}
+
+#[test]
+fn hundreds_of_streams_on_one_thread_each_get_their_events() {
+    const STREAMS: usize = 200;
+    let single = limits().single.map(|single| Single { most_links: 2 * STREAMS, ..single });
+    let limits = Limits {
+        single,
+        links_per_host: STREAMS,
+        most_clients: 2 * STREAMS,
+        most_tasks: STREAMS,
+        ..limits()
+    };
+    // As many decode engines as a dispatcher that has just begun dares to fill.
+    let names = ["r1", "w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"];
+    run_with(ProgramSettings { limits, ..settings() }, &names, |net| async move {
+        let mut streams = Vec::new();
+        for at in 0..STREAMS {
+            let mut client = net.ask(&format!("n{at}"), "draft").await;
+            net.prefilled().await;
+            let (mut engine, _) = net.asked_at(&names[1..]).await;
+            engine.say(&format!("{STREAM}{EVENT}")).await;
+            assert!(client.text_until(EVENT).await.starts_with("HTTP/1.1 200 "));
+            streams.push((client, engine));
+        }
+        for _ in 0..5 {
+            for (_, engine) in &mut streams {
+                engine.say(EVENT).await;
+            }
+            for (client, _) in &mut streams {
+                assert_eq!(client.text_until(EVENT).await, EVENT);
+            }
+        }
+        for (client, engine) in &mut streams {
+            engine.say(END).await;
+            assert_eq!(client.text_until(END).await, END);
+        }
+        net.no_request_is_open().await;
+    });
+}
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -40,6 +40,10 @@
     }
 }
 
+/// Discovery that gives only older lists for this long has begun to count anew, as it does when it was set up afresh.
+/// Half of the six seconds after which what it has counts as told.
+const COUNTS_ANEW_AFTER: Ms = 3_000.0;
+
 /// One dispatcher's calls to discovery.
 #[derive(Clone, Debug)]
 pub struct FeedCalls {
@@ -48,11 +52,14 @@
     wait: Ms,
     /// Whether anything came on the present connection.
     answered: bool,
+    /// Since when discovery has given nothing but lists that are older than the newest.
+    older_since: Option<Ms>,
 }
 
 impl FeedCalls {
     pub fn new(settings: FeedSettings, seed: u64) -> Self {
-        FeedCalls { settings, rng: WyRand::new_seed(seed), wait: settings.again_first, answered: false }
+        let rng = WyRand::new_seed(seed);
+        FeedCalls { settings, rng, wait: settings.again_first, answered: false, older_since: None }
     }
 
     /// A connection is about to be made.
@@ -70,6 +77,21 @@
         (self.answered, self.wait) = (true, self.settings.again_first);
     }
 
+    /// Whether a list of this version replaces, or a change of it adds to, the newest one that is known. Guards against
+    /// a replica of discovery that lags behind: its list would bring hosts back that drain or are gone.
+    pub fn takes(&mut self, whole: bool, version: u64, newest: u64, now: Ms) -> bool {
+        if version >= newest {
+            self.older_since = None;
+            return true;
+        }
+        let since = *self.older_since.get_or_insert(now);
+        let counts_anew = whole && now - since >= COUNTS_ANEW_AFTER;
+        if counts_anew {
+            self.older_since = None;
+        }
+        counts_anew
+    }
+
     /// Discovery is at another address: there is no reason to wait.
     pub fn moved(&mut self) {
         self.wait = self.settings.again_first;
