Odd settings are read or refused by name; a whole fleet killed at once is ready in ten seconds

A class without a deadline goes by what each request says, one without a target by its deadline, a cold start of 0 by a moment. Times that measure others (release, connect, fall window) have to be above 0, none may be negative, and there has to be a class, a kind that reads and one that writes: else exit code 2 and the setting's name. Before, a release time of 0 would have set timers at every instant. Twenty processes without a list, killed at once and started again: nine in ten ready within ten seconds, on sockets.

--- a/crates/cindercleat-cli/tests/common/mod.rs
+++ b/crates/cindercleat-cli/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! What tests of fleets among processes share: three dispatchers that vote, and the program's commands.
 #![allow(dead_code)]
 
+use std::fs::OpenOptions;
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -62,6 +63,16 @@
         fleet
     }
 
+    /// What all of them have logged.
+    fn logs(&self) -> String {
+        let read = |settings: &PathBuf| {
+            let log = settings.with_extension("log");
+            let text = std::fs::read_to_string(&log).unwrap_or_else(|problem| problem.to_string());
+            format!("{}:\n{text}", log.display())
+        };
+        self.settings.iter().map(read).collect()
+    }
+
     pub fn fleet(&self, args: &[&str]) -> (Option<i32>, String, String) {
         run(&[&["fleet", "--at", &self.at[0]], args].concat())
     }
@@ -75,7 +86,7 @@
             if is(&status) {
                 return status;
             }
-            assert!(Instant::now() < end, "{what}: {out}{err}");
+            assert!(Instant::now() < end, "{what}: {out}{err}{}", self.logs());
             std::thread::sleep(Duration::from_millis(50));
         }
     }
@@ -91,8 +102,11 @@
     }
 }
 
+/// Starts a dispatcher; what it logs goes into a file beside its settings.
 pub fn serve(settings: &Path) -> Child {
+    let log = OpenOptions::new().create(true).append(true).open(settings.with_extension("log"));
     let mut command = program();
-    command.arg("serve").arg(settings).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+    command.arg("serve").arg(settings).stdin(Stdio::null()).stdout(Stdio::null());
+    command.stderr(log.expect("a file for its log"));
     command.spawn().expect("it starts")
 }
--- a/crates/cindercleat-cli/tests/program.rs
+++ b/crates/cindercleat-cli/tests/program.rs
@@ -1,5 +1,6 @@
 //! The program as its users start it, on loopback ports of the system's choice.
 
+use cindercleat::interface::Effect;
 use std::io::{BufRead, BufReader};
 use std::process::{Command, Output, Stdio};
 
@@ -197,6 +198,154 @@
     }
 }
 
+/// Settings of other customers: they serve, or are refused with the reason.
+#[test]
+fn odd_settings_are_read_or_refused_by_name() {
+    let read = |text: &str| cindercleat_cli::node::read("c.json", text).map(|conf| conf.program.policy);
+    let with = |from: &str, to: &str| {
+        let text = configuration("127.0.0.1:1");
+        assert!(text.contains(from), "{from}");
+        read(&text.replacen(from, to, 1))
+    };
+    let policy = with("\"giveUp\":4000000,", "").expect("a class without a deadline");
+    assert_eq!((policy.profiles[0].quoted, policy.profiles[0].patience), (1000.0, f64::INFINITY));
+    let policy = with("\"aim\":1000000,", "").expect("a class without a target goes by its deadline");
+    assert_eq!(policy.profiles[0].quoted, 4000.0);
+    let policy = with("\"importance\":2.0", "\"importance\":0").expect("a class that is worth nothing");
+    assert_eq!(policy.profiles[0].payoff, 0.0);
+    let keyed = "\"effect\":\"keyed\",\"keyScope\":\"cell\",\"dedupWindow\":1000";
+    let policy = with("\"effect\":\"safe\"", keyed).expect("a window of a millisecond");
+    assert!(matches!(policy.profiles[0].effect, Effect::Numbered { window: 1.0, .. }), "{policy:?}");
+    let policy = with("\"rampTime\":14000000", "\"rampTime\":0").expect("engines that are never cold");
+    assert!(policy.ramp > 0.0);
+    let policy = with("\"release\":500000", "\"release\":2000").expect("states that are let go at once");
+    assert_eq!(policy.release, 2.0);
+    for (from, to, place) in [
+        ("\"release\":500000", "\"release\":0", "familyInfo.release"),
+        ("\"connectTimeout\":250000", "\"connectTimeout\":-1", "limits.connectTimeout"),
+        ("\"overloadFor\":3000000", "\"overloadFor\":0", "rules.overloadFor"),
+        ("[\"read\",\"write\"]", "[\"read\",\"read\"]", "familyInfo.kindRole"),
+        ("\"drainGrace\":2000000", "\"drainGrace\":-5", "rules.drainGrace"),
+        ("\"aim\":1000000,\"giveUp\":4000000", "\"aim\":0,\"giveUp\":0", "services.0.giveUp"),
+    ] {
+        let problem = with(from, to).err().map(|problem| problem.to_string()).expect(place);
+        assert!(problem.starts_with("c.json: ") && problem.contains(place), "{place}: {problem}");
+    }
+}
+
+/// Processes with a configuration, each on an address of its own, and the discovery that they all ask.
+mod a_fleet_that_restarts {
+    use super::*;
+    use std::io::{Read, Write};
+    use std::net::{TcpListener, TcpStream};
+    use std::time::{Duration, Instant};
+
+    const PROCESSES: usize = 20;
+
+    /// Answers every call with a list of one engine of each kind; watches are held open.
+    fn discovery() -> String {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address").to_string();
+        std::thread::spawn(move || {
+            for io in listener.incoming().map_while(Result::ok) {
+                std::thread::spawn(move || answer(io));
+            }
+        });
+        address
+    }
+
+    fn answer(mut io: TcpStream) {
+        let mut head = Vec::new();
+        let mut byte = [0];
+        while io.read_exact(&mut byte).is_ok() {
+            head.push(byte[0]);
+            if !head.ends_with(b"\r\n\r\n") {
+                continue;
+            }
+            if String::from_utf8_lossy(&head).contains("after=") {
+                // The watch: nothing changes. The process closes it, or is killed.
+                let _ = io.read(&mut byte);
+                return;
+            }
+            head.clear();
+            let line = |id: &str, kind: &str| {
+                format!(
+                    "{{\"id\":\"{id}\",\"host_port\":\"127.0.0.1:1\",\"locality\":\"a\",\"flavor\":\"{kind}\",\
+                     \"cell\":0,\"phase\":\"up\",\"size\":1.0,\"up_since_ms\":0}}"
+                )
+            };
+            let members = [line("s-1", "r"), line("s-2", "w")].join(",");
+            let text = format!("{{\"revision\":5,\"complete\":true,\"members\":[{members}]}}");
+            let _ = write!(io, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+        }
+    }
+
+    struct Node(std::process::Child);
+
+    impl Drop for Node {
+        fn drop(&mut self) {
+            // Ours, by its own handle; it may be gone.
+            let _ = self.0.kill();
+            let _ = self.0.wait();
+        }
+    }
+
+    /// Starts a process that has to ask for its list; gives it and where it listens, once it does.
+    fn start(conf: &str) -> (Node, String) {
+        let child =
+            program(&["node", "--log-form", "json"]).env("GW_CONFIG", conf).stderr(Stdio::piped()).spawn();
+        let mut child = child.expect("it starts");
+        let mut lines = BufReader::new(child.stderr.take().expect("it logs")).lines().map_while(Result::ok);
+        let line = lines.find(|line| line.contains("\"serving\"")).expect("it says that it serves");
+        // What it logs further is taken off its hands.
+        std::thread::spawn(move || lines.for_each(drop));
+        let line: serde_json::Value = serde_json::from_str(&line).expect("a log line is JSON");
+        (Node(child), line["fields"]["address"].as_str().expect("an address").to_owned())
+    }
+
+    fn is_ready(address: &str) -> bool {
+        let Ok(mut io) = TcpStream::connect(address) else { return false };
+        let asked = io.write_all(b"GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        let mut answer = String::new();
+        asked.is_ok() && io.read_to_string(&mut answer).is_ok() && answer.starts_with("HTTP/1.1 200 ")
+    }
+
+    /// Starts all at once; gives them with how long each took to be ready, until a limit.
+    fn start_all(conf: &str) -> Vec<(Node, Duration)> {
+        let begin = Instant::now();
+        let starts: Vec<_> = (0..PROCESSES)
+            .map(|_| {
+                let conf = conf.to_owned();
+                std::thread::spawn(move || {
+                    let (node, address) = start(&conf);
+                    while !is_ready(&address) && begin.elapsed() < Duration::from_secs(30) {
+                        std::thread::sleep(Duration::from_millis(10));
+                    }
+                    (node, begin.elapsed())
+                })
+            })
+            .collect();
+        starts.into_iter().map(|start| start.join().expect("it starts")).collect()
+    }
+
+    #[test]
+    fn nine_in_ten_are_ready_in_ten_seconds_when_all_were_killed_at_once() {
+        let text = configuration(&discovery());
+        // Without a list from before: each has to ask.
+        let known = text.find("\"known\":").expect("it is there");
+        let settings = text.find("\"settings\":").expect("it is there");
+        let text = format!("{}{}", &text[..known], &text[settings..]);
+        let conf = file("restarts.json", &text);
+        for round in ["first start", "restart"] {
+            let nodes = start_all(&conf);
+            let ready = nodes.iter().filter(|(_, took)| *took < Duration::from_secs(10)).count();
+            let took: Vec<_> = nodes.iter().map(|(_, took)| took.as_millis()).collect();
+            assert!(ready * 10 >= PROCESSES * 9, "{round}: {took:?}");
+            // Dropped here: killed, all of them.
+        }
+    }
+}
+
 #[test]
 fn node_without_a_good_configuration_ends_with_2_and_says_where() {
     let bad = file("bad.json", "{");
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -46,6 +46,9 @@
     pub most_tasks: Option<usize>,
 }
 
+/// The shortest cold start that is told from none.
+const LEAST_RAMP: Ms = 1.0;
+
 struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
 
 impl Pairs<'_> {
@@ -77,11 +80,28 @@
     }
 
     fn time(&self, path: &str) -> Result<Ms, Malformed> {
-        self.amount(path).map(|us| us / 1000.0)
+        let time = self.amount(path)? / 1000.0;
+        if time < 0.0 {
+            return Err(Malformed::new(format!("a time of 0 or more in {path}"), self.text(path)?));
+        }
+        Ok(time)
+    }
+
+    /// A time that measures others: nothing can be held within a time of 0.
+    fn positive_time(&self, path: &str) -> Result<Ms, Malformed> {
+        let time = self.time(path)?;
+        if time == 0.0 {
+            return Err(Malformed::new(format!("a time above 0 in {path}"), self.text(path)?));
+        }
+        Ok(time)
     }
 
     fn time_or(&self, path: &str, absent: Ms) -> Result<Ms, Malformed> {
-        self.amount_or(path, absent * 1000.0).map(|us| us / 1000.0)
+        if self.0.contains_key(path) {
+            self.time(path)
+        } else {
+            Ok(absent)
+        }
     }
 
     fn flag(&self, path: &str) -> Result<bool, Malformed> {
@@ -166,6 +186,9 @@
 fn read_pairs(pairs: Pairs) -> Result<Conf, Malformed> {
     let profiles: usize = pairs.number("services.count")?;
     let tenants: usize = if pairs.0.contains_key("orgs.count") { pairs.number("orgs.count")? } else { 0 };
+    if profiles == 0 {
+        return Err(Malformed::new("at least one class in services", "none"));
+    }
     let discovery = match pairs.text("discovery")? {
         "automatic" => Discovery::Pushed,
         "subscribe" => Discovery::Asked { told_within: pairs.time("rules.askWithin")? },
@@ -181,7 +204,7 @@
         over_share_worth: pairs.amount_or("overShareWorth", 1.0)?,
         kinds: kinds(&pairs)?,
         discovery,
-        release: pairs.time("familyInfo.release")?,
+        release: pairs.positive_time("familyInfo.release")?,
         writers_read: pairs.flag("familyInfo.localRead")?,
         may_hold_ahead: pairs.flag("familyInfo.mayReserve")?,
         may_cancel: pairs.flag("limits.cancel")?,
@@ -191,13 +214,14 @@
         clients_hear_retry: pairs.flag("limits.retryAfter")?,
         max_retry_after: pairs.time_or("limits.maxRetryAfter", 0.0)?,
         max_launches: pairs.number("limits.maxAttempts")?,
-        connect_timeout: pairs.time("limits.connectTimeout")?,
+        connect_timeout: pairs.positive_time("limits.connectTimeout")?,
         drain_grace: pairs.time("rules.drainGrace")?,
         answer_grace: pairs.time("rules.graceToAnswer")?,
         fall_multiple: pairs.amount("rules.fallMultiple")?,
-        fall_window: pairs.time("rules.overloadFor")?,
+        fall_window: pairs.positive_time("rules.overloadFor")?,
         start_capacity: pairs.amount("rules.startCapacity")?,
-        ramp: pairs.time("rules.rampTime")?,
+        // An engine that is as good as warm at once: a moment stands for none.
+        ramp: pairs.time("rules.rampTime")?.max(LEAST_RAMP),
     };
     let texts = |path: &str| pairs.list(path).into_iter().map(str::to_owned).collect();
     let named = |what: &str, count: usize| {
@@ -237,11 +261,15 @@
         }
         other => return Err(Malformed::new("safe, keyed or unsafe in effect", other)),
     };
+    // A class without a deadline of its own goes by what each request says; one without a target by its deadline.
+    let deadline = pairs.time_or(&at("giveUp"), 0.0)?;
+    let target = [pairs.time_or(&at("aim"), 0.0)?, deadline].into_iter().find(|time| *time > 0.0);
+    let none = || Malformed::new(format!("a time above 0 in {} or {}", at("aim"), at("giveUp")), "none");
     Ok(ProfileSettings {
         effect,
-        quoted: pairs.time(&at("aim"))?,
+        quoted: target.ok_or_else(none)?,
         quoted_per_1000_tokens: pairs.time_in("familyInfo.aimUsPer1000PromptTokens", i)?,
-        patience: pairs.time(&at("giveUp"))?,
+        patience: if deadline > 0.0 { deadline } else { f64::INFINITY },
         payoff: pairs.amount_or(&at("importance"), 1.0)?,
         late_share: pairs.amount_or(&at("lateShare"), 0.0)?,
         token_pace: pairs.time_in("familyInfo.tokenAim", i)?,
@@ -271,5 +299,12 @@
         Ok(KindSettings { role, memory_tokens })
     };
     pairs.text("familyInfo.kindRole")?;
-    pairs.list("familyInfo.kindRole").into_iter().enumerate().map(kind).collect()
+    let kinds: Vec<KindSettings> =
+        pairs.list("familyInfo.kindRole").into_iter().enumerate().map(kind).collect::<Result<_, _>>()?;
+    let serves = |role| kinds.iter().any(|kind| kind.role == role || kind.role == Role::Both);
+    if !serves(Role::Reader) || !serves(Role::Writer) {
+        let came = pairs.text("familyInfo.kindRole")?;
+        return Err(Malformed::new("a kind that reads and one that writes in familyInfo.kindRole", came));
+    }
+    Ok(kinds)
 }
