--- a/crates/faults/src/plan.rs
+++ b/crates/faults/src/plan.rs
@@ -165,6 +165,8 @@
         silences: Vec::new(),
         apart: Vec::new(),
         token_ms: day.hosts.iter().map(|h| h.token_ms).fold(0.0, f64::max),
+        // Two thirds of their class's share on a quiet day, half on others.
+        largest_part: Some(if day.faults.is_empty() { 2.0 / 3.0 } else { 0.5 }),
     }
 }
 
--- a/crates/faults/src/world.rs
+++ b/crates/faults/src/world.rs
@@ -295,6 +295,10 @@
         Rule::DrainBroken => "DrainBroken",
         Rule::ColdHostPushed => "ColdHostPushed",
         Rule::LeftPinned => "LeftPinned",
+        Rule::AttemptForNobody => "AttemptForNobody",
+        Rule::EventLate => "EventLate",
+        Rule::LargestStarved => "LargestStarved",
+        Rule::SessionsSingledOut => "SessionsSingledOut",
     }
 }
 
--- a/crates/standin/src/audit.rs
+++ b/crates/standin/src/audit/mod.rs
@@ -1,9 +1,11 @@
-//! Holds the five rules against a transcript: what crossed the sockets of clients, hosts and the list feed.
+//! Holds the five rules, and the terms of service ([`service`]), against a transcript: what crossed the sockets of clients, hosts and the list feed.
 //! It knows nothing of a dispatcher's state, and takes the words of the brief as they stand.
 //!
 //! Instants are the stand-ins'. What a dispatcher did is seen when it arrives, so each bound has a stated
 //! `slack` for the way between, which is far below the bounds.
 
+mod service;
+
 use crate::transcript::{Note, Record, Way, What};
 use cindercleat_net::Ms;
 use cindercleat_protocol::{v1, Body};
@@ -30,6 +32,8 @@
     pub apart: Vec<(Ms, Ms)>,
     /// A token's time in a writer's slot, for the work that a launch there brings.
     pub token_ms: Ms,
+    /// The part of its class's answered share that the largest requests get; nothing is held where there is none.
+    pub largest_part: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
@@ -39,6 +43,14 @@
     DrainBroken,
     ColdHostPushed,
     LeftPinned,
+    /// An attempt began after its client had gone.
+    AttemptForNobody,
+    /// An event was not passed on as it came.
+    EventLate,
+    /// The largest requests of a class were given up for smaller ones.
+    LargestStarved,
+    /// Sessions were refused throughout, beyond what chance gives.
+    SessionsSingledOut,
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -58,6 +70,8 @@
     pub drains: usize,
     pub cold_launches: usize,
     pub states: usize,
+    pub events: usize,
+    pub length_floors: usize,
 }
 
 #[derive(Clone, Debug, Default, Serialize)]
@@ -78,6 +92,9 @@
     drains(records, &launches, rules, &mut findings);
     cold(records, &launches, rules, &mut findings);
     pinned(records, &launches, rules, &mut findings);
+    service::attempts_for_nobody(records, rules, &mut findings);
+    service::late_events(records, rules, &mut findings);
+    service::starved(records, rules, &mut findings);
     findings.breaches.sort_by(|a, b| a.at.total_cmp(&b.at));
     findings
 }
--- a/crates/standin/tests/audit.rs
+++ b/crates/standin/tests/audit.rs
@@ -18,6 +18,7 @@
         silences: Vec::new(),
         apart: Vec::new(),
         token_ms: 10.0,
+        largest_part: Some(0.5),
     }
 }
 
@@ -250,6 +251,81 @@
     assert_eq!(story.found(), []);
 }
 
+/// A request under another key whose client goes at 100, and the attempt that comes at a prefill engine at `at`.
+fn gone_before_an_attempt(at: f64) -> Story {
+    let mut story = good();
+    let submit = v1::Submit { key: "k2".to_owned(), patience_ms: 5000.0, ..v1::Submit::default() };
+    story.frame(50.0, CLIENT, Way::Out, 2, Body::Submit(submit));
+    story.frame(51.0, CLIENT, Way::In, 2, Body::Accepted(v1::Accepted { task: 2 }));
+    story.frame(100.0, CLIENT, Way::Out, 2, Body::Cancel(v1::Cancel {}));
+    let read = v1::Read { state: state(2), key: "k2".to_owned(), ..v1::Read::default() };
+    story.frame(at, READER, Way::In, 5, Body::Read(read));
+    story
+}
+
+#[test]
+fn an_attempt_for_a_client_that_has_gone_is_found_beyond_its_tenth_of_a_second() {
+    for (at, found) in [(90.0, vec![]), (290.0, vec![]), (310.0, vec![Rule::AttemptForNobody])] {
+        assert_eq!(gone_before_an_attempt(at).found(), found, "sent at {at}");
+    }
+    // The client asked again under the same key: the attempt is for that.
+    let mut story = gone_before_an_attempt(500.0);
+    let submit = v1::Submit { key: "k2".to_owned(), patience_ms: 5000.0, ..v1::Submit::default() };
+    story.frame(400.0, CLIENT, Way::Out, 3, Body::Submit(submit));
+    story.frame(600.0, CLIENT, Way::In, 3, last(v1::Answer::Bounced));
+    assert_eq!(story.found(), []);
+}
+
+#[test]
+fn an_event_that_is_held_back_is_found() {
+    for (at, found) in [(400.0, vec![]), (500.0, vec![Rule::EventLate])] {
+        let mut story = Story::default();
+        let submit = v1::Submit { key: "k2".to_owned(), patience_ms: 5000.0, ..v1::Submit::default() };
+        story.frame(10.0, CLIENT, Way::Out, 2, Body::Submit(submit));
+        let attempt = v1::Write { key: "k2".to_owned(), ..v1::Write::default() };
+        story.frame(20.0, WRITER, Way::In, 4, Body::Write(attempt));
+        let tokens = |position| Body::Tokens(v1::Tokens { position, count: 1, ..v1::Tokens::default() });
+        for (position, written, came) in [(0, 30.0, 31.0), (1, 60.0, at)] {
+            story.frame(written, WRITER, Way::Out, 4, tokens(position));
+            story.frame(came, CLIENT, Way::In, 2, tokens(position));
+        }
+        story.frame(900.0, CLIENT, Way::In, 2, last(v1::Answer::Fulfilled));
+        assert_eq!(story.found(), found, "passed on at {at}");
+    }
+}
+
+/// A class of many requests, each with its length, its session and its answer.
+fn class(answers: impl Iterator<Item = (u32, u64, v1::Answer)>) -> Story {
+    let mut story = Story::default();
+    for (n, (prompt_tokens, session, answer)) in answers.enumerate() {
+        let (at, stream) = (10.0 * n as f64, n as u64 + 1);
+        let key = format!("key-{n}");
+        let submit = v1::Submit { key, session, prompt_tokens, patience_ms: 1000.0, ..v1::Submit::default() };
+        story.frame(at, CLIENT, Way::Out, stream, Body::Submit(submit));
+        story.frame(at + 5.0, CLIENT, Way::In, stream, last(answer));
+    }
+    story
+}
+
+#[test]
+fn largest_requests_that_are_given_up_for_small_ones_are_found() {
+    let answer = |refused: bool| if refused { v1::Answer::Bounced } else { v1::Answer::Fulfilled };
+    // One in ten is refused: by chance, or always of the largest.
+    let fair = (0..400_u32).map(|n| (n, u64::from(n), answer(n % 10 == 3)));
+    assert_eq!(class(fair).found(), []);
+    let unfair = (0..400_u32).map(|n| (n, u64::from(n / 4) % 60, answer(n >= 370)));
+    assert_eq!(class(unfair).found(), [Rule::LargestStarved]);
+}
+
+#[test]
+fn sessions_that_are_refused_throughout_are_found() {
+    let answer = |refused: bool| if refused { v1::Answer::Bounced } else { v1::Answer::Fulfilled };
+    let spread = (0..400_u32).map(|n| (n, u64::from(n % 50), answer(n % 4 == n / 50 % 4)));
+    assert_eq!(class(spread).found(), []);
+    let singled = (0..400_u32).map(|n| (n, u64::from(n % 50), answer(n % 50 < 12)));
+    assert_eq!(class(singled).found(), [Rule::SessionsSingledOut]);
+}
+
 #[test]
 fn a_transcript_is_read_back_as_it_was_written() {
     let records = good().records;
