The release of a prefill that was cut off goes to its own engine first; shortages of descriptors

The test fails without it. Two more endings on real connections: no descriptor for a further attempt, and idle clients in every place while discovery is down.

--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -2,6 +2,7 @@
 //! and links have to say of them.
 
 use super::links::Use;
+use super::releases::Known;
 use super::*;
 use crate::ledger::tasks::Launch;
 use cindercleat::channels::{Do, Refusal, Why};
@@ -102,7 +103,7 @@
         }
         // The read may have ended at the host before the cancel comes, with nobody left to hear of it.
         if let Some(held) = read {
-            self.release_state(held, out);
+            self.release_state(held, Known::MayBeHeld, out);
         }
         false
     }
@@ -187,7 +188,7 @@
         let held = self.read_out(id).filter(|_| matches!(outcome, Outcome::Broken | Outcome::Failed));
         self.end_launch(id, outcome, 0.0, load);
         if let Some(held) = held.filter(|_| !planted::is(Plant::BrokenReadKept)) {
-            self.release_state(held, out);
+            self.release_state(held, Known::MayBeHeld, out);
         }
     }
 
@@ -465,7 +466,7 @@
     /// or it would stay pinned.
     fn take_late_end(&mut self, host: HostId, ended: &v1::Ended, out: &mut Vec<Output>) {
         if let (v1::Status::ReadDone, Some(state)) = (ended.status(), ended.state) {
-            self.release_state(Held { host, id: state, origin: String::new() }, out);
+            self.release_state(Held { host, id: state, origin: String::new() }, Known::Held, out);
         }
     }
 
@@ -485,7 +486,7 @@
                 self.end_launch(id, Outcome::Full, 1.0, load);
                 // Guards against a writer that could not reach the reader: the state would lie there for nobody.
                 if let Some(held) = held.filter(|_| !planted::is(Plant::NoStateKept)) {
-                    self.release_state(held, out);
+                    self.release_state(held, Known::Held, out);
                 }
             }
             v1::Status::Failed => self.finish_launch(id, Outcome::Failed, &ended.reason, load, out),
--- a/crates/dispatcher/src/ledger/releases.rs
+++ b/crates/dispatcher/src/ledger/releases.rs
@@ -15,10 +15,20 @@
 /// For how many release times a release that nobody confirms is sent again.
 const GIVE_UP_AFTER: f64 = 10.0;
 
+/// What is known of the state that a release is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Known {
+    /// Its engine has said that it holds it.
+    Held,
+    /// A prefill was cut off, which may have ended just then.
+    MayBeHeld,
+}
+
 /// A release that no host has confirmed yet.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct PendingRelease {
     pub held: Held,
+    pub known: Known,
     /// Since when it is wanted.
     pub since: Ms,
     /// Hosts that were asked and have not confirmed it.
@@ -26,8 +36,8 @@
 }
 
 impl PendingRelease {
-    fn new(held: Held, since: Ms) -> Self {
-        PendingRelease { held, since, unconfirmed: Vec::new() }
+    fn new(held: Held, known: Known, since: Ms) -> Self {
+        PendingRelease { held, known, since, unconfirmed: Vec::new() }
     }
 
     fn message(&self) -> Body {
@@ -40,16 +50,16 @@
     /// Lets the state held for a task go.
     pub(super) fn release(&mut self, id: TaskId, out: &mut Vec<Output>) {
         let Some(held) = self.tasks.get_mut(&id).and_then(|t| t.state.take()) else { return };
-        self.release_state(held, out);
+        self.release_state(held, Known::Held, out);
         self.forget_past(id);
     }
 
-    pub(super) fn release_state(&mut self, held: Held, out: &mut Vec<Output>) {
+    pub(super) fn release_state(&mut self, held: Held, known: Known, out: &mut Vec<Output>) {
         if planted::is(Plant::ReleaseForgotten) {
             return;
         }
         let host = held.host.clone();
-        self.add_release(host.clone(), PendingRelease::new(held, self.now));
+        self.add_release(host.clone(), PendingRelease::new(held, known, self.now));
         if self.settings.limits.single.is_some() {
             // Only what the decisions make of this tells whether its task goes on: see `is_withheld`.
             self.withheld.insert(host);
@@ -76,10 +86,12 @@
     }
 
     /// Where a release goes that is due at a host: there, unless nothing was heard of that one lately and something was
-    /// of another, or it is gone.
+    /// of another, or it is gone. Guards against a release that overtakes the end of a prefill that was cut off: by way
+    /// of a nearer host it could come before the state is there.
     fn host_for(&self, host: &HostId, pending: &mut PendingRelease) -> Option<HostId> {
         let is_here = self.fleet.condition(host) != Condition::Gone;
-        if is_here && self.was_heard_lately(host) {
+        let follows_cut = pending.known == Known::MayBeHeld && pending.unconfirmed.is_empty();
+        if is_here && (follows_cut || self.was_heard_lately(host)) {
             return Some(host.clone());
         }
         let other = self.next_host_for(pending);
--- a/crates/dispatcher/tests/common/loopback.rs
+++ b/crates/dispatcher/tests/common/loopback.rs
@@ -33,6 +33,8 @@
     most_drained: 1 << 20,
     stall_ms: 4000,
 };
+/// The system's number for a process that has all the descriptors it may have (EMFILE).
+const TOO_MANY_OPEN_FILES: i32 = 24;
 /// A test that takes longer hangs.
 const HANGS_AFTER: Duration = Duration::from_secs(30);
 const ADDRESS: &str = "127.0.0.1:0";
@@ -64,6 +66,8 @@
 #[derive(Clone, Default)]
 pub struct Gate {
     shut: Rc<RefCell<BTreeSet<String>>>,
+    /// Whether there are no descriptors for new connections.
+    exhausted: Rc<Cell<bool>>,
     /// Connections that wait to come up, by address.
     waiting: Rc<RefCell<Vec<String>>>,
     changed: Rc<Notify>,
@@ -79,6 +83,11 @@
         self.changed.notify_waiters();
     }
 
+    /// New connections fail for want of a descriptor, or may be had again.
+    pub fn exhaust(&self, exhausted: bool) {
+        self.exhausted.set(exhausted);
+    }
+
     /// Waits until a connection to an address is wanted and is held up.
     pub async fn held_up(&self, address: &str) {
         until(|| self.waiting.borrow().iter().any(|waiting| waiting == address)).await;
@@ -90,6 +99,9 @@
     type Listener = TcpListener;
 
     async fn connect(&self, address: &str) -> io::Result<TcpStream> {
+        if self.exhausted.get() {
+            return Err(io::Error::from_raw_os_error(TOO_MANY_OPEN_FILES));
+        }
         if self.shut.borrow().contains(address) {
             self.waiting.borrow_mut().push(address.to_owned());
             loop {
@@ -329,6 +341,10 @@
         self.watched_on(call).await;
     }
 
+    pub fn discovery_address(&self) -> String {
+        self.discovery.local_addr().expect("an address").to_string()
+    }
+
     /// The next connection to discovery.
     pub async fn discovery_call(&self) -> Conn {
         Conn::new(self.discovery.accept().await.expect("a connection").0)
--- a/crates/dispatcher/tests/endings.rs
+++ b/crates/dispatcher/tests/endings.rs
@@ -844,3 +844,69 @@
         });
     }
 }
+
+mod a_shortage_of_descriptors {
+    use super::*;
+
+    #[test]
+    fn at_a_further_attempt_is_answered_in_time_and_its_state_let_go_once_there_is_one() {
+        for class in CLASSES {
+            run(|net| async move {
+                let text = request_with("a", class, 1000, "{}");
+                let Open { mut client, engine } = bring_with(&net, Stage::Prefills, &text).await;
+                let mut engine = engine.expect("it is being read");
+                net.gate.exhaust(true);
+                // The connection over which the prompt went is closed with the answer: no other can be had.
+                engine.say(&READ.replace("Content-Length", "Connection: close\r\nContent-Length")).await;
+                drop(engine);
+                net.pass_until(|| net.shell.held().tasks == 0).await;
+                assert!(
+                    client.text_until("\n").await.starts_with("HTTP/1.1 503 "),
+                    "{class}: nothing was decoded"
+                );
+                assert!(net.shell.held().releases > 0, "its state is not forgotten");
+                net.gate.exhaust(false);
+                release_is_sent(&net).await;
+                for host in ["r1", "w1"] {
+                    assert!(!net.host(host).is_asked(), "{host}: no attempt follows");
+                }
+            });
+        }
+    }
+
+    /// Idle clients hold every place while discovery is down: whoever asks is served by the list that is known, and
+    /// discovery is asked again as soon as it can be reached.
+    #[test]
+    fn for_clients_while_discovery_is_down_keeps_neither_requests_nor_the_list_out() {
+        let limits = Limits { most_clients: 8, ..limits() };
+        run_with(ProgramSettings { limits, ..settings() }, &["r1", "w1"], |net| async move {
+            let discovery = net.discovery_address();
+            net.gate.shut(&discovery);
+            drop(net.take_watch());
+            let mut idle = Vec::new();
+            for _ in 0..8 {
+                idle.push(net.connect().await);
+            }
+            until(|| net.shell.clients() == 8).await;
+            for id in ["a", "b", "c"] {
+                let mut client = net.ask(id, "proof").await;
+                let mut prefill = attempt_of(&net, "r1", id).await;
+                prefill.say(READ).await;
+                let mut decode = attempt_of(&net, "w1", id).await;
+                decode.say(&format!("{STREAM}{EVENT}{END}")).await;
+                assert!(client.text_until(END).await.ends_with(END));
+                idle.push(client);
+                assert!(net.shell.clients() <= 8, "no more places than there are");
+            }
+            tokio::select! { biased;
+                () = net.gate.held_up(&discovery) => {}
+                () = net.pass_until(|| false) => unreachable!("it goes on"),
+            }
+            net.gate.open(&discovery);
+            let mut call = net.discovery_call().await;
+            assert!(!call.request().await.head.contains("after="));
+            call.say(&net.list(2, true, &[net.line("r1", "up"), net.line("w1", "draining")])).await;
+            until(|| net.shell.list_version() == 2).await;
+        });
+    }
+}
--- a/crates/dispatcher/tests/single.rs
+++ b/crates/dispatcher/tests/single.rs
@@ -352,3 +352,16 @@
     let lay = bench.now - since;
     assert!(lay <= 600.0, "let go after {lay}");
 }
+
+#[test]
+fn the_release_of_a_prefill_that_was_cut_off_goes_to_its_own_engine_first() {
+    let mut bench = many();
+    // Another engine was heard of just now, and this one not for a while.
+    let busy = writing(&mut bench, 1, "busy", "draft");
+    let read = reading(&mut bench, 2, "cut", "draft");
+    bench.pass(1_000.0);
+    bench.host(&busy, tokens(0));
+    let out = bench.put(Input::ClientClosed { conn: ConnId(2) });
+    let asked: Vec<&str> = release_links(&out).iter().map(|link| bench.host_of(*link)).collect();
+    assert_eq!(asked, [read.host.as_str()], "or it could come before the state is there");
+}
