Where lists are asked for, the whole list has two seconds to come

Only the first answer on a connection has longer now: a watch is as it was, and the sum in tests/bounds.rs stays under its bound.

--- a/src/bounds.rs
+++ b/src/bounds.rs
@@ -80,8 +80,11 @@
 pub const TOLD_WITHIN: Ms = 6_000.0;
 /// Where lists are asked for: parts of that, or of what the settings say if that is less, for the wait that a call
 /// asks for, for an answer without a wait, and between two calls.
+/// The whole list has longer: a service that all ask at once takes its calls in turn and refuses them after two seconds;
+/// whoever gives up sooner loses an answer that was on its way, and asks for another.
 const ASKED_WAIT: f64 = 1.0 / 4.0;
 const ASKED_ANSWER: f64 = 1.0 / 6.0;
+const ASKED_WHOLE: f64 = 1.0 / 3.0;
 /// Where lists are pushed to an agent on this machine, what it has counts as told at once: parts of the drain grace
 /// for an answer, a connect, and between two calls. It answers immediately, and at no cost.
 const PUSHED_ANSWER: f64 = 1.0 / 5.0;
@@ -100,19 +103,19 @@
     /// None if there are too few descriptors for any work.
     pub fn of(given: &Given) -> Option<Allowed> {
         let share = given.descriptors.checked_sub(OWN_DESCRIPTORS)? / 2;
-        let (feed_wait, answer, connect) = match given.discovery {
+        let (feed_wait, answer, whole, connect) = match given.discovery {
             Discovery::Pushed => {
                 let answer = PUSHED_ANSWER * given.drain_grace;
-                (PUSHED_WAIT, answer, answer.min(given.connect_timeout))
+                (PUSHED_WAIT, answer, answer, answer.min(given.connect_timeout))
             }
             Discovery::Asked { told_within } => {
                 let told = told_within.min(TOLD_WITHIN);
-                (ASKED_WAIT * told, ASKED_ANSWER * told, given.connect_timeout)
+                (ASKED_WAIT * told, ASKED_ANSWER * told, ASKED_WHOLE * told, given.connect_timeout)
             }
         };
         let feed = FeedSettings {
             connect,
-            first_quiet: answer,
+            first_quiet: whole,
             quiet: feed_wait + answer,
             again_first: AGAIN_FIRST * answer,
             again_most: answer,
