A refusal does not overtake the close of its request's attempt

The notice's end and the time-out fell into one turn. The end of the notice wakes each client's session (shell.rs, LeaveClient), and so it ran before the engine's session that was to close the attempt: http1/src/server.rs, answer, wrote the refusal first. Now an answer that is no stream lets what was told before run first.

--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -287,6 +287,11 @@
                     Err(_) => break,
                 }
             }
+            if end.is_some() && !begun {
+                // Guards against an answer that overtakes the close of its request's attempt: a refusal says that
+                // nothing runs any more. What was told before this session was runs first.
+                tokio::task::yield_now().await;
+            }
             if !text.is_empty() && !self.write(&text).await {
                 return Some(Last::Over);
             }
--- a/crates/http1/tests/session.rs
+++ b/crates/http1/tests/session.rs
@@ -3,9 +3,13 @@
 use cindercleat_http1::{Bounds, Http1, Session};
 use cindercleat_protocol::session::{Event, Outbox, Setup, Wire};
 use cindercleat_protocol::{frame, v1, Body};
+use std::cell::RefCell;
 use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::io::{duplex, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf};
 
 const BOUNDS: Bounds = Bounds {
     most_body: 1000,
@@ -597,3 +601,70 @@
         tokio::join!(sending, reading);
     });
 }
+
+/// A connection that notes when something is written on it and when it is closed.
+struct Noted {
+    io: DuplexStream,
+    name: &'static str,
+    notes: Rc<RefCell<Vec<(&'static str, &'static str)>>>,
+}
+
+impl AsyncRead for Noted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.io).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Noted {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let note = (self.name, "written");
+        self.notes.borrow_mut().push(note);
+        Pin::new(&mut self.io).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(context)
+    }
+}
+
+impl Drop for Noted {
+    fn drop(&mut self) {
+        self.notes.borrow_mut().push((self.name, "closed"));
+    }
+}
+
+/// The client's session has been woken in this very turn, as at the end of a stop's notice: it would run first.
+#[test]
+fn a_refusal_does_not_overtake_the_close_of_its_attempt() {
+    run(async {
+        let wire = Http1::new(BOUNDS);
+        let notes = Rc::new(RefCell::new(Vec::new()));
+        let noted = |io, name| Noted { io, name, notes: notes.clone() };
+        let (mut client_io, far) = duplex(1 << 20);
+        let mut client = wire.serve(noted(far, "client"), setup()).await.expect("a session");
+        let (mut engine_io, far) = duplex(1 << 20);
+        let engine = wire.connect(noted(far, "engine"), v1::Party::Host, setup()).await.expect("a session");
+        client_io.write_all(ask("{}").as_bytes()).await.expect("written");
+        assert!(matches!(body(&mut client).await, Some((1, Body::Submit(_)))));
+        engine.out.send(frame(1, read()));
+        until(&mut engine_io, "\r\n\r\n{}").await;
+        notes.borrow_mut().clear();
+        client.out.go_away();
+        engine.out.send(frame(1, Body::Cancel(v1::Cancel {})));
+        client.out.send(frame(1, last(v1::Answer::Bounced, 0.0)));
+        assert!(until(&mut client_io, "\n").await.starts_with("HTTP/1.1 503 "));
+        assert_eq!(notes.borrow()[..2], [("engine", "closed"), ("client", "written")]);
+    });
+}
