--- a/crates/dispatcher/tests/endings.rs
+++ b/crates/dispatcher/tests/endings.rs
@@ -352,6 +352,34 @@
         }
     }
 
+    /// Chunks that are whole, with half of the first event in them: its client has not got an event, so the request is
+    /// still the dispatcher's to answer.
+    #[test]
+    fn within_its_first_event_and_between_two_chunks_has_begun_no_stream() {
+        for part in
+            ["6\r\ndata: \r\n", "6\r\ndata: \r\n2\r\na\n\r\n", "d\r\n: a comment\n\n\r\n5\r\ndata:\r\n"]
+        {
+            for class in CLASSES {
+                run(|net| async move {
+                    let (mut client, mut decode) = net.decoding("a", class).await;
+                    decode.say(&format!("{STREAM}{part}")).await;
+                    drop(decode);
+                    if class == "proof" {
+                        assert!(client.text_until("\n").await.starts_with("HTTP/1.1 504 "), "answered whole");
+                        net.no_request_is_open().await;
+                        release_is_sent(&net).await;
+                        assert!(!net.host("w1").is_asked(), "not sent again");
+                    } else {
+                        let mut decode = attempt_of(&net, "w1", "a").await;
+                        decode.say(&format!("{STREAM}{EVENT}{END}")).await;
+                        let answer = client.text_until(END).await;
+                        assert!(answer.ends_with(&format!("\r\n\r\n{EVENT}{END}")), "one answer: {answer}");
+                    }
+                });
+            }
+        }
+    }
+
     #[test]
     fn between_the_last_event_and_the_last_chunk_leaves_the_stream_open_ended() {
         run(|net| async move {
