A stream begins with its first whole event, not with half of one

While the first event is not whole nothing of a stream is passed on, so an attempt that breaks there is followed by another or answered as failed. src of the cause and its log lines: the commit before.

--- a/crates/http1/src/host.rs
+++ b/crates/http1/src/host.rs
@@ -3,6 +3,7 @@
 //! Whether a request's last byte was written is known here and nowhere else: a connection that ends before
 //! ends its call as a goodbye that says that nothing ran, one that ends after it as one that does not.
 
+use crate::event_stream::FirstEvent;
 use crate::framing::{Answer, Came, Fault, Length, Reading};
 use crate::{session, words, Bounds, Session, Shared};
 use bytes::{Bytes, BytesMut};
@@ -232,6 +233,7 @@
         let mut reading = Reading::new(self.bounds.most_chunk);
         let mut head: Option<Answer> = None;
         let mut body = BytesMut::new();
+        let mut first_event = FirstEvent::default();
         let (mut ended, mut over) = (false, false);
         loop {
             // What has come is taken together: one message for the events of one turn.
@@ -245,10 +247,11 @@
                     Ok(Some(Came::Data(data))) => {
                         body.extend_from_slice(&data);
                         let streams = head.as_ref().is_some_and(|head| is_stream(head, call));
-                        if body.len() > self.bounds.most_chunk && !streams {
+                        let passes_on = streams && first_event.is_complete(&body);
+                        if body.len() > self.bounds.most_chunk && !passes_on {
                             return Err(Over::Spoilt(Fault::TooLong("the answer")));
                         }
-                        turn_is_full = streams && body.len() >= TURN;
+                        turn_is_full = passes_on && body.len() >= TURN;
                         if turn_is_full {
                             break;
                         }
@@ -259,12 +262,18 @@
                     }
                     Ok(None) => break,
                     Err(fault) => {
-                        self.pass_on(stream, call, head.as_ref(), &mut body);
+                        if first_event.is_complete(&body) {
+                            self.pass_on(stream, call, head.as_ref(), &mut body);
+                        }
                         return Err(Over::Spoilt(fault));
                     }
                 }
             }
-            self.pass_on(stream, call, head.as_ref(), &mut body);
+            // Guards against half of a first event, which a client would take for the beginning of its stream: while
+            // it has no whole one, an attempt that breaks may be followed by another, or be answered as failed.
+            if ended || first_event.is_complete(&body) {
+                self.pass_on(stream, call, head.as_ref(), &mut body);
+            }
             if let (true, Some(head)) = (ended, &head) {
                 let keeps = head.keeps && !over && self.bytes.is_empty() && !self.shared.leaving.get();
                 if !keeps {
