A failing test: a crowded discovery is asked for whole lists again and again

Each dispatcher needs two calls in a row, a whole list and the watch behind it; the service takes one call of each in some seconds and refuses what would wait for over two. The watch is refused 5 ms behind its list, and the list is asked for anew. Ruled out: lost or silent calls (all were answered, 503), waits between calls (under 1.1 s). At fault: http1's feed.rs run, which begins with the whole list on every connection.

--- a/crates/dispatcher/tests/endings.rs
+++ b/crates/dispatcher/tests/endings.rs
@@ -684,6 +684,8 @@
 
 mod discovery {
     use super::*;
+    use cindercleat::bounds::{Allowed, Given};
+    use cindercleat::interface::Discovery;
     use test_case::test_case;
 
     /// Discovery asked for anew: the next connection's first request is for the whole list.
@@ -748,6 +750,57 @@
         });
     }
 
+    /// The settings of calls where lists are asked for, from a service that all dispatchers share.
+    fn asked() -> Limits {
+        let given = Given {
+            memory: 64e6,
+            descriptors: 256,
+            connect_timeout: 250.0,
+            discovery: Discovery::Asked { told_within: 6_000.0 },
+            drain_grace: 2_000.0,
+            host_idle: None,
+            most_held: None,
+            clients_resume: false,
+        };
+        Limits { feed: Allowed::of(&given).expect("room for work").feed, ..limits() }
+    }
+
+    const CROWDED: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+
+    /// A crowded service refuses the watch right behind its list, and further calls. The next one asks for what has
+    /// changed since, as part of the watch: a whole list, and then a watch, would be two calls that both have to find a
+    /// place in its queue, one right after the other.
+    #[test]
+    fn that_is_crowded_is_asked_for_changes_by_the_call_that_opens_the_watch() {
+        run_with(ProgramSettings { limits: asked(), ..settings() }, &["r1", "w1"], |net| async move {
+            let mut call = net.take_watch();
+            for _ in 0..3 {
+                call.say(CROWDED).await;
+                call = call_within(&net, 3_000.0).await;
+                let request = call.request().await;
+                assert!(
+                    request.head.contains("?after=1&"),
+                    "what is known is not asked for again: {request:?}"
+                );
+            }
+            call.say(&net.list(2, false, &[net.line("w1", "draining")])).await;
+            let watch = call.request().await;
+            assert!(watch.head.contains("?after=2&"), "{watch:?}");
+            is_refused(&net, "a").await;
+        });
+    }
+
+    /// The next connection to discovery, with time passing until it comes.
+    async fn call_within(net: &Loopback, most: f64) -> Conn {
+        let before = net.now();
+        let call = tokio::select! { biased;
+            call = net.discovery_call() => call,
+            () = net.pass_until(|| false) => unreachable!("it goes on"),
+        };
+        assert!(net.now() - before <= most, "{} after the call before", net.now() - before);
+        call
+    }
+
     #[test]
     fn that_falls_silent_is_asked_anew() {
         let feed = cindercleat::feed::FeedSettings { quiet: 700.0, ..limits().feed };
