--- a/crates/cindercleat-cli/src/lib.rs
+++ b/crates/cindercleat-cli/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod send;
 pub mod serve;
 pub mod settings;
+pub mod soak;
 pub mod try_it;
--- a/crates/cindercleat-cli/src/main.rs
+++ b/crates/cindercleat-cli/src/main.rs
@@ -1,7 +1,7 @@
 //! The program `cindercleat`. Exit codes: 0 as wanted, 1 a rule was broken or the work failed, 2 bad input.
 
 use cindercleat_cli::{
-    bench_day, day, drill, duties, fleet, node, price, script, seeds, send, serve, settings, try_it,
+    bench_day, day, drill, duties, fleet, node, price, script, seeds, send, serve, settings, soak, try_it,
 };
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use std::hash::{BuildHasher, RandomState};
@@ -55,6 +55,8 @@
     Drill(drill::DrillArgs),
     /// What a fleet's dispatchers agree on: duties and who holds them, voters, the roll-call.
     Fleet(fleet::FleetArgs),
+    /// Plays processes of this program under drawn troubles on loopback, and holds them against the rules.
+    Soak(soak::SoakArgs),
     /// Measures what a dispatcher adds, against the same clients straight to the stand-ins.
     Price(price::PriceArgs),
 }
@@ -119,7 +121,7 @@
         LogForm::Text => log.init(),
         LogForm::Json => log.json().init(),
     }
-    match run(cli.command) {
+    match run(cli.command, &cli.log) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(1),
         Err(Failure::Work(problem)) => {
@@ -133,7 +135,7 @@
     }
 }
 
-fn run(command: Command) -> Result<bool, Failure> {
+fn run(command: Command, log: &str) -> Result<bool, Failure> {
     match command {
         Command::Serve { settings } => {
             // Chance from the system: no two processes of a dispatcher may be taken for one another.
@@ -203,6 +205,7 @@
         }
         Command::Drill(args) => return drill::run(&args)?.map_err(Failure::Input),
         Command::Fleet(args) => return fleet::run(args)?.map_err(Failure::Input),
+        Command::Soak(args) => return Ok(soak::soak(&args, log)?),
         Command::Price(args) => print!("{}", price::measure(&args)?),
     }
     Ok(true)
--- /dev/null
+++ b/crates/soak/src/configuration.rs
@@ -0,0 +1,110 @@
+//! The configuration of each process, in the platform's form, and what the audit takes from the same settings.
+
+use crate::audit::{Effect, Rules};
+use crate::Ms;
+use std::net::SocketAddr;
+
+/// A request class.
+#[derive(Clone, Copy, Debug)]
+pub struct Class {
+    pub name: &'static str,
+    pub effect: Effect,
+    pub deadline: u32,
+}
+
+const WINDOW: u32 = 2_000;
+pub const CLASSES: [Class; 3] = [
+    Class { name: "draft", effect: Effect::Idempotent, deadline: 3_000 },
+    Class { name: "order", effect: Effect::AtMostOnce, deadline: 3_000 },
+    Class { name: "form", effect: Effect::Keyed { window: WINDOW }, deadline: 3_000 },
+];
+pub const ZONES: [&str; 2] = ["a", "b"];
+/// Kinds of engines: those that prefill, and those that decode.
+pub const KINDS: [&str; 2] = ["p", "d"];
+pub const LONGEST_DEADLINE: Ms = 3_000.0;
+
+const DRAIN_GRACE: Ms = 1_000.0;
+const RELEASE: Ms = 500.0;
+const CONNECT_TIMEOUT: Ms = 250.0;
+const COLD_FOR: Ms = 6_000.0;
+const FALL_MULTIPLE: f64 = 1.5;
+const FALL_WINDOW: Ms = 2_000.0;
+const START_CAPACITY: f64 = 0.32;
+/// The part of an engine's capacity that the traffic asks for.
+const USED: f64 = 0.6;
+/// The rules' own extras on sockets: any time, and what is held.
+const ANY_TIME: Ms = 50.0;
+const HELD: Ms = 300.0;
+/// A process that is held up, and the stand-ins' own lateness.
+const MEASURING: Ms = 200.0;
+
+/// The rules as the settings have them. `rate`: requests a second that each engine of a kind gets in the mean.
+pub fn rules(rate: f64) -> Rules {
+    Rules {
+        answer_grace: 500.0,
+        drain_grace: DRAIN_GRACE + ANY_TIME,
+        release: RELEASE + HELD,
+        gone_grace: 100.0,
+        deadline_slack: 150.0,
+        event_delay: 300.0,
+        slow_start_window: FALL_WINDOW,
+        slow_start_budget: FALL_MULTIPLE * START_CAPACITY * rate / USED * FALL_WINDOW / 1000.0,
+        cold_for: COLD_FOR,
+        bad_client: 3_000.0,
+        ready: 10_000.0,
+        measuring: MEASURING,
+    }
+}
+
+/// Which process a configuration is for.
+pub struct Place {
+    pub number: usize,
+    pub processes: usize,
+    pub start: u32,
+    pub discovery: SocketAddr,
+    pub lists_are_asked_for: bool,
+}
+
+/// The file of a process; `known`: the list that it had last.
+pub fn file(place: &Place, known: &str) -> String {
+    let Place { number, processes, start, discovery, lists_are_asked_for } = place;
+    let micros = |time: Ms| (time * 1000.0) as u64;
+    let (release, connect, grace) = (micros(RELEASE), micros(CONNECT_TIMEOUT), micros(DRAIN_GRACE));
+    let (window, ramp) = (micros(FALL_WINDOW), micros(COLD_FOR));
+    let how = if *lists_are_asked_for { "subscribe" } else { "automatic" };
+    let zone = number % ZONES.len();
+    let service = |class: &Class| {
+        let effect = match class.effect {
+            Effect::Idempotent => "safe",
+            Effect::Keyed { .. } => "keyed",
+            Effect::AtMostOnce => "unsafe",
+        };
+        format!(
+            "{{\"name\":\"{}\",\"effect\":\"{effect}\",\"keyScope\":\"all\",\"dedupWindow\":{},\"aim\":1000000,\
+             \"giveUp\":{},\"importance\":1.0,\"lateShare\":0.3,\"stream\":true}}",
+            class.name,
+            u64::from(WINDOW) * 1000,
+            u64::from(class.deadline) * 1000
+        )
+    };
+    let services: Vec<String> = CLASSES.iter().map(service).collect();
+    let seed = 0x9e37_79b9_u64.wrapping_mul(*number as u64 + 1) ^ u64::from(*start) << 40;
+    format!(
+        r#"{{"name":"n{number}","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"{seed:x}","peers":[],
+"limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},"known":{known},
+"settings":{{"me":{number},"replicasOfMe":{processes},"zone":{zone},"zones":["{}","{}"],"tick":4000,
+"discovery":"{how}","shapes":["{}","{}"],"orgs":[],"stats":{{"columns":[]}},
+"familyInfo":{{"kindRole":["read","write"],"tokensByKind":[500000,500000],"release":{release},"resume":false,
+"aimUsPer1000PromptTokens":[0.0,0.0,0.0],"tokenAim":[60000.0,60000.0,60000.0]}},
+"limits":{{"cancel":true,"connIdle":15000000,"connectTimeout":{connect},"maxAttempts":4,"mostHeld":20000,
+"probes":false,"retryAfter":false}},
+"rules":{{"askWithin":10000000,"drainGrace":{grace},"graceToAnswer":16000,"fallMultiple":{FALL_MULTIPLE},
+"overloadFor":{window},"startCapacity":{START_CAPACITY},"rampTime":{ramp}}},
+"services":[{}]}}}}"#,
+        ZONES[0],
+        ZONES[1],
+        KINDS[0],
+        KINDS[1],
+        services.join(",")
+    )
+}
--- /dev/null
+++ b/crates/soak/src/engine.rs
@@ -0,0 +1,257 @@
+//! The stand-in of an engine: reads prompts or decodes answers, as the platform's protocol has it, and tells the audit
+//! of each attempt.
+
+use crate::audit::{AttemptEnd, AttemptId, Audit, NewAttempt, Stage};
+use crate::service::{answer, sleep, Clock, Connection, Received};
+use crate::Ms;
+use nanorand::{Rng, WyRand};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+const STATES: &str = "/bootstrap/rooms/";
+const TURNED_AWAY: &str = "X-Turned-Away: 1\r\n";
+/// How long a prompt takes, and an answer: to its first event, and between events.
+const PREFILL: Ms = 20.0;
+const FIRST_EVENT: Ms = 15.0;
+const BETWEEN_EVENTS: Ms = 20.0;
+const MOST_EVENTS: usize = 12;
+/// Between two pieces of what is written in pieces.
+const BETWEEN_PIECES: Ms = 4.0;
+/// Of a hundred streams, how many break within their first event, break later, and cannot be read; and how many come in
+/// pieces.
+const BREAKS_FIRST: u32 = 3;
+const BREAKS_LATER: u32 = 3;
+const SPOILT: u32 = 2;
+const IN_PIECES: u32 = 30;
+
+/// What an engine does besides its work.
+#[derive(Default)]
+pub struct Behaviour {
+    pub hangs: Cell<bool>,
+    pub turns_away: Cell<bool>,
+    pub close_idle: Notify,
+}
+
+/// An engine; clones are the same one.
+#[derive(Clone)]
+pub struct Engine {
+    pub id: String,
+    stage: Stage,
+    clock: Clock,
+    audit: Rc<RefCell<Audit>>,
+    rng: Rc<RefCell<WyRand>>,
+    pub behaviour: Rc<Behaviour>,
+}
+
+/// How a stream goes.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Course {
+    Whole,
+    BreaksFirst,
+    BreaksLater,
+    Spoilt,
+}
+
+impl Engine {
+    pub fn new(id: String, stage: Stage, clock: Clock, audit: Rc<RefCell<Audit>>, seed: u64) -> Engine {
+        let rng = Rc::new(RefCell::new(WyRand::new_seed(seed)));
+        Engine { id, stage, clock, audit, rng, behaviour: Rc::default() }
+    }
+
+    /// Serves on a free port.
+    ///
+    /// # Errors
+    /// No port can be had.
+    pub async fn listen(&self) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let engine = self.clone();
+        spawn_local(async move {
+            while let Ok((io, _)) = listener.accept().await {
+                spawn_local(engine.clone().serve(Connection::new(io)));
+            }
+        });
+        Ok(address)
+    }
+
+    async fn serve(self, mut connection: Connection) {
+        loop {
+            let received = tokio::select! { biased;
+                received = connection.request(self.clock) => received,
+                () = self.behaviour.close_idle.notified() => return,
+            };
+            let Some(received) = received else { return };
+            let target = received.head.first.target.clone();
+            let goes_on = match target.strip_prefix(STATES) {
+                Some(request) => self.release(&mut connection, request).await,
+                None => match self.attempt(&mut connection, received).await {
+                    Some(goes_on) => goes_on,
+                    None => return connection.reset(),
+                },
+            };
+            if !goes_on {
+                return;
+            }
+        }
+    }
+
+    async fn release(&self, connection: &mut Connection, request: &str) -> bool {
+        self.until_not_hanging().await;
+        self.audit.borrow_mut().state_taken(request);
+        connection.say("HTTP/1.1 204 No Content\r\n\r\n").await.is_ok()
+    }
+
+    /// Serves an attempt; tells whether the connection goes on, or nothing if it is to be reset.
+    async fn attempt(&self, connection: &mut Connection, received: Received) -> Option<bool> {
+        let head = &received.head;
+        let told_left = head.text("X-Remaining-Ms").and_then(|text| text.parse().ok());
+        let Some(request) = head.text("X-Txn").map(str::to_owned) else {
+            return Some(connection.say(&answer("404 Not Found", "", "")).await.is_ok());
+        };
+        let new = NewAttempt {
+            request: request.clone(),
+            engine: self.id.clone(),
+            stage: self.stage,
+            first_byte: received.first_byte,
+            begun: received.last_byte,
+            told_left,
+        };
+        let id = self.audit.borrow_mut().attempt_begins(new);
+        let ended = tokio::select! { biased;
+            ended = self.work(connection, id, &request) => ended,
+        };
+        let (end, goes_on) = ended;
+        self.audit.borrow_mut().attempt_ends(id, end, self.clock.now());
+        goes_on
+    }
+
+    /// Gives how the attempt ended, and whether the connection goes on, or nothing if it is to be reset.
+    async fn work(
+        &self,
+        connection: &mut Connection,
+        id: AttemptId,
+        request: &str,
+    ) -> (AttemptEnd, Option<bool>) {
+        if self.behaviour.turns_away.get() {
+            let said = connection.say(&answer("503 Service Unavailable", TURNED_AWAY, "")).await;
+            return (AttemptEnd::TurnedAway, Some(said.is_ok()));
+        }
+        let first = if self.stage == Stage::Prefill { PREFILL } else { FIRST_EVENT };
+        let spent = self.rng.borrow_mut().generate::<f64>() + 0.5;
+        let worked = tokio::select! { biased;
+            () = connection.closed() => false,
+            () = self.spend(first * spent) => true,
+        };
+        if !worked {
+            return (AttemptEnd::Abandoned, Some(false));
+        }
+        match self.stage {
+            Stage::Prefill => {
+                self.audit.borrow_mut().state_held(request, &self.id);
+                let said = connection.say(&answer("202 Accepted", "", "{\"cached_tokens\":0}")).await;
+                (AttemptEnd::Served, Some(said.is_ok()))
+            }
+            Stage::Decode => {
+                if !self.audit.borrow_mut().state_taken(request) {
+                    let said = connection.say(&answer("410 Gone", TURNED_AWAY, "")).await;
+                    return (AttemptEnd::TurnedAway, Some(said.is_ok()));
+                }
+                self.stream(connection, id).await
+            }
+        }
+    }
+
+    /// Works for so long, and not at all while it hangs.
+    async fn spend(&self, span: Ms) {
+        self.until_not_hanging().await;
+        sleep(span).await;
+        self.until_not_hanging().await;
+    }
+
+    async fn until_not_hanging(&self) {
+        while self.behaviour.hangs.get() {
+            sleep(BETWEEN_EVENTS).await;
+        }
+    }
+
+    fn draw_course(&self) -> (Course, usize, bool) {
+        let mut rng = self.rng.borrow_mut();
+        let course = match rng.generate_range(0..100u32) {
+            drawn if drawn < BREAKS_FIRST => Course::BreaksFirst,
+            drawn if drawn < BREAKS_FIRST + BREAKS_LATER => Course::BreaksLater,
+            drawn if drawn < BREAKS_FIRST + BREAKS_LATER + SPOILT => Course::Spoilt,
+            _ => Course::Whole,
+        };
+        (course, rng.generate_range(2..MOST_EVENTS), rng.generate_range(0..100u32) < IN_PIECES)
+    }
+
+    async fn stream(&self, connection: &mut Connection, id: AttemptId) -> (AttemptEnd, Option<bool>) {
+        let (course, events, in_pieces) = self.draw_course();
+        let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+        if course == Course::Spoilt {
+            // What comes cannot be read; the request has run.
+            let _ = connection.say("HTTP/1.1 2?0 OK\r\n\r\nnoise").await;
+            return (AttemptEnd::Failed, Some(false));
+        }
+        if connection.say(head).await.is_err() {
+            return (AttemptEnd::Abandoned, Some(false));
+        }
+        let breaks_at = match course {
+            Course::BreaksFirst => Some(0),
+            Course::BreaksLater => Some(events / 2),
+            _ => None,
+        };
+        for number in 0..events {
+            let event = format!("data: {{\"n\":{number},\"choices\":[]}}\n\n");
+            let (front, back) = event.split_at(event.len() / 2);
+            if breaks_at == Some(number) {
+                // Half of an event in a chunk of its own, and then a reset.
+                let _ = connection.say(&chunk(front)).await;
+                sleep(BETWEEN_PIECES).await;
+                return (AttemptEnd::Failed, None);
+            }
+            let said = if in_pieces {
+                self.say_in_pieces(connection, id, front, back).await
+            } else {
+                self.audit.borrow_mut().event_written(id, self.clock.now());
+                connection.say(&chunk(&event)).await
+            };
+            if said.is_err() {
+                return (AttemptEnd::Failed, Some(false));
+            }
+            let goes_on = tokio::select! { biased;
+                () = connection.closed() => false,
+                () = self.spend(BETWEEN_EVENTS) => true,
+            };
+            if !goes_on {
+                return (AttemptEnd::Abandoned, Some(false));
+            }
+        }
+        self.audit.borrow_mut().stream_complete(id);
+        let last = format!("{}0\r\n\r\n", chunk("data: [DONE]\n\n"));
+        let said = connection.say(&last).await;
+        (AttemptEnd::Served, Some(said.is_ok()))
+    }
+
+    async fn say_in_pieces(
+        &self,
+        connection: &mut Connection,
+        id: AttemptId,
+        front: &str,
+        back: &str,
+    ) -> io::Result<()> {
+        connection.say(&chunk(front)).await?;
+        sleep(BETWEEN_PIECES).await;
+        self.audit.borrow_mut().event_written(id, self.clock.now());
+        connection.say(&chunk(back)).await
+    }
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,524 @@
+//! Plays a soak: starts processes, engines, clients and discovery, carries out the plan, and gives the audit's report.
+
+use crate::audit::{Audit, Life, Report, Stage};
+use crate::client::Clients;
+use crate::configuration::{self, Place, KINDS, LONGEST_DEADLINE, ZONES};
+use crate::discovery::{self, Discovery, Entry};
+use crate::engine::Engine;
+use crate::plan::{Plan, Planned, Trouble};
+use crate::process::{Process, Program, Shim};
+use crate::proxy::{self, Proxy};
+use crate::service::{sleep, wall_ms, Clock, Connection};
+use crate::Ms;
+use nanorand::{Rng, WyRand};
+use rustix::process::Signal;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::task::{spawn_local, LocalSet};
+
+/// Engines of each of the two kinds.
+const ENGINES_OF_A_KIND: usize = 4;
+const ENGINES: usize = 2 * ENGINES_OF_A_KIND;
+/// Requests a second that each process gets in the mean; some get several times that.
+const RATE: f64 = 4.0;
+/// How often the audit looks at what lies, and the runner at processes.
+const LOOK: Ms = 25.0;
+/// A process that is not ready by then never is.
+const NEVER_READY: Ms = 30_000.0;
+/// After a signal to stop: for how long new connections still come, and when the process is killed.
+const STOP_NOTICED: Ms = 300.0;
+const STOP_KILLS: Ms = LONGEST_DEADLINE + 1_200.0;
+/// A process is held up for at most so long between two steps.
+const PAUSE: Ms = 140.0;
+/// Where lists are asked for, a change counts as told this long after discovery had it.
+const TOLD_AFTER: Ms = 6_000.0;
+/// One process in so many has its wall clock stepped.
+const STEPPED_ONE_IN: usize = 3;
+/// What was written so long ago has got through its proxy.
+const ON_ITS_WAY: Ms = 50.0;
+/// An engine drains for at least so long before it is gone.
+const DRAINS_FOR: Ms = 1_500.0;
+
+/// What is played.
+#[derive(Clone, Debug)]
+pub struct Options {
+    pub seed: u64,
+    pub processes: usize,
+    pub seconds: f64,
+    /// The program whose processes are played.
+    pub program: PathBuf,
+    /// What its processes log: a level, or directives.
+    pub log: String,
+    /// The library that fails system calls and steps wall clocks; none leaves them as they are.
+    pub shim: Option<PathBuf>,
+    /// Where configurations and logs go.
+    pub folder: PathBuf,
+}
+
+/// What came of it.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    pub plan: Plan,
+    pub report: Report,
+    /// What the processes logged of their own violations.
+    pub own_violations: Vec<String>,
+}
+
+/// Plays a soak in real time.
+///
+/// # Errors
+/// A port, a folder or a process cannot be had.
+pub fn run(options: &Options) -> io::Result<Outcome> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, async {
+        let soak = Rc::new(Soak::start(options).await?);
+        soak.play(options.seconds * 1000.0).await;
+        Ok(soak.finish())
+    })
+}
+
+/// An engine's place in the fleet, and the engine that has it now.
+struct EngineSlot {
+    engine: Engine,
+    proxy: Proxy,
+    entry: Entry,
+    generation: u32,
+    leaving: bool,
+}
+
+struct Soak {
+    clock: Clock,
+    plan: Plan,
+    seed: u64,
+    audit: Rc<RefCell<Audit>>,
+    discovery: Discovery,
+    addresses: [SocketAddr; 2],
+    /// At which of its addresses discovery is now.
+    at: Cell<usize>,
+    reachable: Cell<bool>,
+    engines: RefCell<Vec<EngineSlot>>,
+    processes: Vec<RefCell<Process>>,
+    /// Whether a process is being stopped or killed, or is not up yet.
+    busy: Vec<Cell<bool>>,
+    /// Engines that are out of service, for whom processes count as told.
+    out: RefCell<Vec<String>>,
+    /// The list as processes find it at their start: from some time before.
+    known: RefCell<String>,
+    over: Cell<bool>,
+}
+
+impl Soak {
+    async fn start(options: &Options) -> io::Result<Soak> {
+        let clock = Clock::start();
+        let plan = Plan::draw(options.seed, options.processes, ENGINES, options.seconds);
+        let rate = RATE * options.processes as f64 / ENGINES_OF_A_KIND as f64;
+        let audit = Rc::new(RefCell::new(Audit::new(configuration::rules(rate))));
+        let discovery = Discovery::new(clock);
+        let addresses = [discovery.listen().await?, discovery.listen().await?];
+        let mut engines = Vec::new();
+        for at in 0..ENGINES {
+            let slot = start_engine(options.seed, at, 0, clock, &audit).await?;
+            audit.borrow_mut().engine_in_service(&slot.entry.id, None);
+            discovery.change(slot.entry.clone());
+            engines.push(slot);
+        }
+        let known = discovery.whole();
+        let process =
+            |number| RefCell::new(Process::new(number, &options.folder, program(options, &plan, number)));
+        let processes = (0..options.processes).map(process).collect();
+        Ok(Soak {
+            clock,
+            plan,
+            seed: options.seed,
+            audit,
+            discovery,
+            addresses,
+            at: Cell::new(0),
+            reachable: Cell::new(true),
+            engines: RefCell::new(engines),
+            processes,
+            busy: (0..options.processes).map(|_| Cell::new(true)).collect(),
+            out: RefCell::default(),
+            known: RefCell::new(known),
+            over: Cell::new(false),
+        })
+    }
+
+    async fn play(self: &Rc<Self>, lasts: Ms) {
+        for number in 0..self.processes.len() {
+            self.start_process(number);
+        }
+        let mut tasks = Vec::new();
+        for planned in self.plan.troubles.clone() {
+            let soak = self.clone();
+            tasks.push(spawn_local(async move {
+                sleep(planned.from - soak.clock.now()).await;
+                soak.trouble(planned).await;
+            }));
+        }
+        while self.clock.now() < lasts {
+            sleep(LOOK).await;
+            self.look();
+        }
+        self.over.set(true);
+        for task in tasks {
+            // A task that was cut short shows in what it left undone.
+            let _ = task.await;
+        }
+        self.end().await;
+    }
+
+    /// Stops all processes, as a release would, and waits for their ends.
+    async fn end(self: &Rc<Self>) {
+        let stops = (0..self.processes.len()).map(|number| {
+            let soak = self.clone();
+            spawn_local(async move { soak.stop_process(number, false).await })
+        });
+        for stop in stops.collect::<Vec<_>>() {
+            let _ = stop.await;
+        }
+        self.look();
+    }
+
+    fn finish(&self) -> Outcome {
+        let own = self.processes.iter().flat_map(|process| process.borrow().own_violations());
+        let audit = self.audit.replace(Audit::new(configuration::rules(1.0)));
+        Outcome {
+            plan: self.plan.clone(),
+            report: audit.finish(self.clock.now()),
+            own_violations: own.collect(),
+        }
+    }
+
+    /// Looks for states that lie, and for processes that have ended though nobody told them to.
+    fn look(&self) {
+        let now = self.clock.now();
+        self.audit.borrow_mut().look(now);
+        for (number, process) in self.processes.iter().enumerate().filter(|(n, _)| !self.busy[*n].get()) {
+            let mut process = process.borrow_mut();
+            let life = process.life();
+            if let Some(status) = process.ended() {
+                let how = format!("by itself, {status}");
+                self.audit.borrow_mut().process_ended(life, false, &how, now);
+                self.busy[number].set(true);
+            }
+        }
+    }
+
+    /// Starts the next run of a process, and its clients once it is ready.
+    fn start_process(self: &Rc<Self>, number: usize) {
+        let mut process = self.processes[number].borrow_mut();
+        let place = Place {
+            number,
+            processes: self.processes.len(),
+            start: process.next_start(),
+            discovery: self.addresses[self.at.get()],
+            lists_are_asked_for: self.plan.lists_are_asked_for,
+        };
+        let started = process.configure(&configuration::file(&place, &self.known.borrow()));
+        if let Err(problem) = started.and_then(|()| process.start()) {
+            self.audit.borrow_mut().process_is_wrong(format!("{number}: {problem}"), self.clock.now());
+            return;
+        }
+        let life = process.life();
+        drop(process);
+        self.audit.borrow_mut().process_starts(number);
+        self.tell_all();
+        spawn_local(self.clone().bring_up(life));
+    }
+
+    async fn bring_up(self: Rc<Self>, life: Life) {
+        let began = self.clock.now();
+        let process = &self.processes[life.process];
+        while self.clock.now() < began + NEVER_READY && process.borrow().life() == life {
+            let address = process.borrow_mut().find_address();
+            if let Some(address) = address {
+                if is_ready(address).await {
+                    self.audit.borrow_mut().process_ready(self.clock.now() - began);
+                    self.busy[life.process].set(false);
+                    return self.run_clients(life, address).await;
+                }
+            }
+            sleep(LOOK).await;
+        }
+        let what = format!("process {} was never ready", life.process);
+        self.audit.borrow_mut().process_is_wrong(what, self.clock.now());
+    }
+
+    /// Lets clients come to a run of a process for as long as it takes new ones.
+    async fn run_clients(self: Rc<Self>, life: Life, address: SocketAddr) {
+        let seed = self.seed ^ (life.process as u64) << 32 ^ u64::from(life.start) << 48;
+        let mut rng = WyRand::new_seed(seed);
+        let clients = Clients::new(life, address, self.clock, self.audit.clone(), seed);
+        // Uneven traffic: the busiest process gets some times the mean.
+        let weight = 0.3 + 0.7 * -(1.0 - rng.generate::<f64>()).ln();
+        loop {
+            sleep(-(1.0 - rng.generate::<f64>()).ln() * 1000.0 / (RATE * weight)).await;
+            if self.over.get() || self.takes_no_more(life) {
+                return;
+            }
+            spawn_local(clients.clone().ask());
+        }
+    }
+
+    fn takes_no_more(&self, life: Life) -> bool {
+        let process = self.processes[life.process].borrow();
+        process.life() != life
+            || !process.is_up()
+            || self.audit.borrow().stopped_before(life, self.clock.now() - STOP_NOTICED)
+    }
+
+    async fn trouble(self: &Rc<Self>, planned: Planned) {
+        let Planned { until, trouble, .. } = planned;
+        match trouble {
+            Trouble::Stop { process } => self.stop_process(process, true).await,
+            Trouble::Kill { process } => self.kill_process(process, until).await,
+            Trouble::Pause { process } => self.pause_process(process).await,
+            Trouble::Reload => self.reload(),
+            Trouble::Replace { engine } => self.replace_engine(engine, until).await,
+            Trouble::Hang { engine } => {
+                let behaviour = self.engines.borrow()[engine].engine.behaviour.clone();
+                behaviour.hangs.set(true);
+                sleep(until - self.clock.now()).await;
+                behaviour.hangs.set(false);
+            }
+            Trouble::TurnAway { engine } => {
+                let behaviour = self.engines.borrow()[engine].engine.behaviour.clone();
+                behaviour.turns_away.set(true);
+                sleep(until - self.clock.now()).await;
+                behaviour.turns_away.set(false);
+            }
+            Trouble::CloseIdle { engine } => {
+                self.engines.borrow()[engine].engine.behaviour.close_idle.notify_waiters();
+            }
+            Trouble::Reset { engine } => self.cut_engine(engine),
+            Trouble::Refuse { engine } => self.block_engine(engine, proxy::Mode::Refuse, until).await,
+            Trouble::Unreachable { engine } => self.block_engine(engine, proxy::Mode::Silent, until).await,
+            Trouble::DiscoverySilent => self.lose_discovery(discovery::Mode::Silent, until).await,
+            Trouble::DiscoveryRefuses => self.lose_discovery(discovery::Mode::Refuses, until).await,
+            Trouble::DiscoveryResets => self.discovery.cut(),
+        }
+    }
+
+    /// Whether a process is up and nothing is done to it; from now on something is.
+    fn occupy(&self, number: usize) -> bool {
+        !self.busy[number].replace(true)
+    }
+
+    async fn stop_process(self: &Rc<Self>, number: usize, starts_again: bool) {
+        if !self.occupy(number) {
+            return;
+        }
+        let began = self.clock.now();
+        let life = self.processes[number].borrow().life();
+        self.audit.borrow_mut().process_stops(life, began);
+        self.processes[number].borrow().signal(Signal::TERM);
+        let mut killed = false;
+        loop {
+            let ended = self.processes[number].borrow_mut().ended();
+            if let Some(status) = ended {
+                let well = killed || status.success();
+                let how = format!("after a signal to stop, {status}");
+                self.audit.borrow_mut().process_ended(life, well, &how, self.clock.now());
+                break;
+            }
+            if !killed && self.clock.now() > began + STOP_KILLS {
+                killed = true;
+                self.processes[number].borrow().signal(Signal::KILL);
+            }
+            sleep(LOOK).await;
+        }
+        if starts_again {
+            self.start_process(number);
+        }
+    }
+
+    async fn kill_process(self: &Rc<Self>, number: usize, until: Ms) {
+        if !self.occupy(number) {
+            return;
+        }
+        let life = self.processes[number].borrow().life();
+        self.audit.borrow_mut().process_killed(life, self.clock.now());
+        self.processes[number].borrow().signal(Signal::KILL);
+        while self.processes[number].borrow_mut().ended().is_none() {
+            sleep(LOOK).await;
+        }
+        sleep(until - self.clock.now()).await;
+        self.start_process(number);
+    }
+
+    async fn pause_process(&self, number: usize) {
+        if self.occupy(number) {
+            self.processes[number].borrow().signal(Signal::STOP);
+            sleep(PAUSE).await;
+            self.processes[number].borrow().signal(Signal::CONT);
+            self.busy[number].set(false);
+        }
+    }
+
+    /// Discovery moves to its other address; all that run are told to read their configurations again.
+    fn reload(&self) {
+        self.at.set(1 - self.at.get());
+        for (number, process) in self.processes.iter().enumerate().filter(|(n, _)| !self.busy[*n].get()) {
+            let process = process.borrow();
+            let place = Place {
+                number,
+                processes: self.processes.len(),
+                start: process.life().start,
+                discovery: self.addresses[self.at.get()],
+                lists_are_asked_for: self.plan.lists_are_asked_for,
+            };
+            // A file that cannot be written is the old one, which is as good.
+            let _ = process.configure(&configuration::file(&place, &self.known.borrow()));
+            process.signal(Signal::HUP);
+        }
+    }
+
+    fn cut_engine(&self, at: usize) {
+        let engines = self.engines.borrow();
+        let now = self.clock.now();
+        self.audit.borrow_mut().engine_cut(&engines[at].entry.id, now - ON_ITS_WAY, now);
+        engines[at].proxy.cut();
+    }
+
+    async fn block_engine(&self, at: usize, mode: proxy::Mode, until: Ms) {
+        let (proxy, id) = {
+            let engines = self.engines.borrow();
+            (engines[at].proxy.clone(), engines[at].entry.id.clone())
+        };
+        let since = self.clock.now();
+        if mode == proxy::Mode::Silent {
+            self.audit.borrow_mut().engine_held_up(&id, f64::INFINITY);
+        }
+        proxy.set_mode(mode);
+        sleep(until - self.clock.now()).await;
+        if mode == proxy::Mode::Silent {
+            // What was lying comes at once now, or its connection is reset.
+            self.audit.borrow_mut().engine_cut(&id, since - ON_ITS_WAY, self.clock.now());
+            proxy.cut();
+            self.audit.borrow_mut().engine_held_up(&id, self.clock.now());
+        }
+        let engines = self.engines.borrow();
+        if engines[at].entry.id == id {
+            proxy.set_mode(proxy::Mode::Pass);
+        }
+    }
+
+    async fn replace_engine(&self, at: usize, until: Ms) {
+        let (entry, generation) = {
+            let mut engines = self.engines.borrow_mut();
+            // Enough of its kind stays for the others to be served.
+            let kind = at % KINDS.len();
+            let leaving = engines.iter().skip(kind).step_by(KINDS.len()).filter(|slot| slot.leaving).count();
+            if engines[at].leaving || leaving + 1 >= ENGINES_OF_A_KIND {
+                return;
+            }
+            engines[at].leaving = true;
+            (engines[at].entry.clone(), engines[at].generation)
+        };
+        *self.known.borrow_mut() = self.discovery.whole();
+        self.audit.borrow_mut().engine_out_of_service(&entry.id);
+        self.out.borrow_mut().push(entry.id.clone());
+        self.discovery.change(Entry { phase: "draining", ..entry.clone() });
+        self.tell_all();
+        sleep(until.max(self.clock.now() + DRAINS_FOR) - self.clock.now()).await;
+        self.discovery.change(Entry { phase: "removed", ..entry.clone() });
+        self.cut_engine(at);
+        self.engines.borrow()[at].proxy.set_mode(proxy::Mode::Refuse);
+        self.audit.borrow_mut().engine_gone(&entry.id);
+        match start_engine(self.seed, at, generation + 1, self.clock, &self.audit).await {
+            Ok(slot) => {
+                self.audit.borrow_mut().engine_in_service(&slot.entry.id, Some(self.clock.now()));
+                self.discovery.change(slot.entry.clone());
+                self.engines.borrow_mut()[at] = slot;
+            }
+            Err(problem) => {
+                let what = format!("an engine could not be started: {problem}");
+                self.audit.borrow_mut().process_is_wrong(what, self.clock.now());
+            }
+        }
+    }
+
+    async fn lose_discovery(&self, mode: discovery::Mode, until: Ms) {
+        if !self.reachable.replace(false) {
+            return;
+        }
+        self.discovery.set_mode(mode);
+        sleep(until - self.clock.now()).await;
+        self.discovery.set_mode(discovery::Mode::Answers);
+        self.reachable.set(true);
+        self.tell_all();
+    }
+
+    /// From now on all processes count as told of what is out of service, if discovery can be reached.
+    fn tell_all(&self) {
+        if !self.reachable.get() {
+            return;
+        }
+        let after = if self.plan.lists_are_asked_for { TOLD_AFTER } else { 0.0 };
+        let at = self.clock.now() + after;
+        for engine in self.out.borrow().iter() {
+            for process in 0..self.processes.len() {
+                self.audit.borrow_mut().told_out(engine, process, at);
+            }
+        }
+    }
+}
+
+/// An engine behind its proxy. Kinds and zones take turns.
+async fn start_engine(
+    seed: u64,
+    at: usize,
+    generation: u32,
+    clock: Clock,
+    audit: &Rc<RefCell<Audit>>,
+) -> io::Result<EngineSlot> {
+    let kind = at % KINDS.len();
+    let stage = if kind == 0 { Stage::Prefill } else { Stage::Decode };
+    let id = format!("{}{}-{generation}", KINDS[kind], at / KINDS.len());
+    let engine =
+        Engine::new(id.clone(), stage, clock, audit.clone(), seed ^ (at as u64) << 8 ^ u64::from(generation));
+    let proxy = Proxy::start(engine.listen().await?).await?;
+    let place = at / KINDS.len();
+    let entry = Entry {
+        id,
+        address: proxy.address,
+        zone: ZONES[place % ZONES.len()],
+        kind: KINDS[kind],
+        cell: (place % ZONES.len()) as u32,
+        phase: "up",
+        up_since_ms: if generation == 0 { 0 } else { wall_ms() },
+    };
+    Ok(EngineSlot { engine, proxy, entry, generation, leaving: false })
+}
+
+/// How a process is started: with the shim, if system calls are to fail, or if its wall clock is to be stepped, as one in
+/// three are.
+fn program(options: &Options, plan: &Plan, number: usize) -> Program {
+    let stepped = number.is_multiple_of(STEPPED_ONE_IN);
+    let shim = options.shim.clone().filter(|_| plan.system_calls_fail || stepped).map(|library| {
+        let mut variables =
+            vec![("CINDERCLEAT_SHIM_SEED".to_owned(), (options.seed + number as u64).to_string())];
+        if plan.system_calls_fail {
+            variables.push(("CINDERCLEAT_SHIM_FAIL".to_owned(), "1".to_owned()));
+        }
+        if stepped {
+            variables.push(("CINDERCLEAT_SHIM_STEP_MS".to_owned(), plan.wall_step.to_string()));
+            variables.push(("CINDERCLEAT_SHIM_STEP_AFTER_MS".to_owned(), plan.wall_step_after.to_string()));
+        }
+        Shim { library, variables }
+    });
+    Program { path: options.program.clone(), log: options.log.clone(), shim }
+}
+
+async fn is_ready(address: SocketAddr) -> bool {
+    let Ok(io) = TcpStream::connect(address).await else { return false };
+    let mut connection = Connection::new(io);
+    let asked =
+        connection.say("GET /-/ready HTTP/1.1\r\nHost: origin.svc\r\nConnection: close\r\n\r\n").await;
+    asked.is_ok() && connection.status().await == Some(200)
+}
