Failing tests: three ends and deadlines that the soak test found wrong

The first was read behind an open request, whose answer was the last as a stop had been told (server.rs end: keeps and not leaving). The second is two seconds for the first byte and two more for the rest (bounds.rs CLIENTS). The third waited behind another request on its connection; server.rs counts its time from when its turn comes. Ruled out: resting connections that cross a close (they go out again).

--- a/crates/http1/tests/session.rs
+++ b/crates/http1/tests/session.rs
@@ -311,6 +311,70 @@
     });
 }
 
+/// A stop that is told while a request is open, with the next one read already: that one is answered, too, and the
+/// connection ends behind it.
+#[test]
+fn what_was_read_behind_an_open_request_is_answered_before_the_connection_ends() {
+    run(async {
+        for streams in [true, false] {
+            let (mut io, mut session) = client(&Http1::new(BOUNDS)).await;
+            let second = ask("{}").replace("9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42");
+            io.write_all(format!("{}{second}", ask("{}")).as_bytes()).await.expect("written");
+            body(&mut session).await.expect("a task");
+            if streams {
+                session.out.send(frame(1, text(0, "data: a\n\n")));
+                until(&mut io, "data: a\n\n\r\n").await;
+            }
+            session.out.go_away();
+            let answer = if streams { v1::Answer::Fulfilled } else { v1::Answer::Bounced };
+            session.out.send(frame(1, last(answer, 0.0)));
+            let next = body(&mut session).await.expect("the next one, which was read");
+            let (stream, Body::Submit(submit)) = next else { panic!("{next:?}") };
+            assert_eq!(submit.origin.expect("an origin").id, "9b1f03aa5c7e2d42");
+            session.out.send(frame(stream, last(v1::Answer::Bounced, 0.0)));
+            let rest = until(&mut io, "").await;
+            assert_eq!(rest.matches("\r\nConnection: close\r\n").count(), 1, "{rest}");
+            assert!(rest.ends_with("\r\nConnection: close\r\n\r\n\n"), "{rest}");
+        }
+    });
+}
+
+/// A client's time runs from when it sent its request, also while that waits behind another one.
+#[test]
+fn the_time_for_which_a_request_waited_behind_an_open_one_is_taken_off_its_deadline() {
+    run(async {
+        let (mut io, mut session) = client(&Http1::new(BOUNDS)).await;
+        let patience = |body: Option<(u64, Body)>| match body {
+            Some((_, Body::Submit(submit))) => submit.patience_ms,
+            other => panic!("{other:?}"),
+        };
+        io.write_all(ask("{}").as_bytes()).await.expect("written");
+        assert_eq!(patience(body(&mut session).await), 4800.0);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        // The second one comes in two parts, the third with the end of the second.
+        let second = ask("{}").replace("9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42");
+        let third = ask("{}").replace("9b1f03aa5c7e2d41", "9b1f03aa5c7e2d43");
+        let (front, back) = second.split_at(20);
+        io.write_all(front.as_bytes()).await.expect("written");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        io.write_all(format!("{back}{third}").as_bytes()).await.expect("written");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        session.out.send(frame(1, last(v1::Answer::Bounced, 0.0)));
+        let waited = 4800.0 - patience(body(&mut session).await);
+        assert!((699.0..705.0).contains(&waited), "since its first byte: {waited}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        session.out.send(frame(2, last(v1::Answer::Bounced, 0.0)));
+        let waited = 4800.0 - patience(body(&mut session).await);
+        assert!((599.0..605.0).contains(&waited), "since it came: {waited}");
+        session.out.send(frame(3, last(v1::Answer::Bounced, 0.0)));
+        // One that comes when nothing is open has waited for nothing.
+        let (mut io, mut session) = client(&Http1::new(BOUNDS)).await;
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        io.write_all(ask("{}").as_bytes()).await.expect("written");
+        assert_eq!(patience(body(&mut session).await), 4800.0);
+    });
+}
+
 fn origin() -> Option<v1::Origin> {
     let text = |text: &str| text.to_owned();
     let target = text("/v1/chat/completions?a=b");
--- a/tests/single.rs
+++ b/tests/single.rs
@@ -1,5 +1,7 @@
 //! Connections that carry one task at a time: when they are closed, and which makes room.
 
+use cindercleat::bounds::{Allowed, Given};
+use cindercleat::interface::Discovery;
 use cindercleat::single::{shed, Single, SingleSettings, Why};
 
 const SETTINGS: SingleSettings = SingleSettings { first: 100.0, whole: 200.0, rest: 1000.0 };
@@ -59,3 +61,27 @@
     assert_eq!(told.give_up(), Why::Silent);
     assert_eq!(pick(&[told, new(5.0)]), Some(1), "one that was told makes no second room");
 }
+
+/// Clients that stop in the middle of their first request are owed an end three seconds after they connected, whenever
+/// they began.
+#[test]
+fn half_of_a_first_request_is_ended_three_seconds_after_the_connection_came_at_the_latest() {
+    let given = Given {
+        memory: 64e6,
+        descriptors: 256,
+        connect_timeout: 250.0,
+        discovery: Discovery::Pushed,
+        drain_grace: 1_000.0,
+        host_idle: None,
+        most_held: None,
+        clients_resume: false,
+    };
+    let settings = Allowed::of(&given).expect("room for work").clients;
+    for begins in [0.0, 500.0, 1_000.0, 1_500.0, 1_999.0] {
+        let mut single = Single::new(0.0);
+        single.partly(begins);
+        let ends = single.next_at(&settings).expect("it ends");
+        assert!(ends <= 2_850.0, "begun at {begins}, ended at {ends}");
+        assert!(ends >= begins + 500.0, "a slow client has time to go on: {begins}, {ends}");
+    }
+}
