What was read behind an open request is answered, with its time counted; half a request ends in 3 s

server.rs: a connection that is to end goes on while more of its client's bytes are there, and notes when they came (arrivals.rs), so that their wait is taken off the deadline. A request whose time passed while it came is refused, not rejected with its connection. single.rs: the first request on a connection is whole 2.75 s after that came, or ended.

--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -33,6 +33,9 @@
 use tasks::{Held, Task, Ticket};
 use timers::{Due, Timers};
 
+/// What is left to a request whose time has passed while it came.
+const NO_TIME: Ms = 0.001;
+
 /// A client's connection, as the shell numbers it; never used twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnId(pub u64);
@@ -425,8 +428,11 @@
             let reason = format!("stream {} is in use or reserved", stream.0);
             return out.push(Output::CloseClient { conn, reason });
         }
-        // The client's time runs since it sent the first of its request.
-        submit.patience_ms -= took;
+        // The client's time runs since it sent the first of its request. One whose time has passed meanwhile is as good
+        // as any other, and is answered so.
+        if submit.patience_ms > 0.0 {
+            submit.patience_ms = (submit.patience_ms - took).max(NO_TIME);
+        }
         let arrival = match self.admit(&submit) {
             Ok(arrival) => arrival,
             Err(body) => {
--- a/crates/dispatcher/tests/common/mod.rs
+++ b/crates/dispatcher/tests/common/mod.rs
@@ -95,7 +95,7 @@
 
 /// Where a connection carries one call at a time.
 pub fn single_limits() -> Limits {
-    let clients = SingleSettings { first: 2000.0, whole: 2000.0, rest: 10_000.0 };
+    let clients = SingleSettings { first: 2000.0, whole: 2000.0, first_whole: 2750.0, rest: 10_000.0 };
     Limits {
         streams_per_link: 1,
         links_per_host: 50,
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -5,6 +5,7 @@
 //! that reads, writes and waits by turns. Names and forms are in [`words`]; nothing is decided here.
 #![forbid(unsafe_code)]
 
+mod arrivals;
 pub mod event_stream;
 mod feed;
 pub mod framing;
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -1,5 +1,6 @@
 //! A client's side: requests in, each a task, and its answer out.
 
+use crate::arrivals::Arrivals;
 use crate::framing::{self, Fault, Length, Part, Request};
 use crate::{session, words, Http1, Session, Shared};
 use bytes::{Bytes, BytesMut};
@@ -18,6 +19,8 @@
 const STREAM: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n\
     Transfer-Encoding: chunked\r\n";
 const CLOSE: &str = "Connection: close\r\n\r\n";
+/// What is left, in milliseconds, to a request whose time has passed while it waited.
+const NO_TIME_MS: f64 = 0.001;
 /// Bytes of answers that are put together for one writing.
 const TOGETHER: usize = 32 << 10;
 
@@ -25,7 +28,8 @@
     let them = v1::Hello { party: v1::Party::Client.into(), ..v1::Hello::default() };
     let (session, shared, said) = session(them, None);
     let lease = Lease { held: wire.held.clone(), bytes: 0 };
-    let client = Client { io, wire, shared, said, bytes: BytesMut::new(), stream: 0, lease };
+    let (bytes, arrivals) = (BytesMut::new(), Arrivals::default());
+    let client = Client { io, wire, shared, said, bytes, arrivals, stream: 0, lease };
     spawn_local(client.run());
     session
 }
@@ -36,6 +40,7 @@
     shared: Rc<Shared>,
     said: mpsc::UnboundedReceiver<Frame>,
     bytes: BytesMut,
+    arrivals: Arrivals,
     /// The request that is open or was last.
     stream: u64,
     lease: Lease,
@@ -149,6 +154,9 @@
 
     /// Reads the next request, whole.
     async fn receive(&mut self) -> Result<(Asks, bool), Last> {
+        // What came behind the last request has waited since; for what comes from now on the ledger keeps the time.
+        self.arrivals.wait(self.bytes.len());
+        let waited_ms = self.arrivals.waited_ms();
         let mut told = false;
         let head = loop {
             if let Some(head) =
@@ -188,7 +196,13 @@
         }
         let asks = match kind {
             Kind::Ready => Asks::Ready,
-            Kind::Task => Asks::Task(Box::new(submit(&head, body.freeze()).map_err(Last::Refused)?)),
+            Kind::Task => {
+                let mut submit = submit(&head, body.freeze()).map_err(Last::Refused)?;
+                if submit.patience_ms > 0.0 {
+                    submit.patience_ms = (submit.patience_ms - waited_ms).max(NO_TIME_MS);
+                }
+                Asks::Task(Box::new(submit))
+            }
         };
         Ok((asks, head.keeps))
     }
@@ -213,7 +227,10 @@
             }
             read = self.io.read_buf(&mut self.bytes) => match read {
                 Ok(0) | Err(_) => Err(Last::Over),
-                Ok(_) => Ok(()),
+                Ok(bytes) => {
+                    self.arrivals.came(bytes);
+                    Ok(())
+                }
             },
             () = self.shared.left(), if resting => Err(Last::Over),
         }
@@ -253,8 +270,13 @@
                     Ok(0) | Err(_) => return Some(Last::Over),
                     // Guards against bytes behind an open request, which would hide that its client has gone:
                     // they are read on, to one more request's length, and no further.
-                    Ok(_) if self.piled_up(own) => return Some(Last::Over),
-                    Ok(_) => continue,
+                    Ok(bytes) => {
+                        self.arrivals.came(bytes);
+                        if self.piled_up(own) {
+                            return Some(Last::Over);
+                        }
+                        continue;
+                    }
                 },
             };
             let Some(mut frame) = frame else { return Some(Last::Over) };
@@ -266,7 +288,7 @@
                         Some(Body::Tokens(tokens)) => {
                             if !begun {
                                 text.extend_from_slice(STREAM.as_bytes());
-                                let stays = keeps && !self.shared.leaving.get();
+                                let stays = self.goes_on(keeps);
                                 text.extend_from_slice(if stays { b"\r\n" } else { CLOSE.as_bytes() });
                                 begun = true;
                             }
@@ -312,9 +334,15 @@
         self.bytes.len() > bounds.most_body + framing::MOST_HEAD || self.lease.held.get() > bounds.most_bodies
     }
 
+    /// Whether the connection goes on after the open request, its client letting it. What was read behind that is
+    /// answered first, also if the connection is to end.
+    fn goes_on(&self, keeps: bool) -> bool {
+        keeps && (!self.shared.leaving.get() || !self.bytes.is_empty())
+    }
+
     /// The last of an answer; tells whether another request may follow, or nothing if this is not its last.
     fn end(&self, body: &Body, begun: bool, keeps: bool, text: &mut Vec<u8>) -> Option<bool> {
-        let keeps = keeps && !self.shared.leaving.get();
+        let keeps = self.goes_on(keeps);
         let (status, why, more, keeps) = match body {
             Body::Final(said) => match (said.answer(), begun) {
                 (v1::Answer::Fulfilled, true) => {
--- a/src/bounds.rs
+++ b/src/bounds.rs
@@ -70,8 +70,10 @@
 /// The part of the hosts' idle time for which a connection rests here: well before they close it, so that no
 /// request is written to one that dies.
 const REST_PART: f64 = 0.4;
-/// Clients are owed a close within three seconds of connecting, and keep good connections.
-const CLIENTS: SingleSettings = SingleSettings { first: 2_000.0, whole: 2_000.0, rest: 10_000.0 };
+/// Clients are owed a close within three seconds of connecting, also in the middle of a request, and keep good
+/// connections.
+const CLIENTS: SingleSettings =
+    SingleSettings { first: 2_000.0, whole: 2_000.0, first_whole: 2_750.0, rest: 10_000.0 };
 const WINDOW: u32 = 32;
 /// Under the five seconds for which a client may be left waiting.
 const STALL: Ms = 4_000.0;
--- a/src/single.rs
+++ b/src/single.rs
@@ -12,6 +12,8 @@
     pub first: Ms,
     /// A request must be whole this long after its first byte.
     pub whole: Ms,
+    /// And the first one on a connection this long after the connection came.
+    pub first_whole: Ms,
     /// A connection that rests between requests is closed after this long.
     pub rest: Ms,
 }
@@ -41,12 +43,14 @@
     /// None while its task is open.
     phase: Option<Phase>,
     since: Ms,
+    /// When the connection came, until its first request is whole.
+    came: Option<Ms>,
     told: bool,
 }
 
 impl Single {
     pub fn new(now: Ms) -> Self {
-        Single { phase: Some(Phase::New), since: now, told: false }
+        Single { phase: Some(Phase::New), since: now, came: Some(now), told: false }
     }
 
     /// The first part of a request is there.
@@ -57,7 +61,7 @@
     /// A request is there, whole; gives how long ago its first part came.
     pub fn whole(&mut self, now: Ms) -> Ms {
         let took = if self.phase == Some(Phase::Partly) { now - self.since } else { 0.0 };
-        (self.phase, self.since) = (None, now);
+        (self.phase, self.since, self.came) = (None, now, None);
         took.max(0.0)
     }
 
@@ -78,13 +82,16 @@
     }
 
     fn due(&self, settings: &SingleSettings) -> Option<(Ms, Why)> {
-        let (wait, why) = match self.phase? {
-            Phase::New => (settings.first, Why::Silent),
-            Phase::Resting => (settings.rest, Why::Silent),
+        let (at, why) = match self.phase? {
+            Phase::New => (self.since + settings.first, Why::Silent),
+            Phase::Resting => (self.since + settings.rest, Why::Silent),
             // Guards against half a request, which would keep its place and its bytes for nobody.
-            Phase::Partly => (settings.whole, Why::Slow),
+            Phase::Partly => {
+                let first_by = self.came.map_or(f64::INFINITY, |came| came + settings.first_whole);
+                ((self.since + settings.whole).min(first_by), Why::Slow)
+            }
         };
-        (!self.told).then_some((self.since + wait, why))
+        (!self.told).then_some((at, why))
     }
 
     /// Its place is wanted: the reason to close it with.
--- a/tests/single.rs
+++ b/tests/single.rs
@@ -4,7 +4,8 @@
 use cindercleat::interface::Discovery;
 use cindercleat::single::{shed, Single, SingleSettings, Why};
 
-const SETTINGS: SingleSettings = SingleSettings { first: 100.0, whole: 200.0, rest: 1000.0 };
+const SETTINGS: SingleSettings =
+    SingleSettings { first: 100.0, whole: 200.0, first_whole: 300.0, rest: 1000.0 };
 
 #[test]
 fn each_phase_has_its_time_and_an_open_task_has_none() {
