Failing tests: connections that were accepted are dropped with the request on them

At fault: net/src/lib.rs accept, which returns the error of set_nodelay and drops the stream, and shell.rs accept, which drops a connection beyond the most clients and waits 100 ms after any error.

--- a/crates/dispatcher/tests/common/loopback.rs
+++ b/crates/dispatcher/tests/common/loopback.rs
@@ -11,7 +11,7 @@
 use cindercleat_dispatcher::shell::{Places, Shell};
 use cindercleat_dispatcher::{Limits, ProgramSettings};
 use cindercleat_http1::{Bounds, Http1};
-use cindercleat_net::{Clock, Tcp, Transport};
+use cindercleat_net::{Clock, Listener, Tcp, Transport};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
@@ -68,6 +68,8 @@
     shut: Rc<RefCell<BTreeSet<String>>>,
     /// Whether there are no descriptors for new connections.
     exhausted: Rc<Cell<bool>>,
+    /// What the next calls for a client's connection fail with.
+    accept_errors: Rc<RefCell<Vec<i32>>>,
     /// Connections that wait to come up, by address.
     waiting: Rc<RefCell<Vec<String>>>,
     changed: Rc<Notify>,
@@ -88,15 +90,42 @@
         self.exhausted.set(exhausted);
     }
 
+    /// The next calls for a client's connection fail with these numbers of the system.
+    pub fn fail_accepts(&self, errors: &[i32]) {
+        self.accept_errors.borrow_mut().extend(errors);
+    }
+
     /// Waits until a connection to an address is wanted and is held up.
     pub async fn held_up(&self, address: &str) {
         until(|| self.waiting.borrow().iter().any(|waiting| waiting == address)).await;
     }
 }
 
+/// A listener whose next connections fail as the system may let them.
+pub struct FailingListener {
+    inner: TcpListener,
+    errors: Rc<RefCell<Vec<i32>>>,
+}
+
+impl Listener for FailingListener {
+    type Stream = TcpStream;
+
+    async fn accept(&mut self) -> io::Result<TcpStream> {
+        let error = self.errors.borrow_mut().pop();
+        match error {
+            Some(error) => Err(io::Error::from_raw_os_error(error)),
+            None => Listener::accept(&mut self.inner).await,
+        }
+    }
+
+    fn address(&self) -> String {
+        Listener::address(&self.inner)
+    }
+}
+
 impl Transport for Gate {
     type Stream = TcpStream;
-    type Listener = TcpListener;
+    type Listener = FailingListener;
 
     async fn connect(&self, address: &str) -> io::Result<TcpStream> {
         if self.exhausted.get() {
@@ -115,8 +144,8 @@
         Tcp.connect(address).await
     }
 
-    async fn listen(&self, address: &str) -> io::Result<TcpListener> {
-        Tcp.listen(address).await
+    async fn listen(&self, address: &str) -> io::Result<FailingListener> {
+        Ok(FailingListener { inner: Tcp.listen(address).await?, errors: self.accept_errors.clone() })
     }
 }
 
@@ -311,8 +340,9 @@
         let places = Places { feeds, ..Places::default() };
         let wire = Http1::new(BOUNDS);
         let shell = Shell::speaking(wire, settings, places, gate.clone(), clock.clone(), 1);
-        let listener = listen_narrow();
-        let address = listener.local_addr().expect("an address").to_string();
+        let inner = listen_narrow();
+        let address = inner.local_addr().expect("an address").to_string();
+        let listener = FailingListener { inner, errors: gate.accept_errors.clone() };
         let (stop, serving) = (Rc::new(Notify::new()), shell.clone());
         let told = stop.clone();
         let served = spawn_local(async move {
--- a/crates/dispatcher/tests/endings.rs
+++ b/crates/dispatcher/tests/endings.rs
@@ -991,3 +991,52 @@
         });
     }
 }
+
+mod a_new_connection {
+    use super::*;
+
+    const ECONNABORTED: i32 = 103;
+    const EPROTO: i32 = 71;
+    const EINTR: i32 = 4;
+    const ENETDOWN: i32 = 100;
+
+    /// What concerns one connection, or nobody, holds up no other: the clock stands still.
+    #[test]
+    fn is_taken_at_once_after_one_that_could_not_be() {
+        for errors in [&[ECONNABORTED][..], &[EPROTO, ENETDOWN, ECONNABORTED], &[EINTR]] {
+            run(|net| async move {
+                net.gate.fail_accepts(errors);
+                // The call that was under way before the errors.
+                let first = net.connect().await;
+                until(|| net.shell.clients() == 1).await;
+                let mut client = net.ask("a", "proof").await;
+                net.prefilled().await;
+                let (mut decode, _) = net.host("w1").asked().await;
+                decode.say(&format!("{STREAM}{EVENT}{END}")).await;
+                assert!(client.text_until(END).await.ends_with(END));
+                drop(first);
+            });
+        }
+    }
+
+    /// More than there may be: a client whose request has come waits for a place, and is answered.
+    #[test]
+    fn that_finds_no_place_waits_for_one_and_is_not_dropped_with_its_request() {
+        let limits = Limits { most_clients: 1, ..limits() };
+        run_with(ProgramSettings { limits, ..settings() }, &["r1", "w1"], |net| async move {
+            let (mut first, mut decode) = net.decoding("a", "proof").await;
+            let mut others = [net.ask("b", "proof").await, net.ask("c", "proof").await];
+            net.advance(50.0);
+            decode.say(&format!("{STREAM}{EVENT}{END}")).await;
+            assert!(first.text_until(END).await.ends_with(END));
+            for (id, client) in ["b", "c"].into_iter().zip(&mut others) {
+                let mut prefill = attempt_of(&net, "r1", id).await;
+                prefill.say(READ).await;
+                let mut decode = attempt_of(&net, "w1", id).await;
+                decode.say(&format!("{STREAM}{EVENT}{END}")).await;
+                assert!(client.text_until(END).await.ends_with(END), "{id}");
+                assert!(net.shell.clients() <= 1, "no more places than there are");
+            }
+        });
+    }
+}
