Connections that were accepted are served: none is dropped for an option, an error or a place

net: an option that cannot be set is left. shell.rs: an error of accept that concerns one connection holds up no other; where none can be had a resting one makes room, and the next call comes after 20 ms, not 100; a connection beyond the most waits, unread, until there is a place.

--- a/crates/dispatcher/src/shell.rs
+++ b/crates/dispatcher/src/shell.rs
@@ -35,10 +35,21 @@
 }
 
 /// How long to wait when no connection can be taken in.
-const ACCEPT_AGAIN: Ms = 100.0;
+const ACCEPT_AGAIN: Ms = 20.0;
+/// The system's number for an error of the protocol beneath (EPROTO).
+const PROTOCOL_ERROR: i32 = 71;
 /// Streams that one client may have open on a connection.
 const MOST_CALLS: u32 = 1024;
 
+/// Whether an error of accept tells of one connection that is gone, or of a call that was interrupted: accept(2) has errors
+/// of the network that were pending on the new connection passed on so, to be treated as if there were none yet.
+fn concerns_one_connection(problem: &io::Error) -> bool {
+    use io::ErrorKind::*;
+    let kinds =
+        [ConnectionAborted, ConnectionReset, Interrupted, NetworkDown, NetworkUnreachable, HostUnreachable];
+    kinds.contains(&problem.kind()) || problem.raw_os_error() == Some(PROTOCOL_ERROR)
+}
+
 /// A connection to a model host, from its dialling on.
 struct LinkEnd<O> {
     /// Once it is up.
@@ -85,6 +96,8 @@
     follow: Notify,
     /// The list feed is at another address.
     moved: Notify,
+    /// A client's connection is over, or rests.
+    place_changed: Notify,
     stopped: Notify,
 }
 
@@ -137,6 +150,7 @@
             timer: Notify::new(),
             follow: Notify::new(),
             moved: Notify::new(),
+            place_changed: Notify::new(),
             stopped: Notify::new(),
         };
         Shell { inner: Rc::new(inner) }
@@ -254,10 +268,14 @@
                     }
                     _ => {}
                 }
+                let answers = matches!(frame.body, Some(Body::Final(_) | Body::Pong(_) | Body::Goodbye(_)));
                 let clients = self.inner.clients.borrow();
                 if let Some(out) = clients.get(&conn) {
                     out.send(frame);
                 }
+                if answers {
+                    self.inner.place_changed.notify_waiters();
+                }
             }
             Output::LeaveClient { conn } => {
                 if let Some(out) = self.inner.clients.borrow().get(&conn) {
@@ -360,23 +378,19 @@
         loop {
             match listener.accept().await {
                 Ok(stream) => {
-                    let (clients, greeting) = (self.clients(), &self.inner.greeting);
-                    if clients + greeting.get() >= self.inner.settings.limits.most_clients {
-                        self.input(Input::ClientsFull);
-                        // Who makes room is closed by then.
-                        yield_now().await;
-                    }
-                    let clients = self.clients();
-                    // Guards against more connections than memory bears; a client that is turned away here
-                    // hears a closed connection, and nothing of it has run.
-                    if clients + greeting.get() < self.inner.settings.limits.most_clients {
-                        greeting.set(greeting.get() + 1);
-                        spawn_local(self.clone().client(stream));
-                    }
+                    self.until_there_is_a_place().await;
+                    self.inner.greeting.set(self.inner.greeting.get() + 1);
+                    spawn_local(self.clone().client(stream));
+                }
+                Err(problem) if concerns_one_connection(&problem) => {
+                    tracing::debug!(%problem, "connection not taken");
+                    yield_now().await;
                 }
-                // Too many open files, or a connection gone again: others may still be had.
+                // There is none to be had for now: too many files are open, or memory is short. A client's connection
+                // that rests makes room.
                 Err(problem) => {
-                    tracing::warn!(%problem, "connection not taken");
+                    tracing::warn!(%problem, "no connection can be taken");
+                    self.input(Input::ClientsFull);
                     let again = self.inner.clock.now() + ACCEPT_AGAIN;
                     self.inner.clock.sleep_until(again).await;
                 }
@@ -384,6 +398,20 @@
         }
     }
 
+    /// Guards against more connections than memory bears. One that finds no place waits, unread, until another has made
+    /// room or has ended; those behind it wait in the system's queue. Dropped, it might take a request with it that
+    /// its client had sent already.
+    async fn until_there_is_a_place(&self) {
+        loop {
+            let changed = self.inner.place_changed.notified();
+            if self.clients() + self.inner.greeting.get() < self.inner.settings.limits.most_clients {
+                return;
+            }
+            self.input(Input::ClientsFull);
+            changed.await;
+        }
+    }
+
     /// One connection that was taken in: greets, then serves a client or hears a peer.
     async fn client(self, stream: T::Stream) {
         let settings = &self.inner.settings;
@@ -395,7 +423,10 @@
         self.inner.greeting.set(self.inner.greeting.get() - 1);
         let Session { mut events, out, .. } = match greeted {
             Ok(session) => session,
-            Err(reason) => return tracing::debug!(reason, "connection refused"),
+            Err(reason) => {
+                self.inner.place_changed.notify_waiters();
+                return tracing::debug!(reason, "connection refused");
+            }
         };
         let conn = ConnId(self.inner.connections.get() + 1);
         self.inner.connections.set(conn.0);
@@ -417,6 +448,7 @@
         }
         self.inner.clients.borrow_mut().remove(&conn);
         self.input(Input::ClientClosed { conn });
+        self.inner.place_changed.notify_waiters();
     }
 
     /// One connection to a model host, from the dialling to its end.
--- a/crates/dispatcher/tests/endings.rs
+++ b/crates/dispatcher/tests/endings.rs
@@ -1029,6 +1029,7 @@
             net.advance(50.0);
             decode.say(&format!("{STREAM}{EVENT}{END}")).await;
             assert!(first.text_until(END).await.ends_with(END));
+            drop(decode);
             for (id, client) in ["b", "c"].into_iter().zip(&mut others) {
                 let mut prefill = attempt_of(&net, "r1", id).await;
                 prefill.say(READ).await;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -63,7 +63,8 @@
 
     async fn connect(&self, address: &str) -> io::Result<TcpStream> {
         let stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
+        // What is written goes out whole and at once; without the option its tail may wait for an acknowledgement.
+        let _ = stream.set_nodelay(true);
         Ok(stream)
     }
 
@@ -88,7 +89,7 @@
         let socket = if to.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
         socket.bind(SocketAddr::new(from, 0))?;
         let stream = socket.connect(to).await?;
-        stream.set_nodelay(true)?;
+        let _ = stream.set_nodelay(true);
         Ok(stream)
     }
 
@@ -102,7 +103,8 @@
 
     async fn accept(&mut self) -> io::Result<TcpStream> {
         let (stream, _) = TcpListener::accept(self).await?;
-        stream.set_nodelay(true)?;
+        // Its client may have sent its request already: a connection whose option cannot be set is worth more than none.
+        let _ = stream.set_nodelay(true);
         Ok(stream)
     }
 
--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -533,7 +533,7 @@
     pub fn engine_cut(&mut self, engine: &str, since: Ms, now: Ms) {
         for attempt in self.attempts.iter_mut().filter(|attempt| attempt.engine == engine) {
             match attempt.ended {
-                None => attempt.ended = Some((now, AttemptEnd::Failed)),
+                None => (attempt.ended, attempt.cut) = (Some((now, AttemptEnd::Failed)), true),
                 Some((at, AttemptEnd::Served)) if at >= since => attempt.cut = true,
                 Some(_) => {}
             }
