Failing tests: a long list is refused, after it was read; a deadline told as of before its connection

A list of 4,096 engines, indented by 4, is 1.06 MB: src/bounds.rs most_list is 1 MiB whatever the memory is, http1's feed.rs reads up to that bound before it says so, and shell.rs asks again at the rate of lost calls: 41 MB of lists in seconds. hosts.rs body_of takes the time that is left when an attempt is queued: with a connection that takes 240 ms, 3992 ms are told where 3760 are left, by more than the slack of 150.

--- a/crates/dispatcher/tests/endings.rs
+++ b/crates/dispatcher/tests/endings.rs
@@ -231,6 +231,21 @@
         }
     }
 
+    /// What an engine is told is what the client has left when the attempt goes out, not when it was decided on.
+    #[test]
+    fn that_is_told_to_an_engine_heeds_the_time_that_its_connection_took() {
+        run(|net| async move {
+            net.gate.shut(&net.host("r1").address);
+            let _client = net.ask("a", "draft").await;
+            net.gate.held_up(&net.host("r1").address).await;
+            net.advance(240.0);
+            net.gate.open(&net.host("r1").address);
+            let (_prefill, request) = net.host("r1").asked().await;
+            let told: f64 = request.header("X-Remaining-Ms").and_then(|t| t.parse().ok()).expect("a time");
+            assert!(told <= 3_760.0, "{told} told, 3760 left");
+        });
+    }
+
     /// Which of two things that happen in one turn the dispatcher sees first.
     #[derive(Clone, Copy, Debug)]
     enum First {
--- a/crates/http1/tests/session.rs
+++ b/crates/http1/tests/session.rs
@@ -633,6 +633,24 @@
 }
 
 /// A list may be indented, and long: it is told as begun with its first bytes, and read whole however it comes.
+/// What is too long by its own account is refused before it comes: nobody waits for it, and nothing of it is carried.
+#[test]
+fn a_list_that_says_that_it_is_too_long_is_refused_at_its_head() {
+    run(async {
+        let (mut io, far) = duplex(1 << 20);
+        let mut session = Http1::new(BOUNDS).connect(far, v1::Party::Feed, setup()).await.expect("a session");
+        session.out.send(frame(1, Body::Follow(v1::Follow { changes: true, known_version: None })));
+        until(&mut io, "\r\n\r\n").await;
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", BOUNDS.most_list + 1);
+        io.write_all(head.as_bytes()).await.expect("written");
+        let within = tokio::time::timeout(Duration::from_secs(1), body(&mut session));
+        match within.await.expect("it does not wait for the list") {
+            Some((_, Body::Goodbye(bye))) => assert!(bye.reason.contains("too long"), "{bye:?}"),
+            other => panic!("{other:?}"),
+        }
+    });
+}
+
 #[test]
 fn an_indented_list_that_comes_in_pieces_is_read_whole() {
     run(async {
--- a/tests/bounds.rs
+++ b/tests/bounds.rs
@@ -63,3 +63,13 @@
         }
     }
 }
+
+/// A list of as many engines as a fleet may have, indented, with long names; and never more than the memory bears.
+#[test]
+fn a_list_of_thousands_of_engines_is_taken_within_a_part_of_the_memory() {
+    for memory in [32e6, 64e6, 192e6] {
+        let allowed = Allowed::of(&Given { memory, ..given() }).expect("room for work");
+        assert!(allowed.most_list >= 4_096 * 600, "{}", allowed.most_list);
+        assert!(allowed.most_list as f64 <= memory / 8.0, "{}", allowed.most_list);
+    }
+}
