--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -9,6 +9,9 @@
 
 /// The whole of the credit is given back in so many parts.
 const CREDIT_PARTS: u32 = 2;
+/// A host is told to wait for a millisecond at least: 0 would say nothing.
+const LEAST_WAIT: Ms = 1.0;
+
 impl Ledger {
     pub(super) fn launch(&mut self, id: TaskId, host: HostId, until: Option<Ms>, out: &mut Vec<Output>) {
         let Some(task) = self.tasks.get_mut(&id) else { return };
@@ -51,6 +54,7 @@
             stream,
             reading,
             since: self.now,
+            until,
             first: false,
             position: 0,
             came: 0,
@@ -76,7 +80,7 @@
         let (no, host, address) = (launch.no, launch.host.clone(), row.line.address.clone());
         let state = launch.reading.then(|| state_of(self.settings.run, id, no));
         let window = self.settings.limits.window;
-        let body = body_of(task, state, &self.fleet, window, task.ends - self.now);
+        let body = body_of(task, state, &self.fleet, window, launch.until - self.now);
         let to = (&mut self.timers, &mut *out);
         let purpose = Use::Launch(id, no);
         let opened = self.links.open(&host, &address, purpose, self.now, &self.settings, to);
@@ -280,8 +284,11 @@
         // not go out any more, and is known not to have run.
         let ready = self.fleet.condition(&host) == Condition::Ready || planted::is(Plant::DrainReadLate);
         self.flush_releases(&host, out);
-        for (stream, body) in waiting {
+        for (stream, mut body) in waiting {
             let purpose = self.links.get(id).and_then(|l| l.streams.get(&stream).cloned());
+            if let Some(Use::Launch(task, _)) = &purpose {
+                self.tell_time_left(*task, &mut body);
+            }
             let frame = frame(stream.0, body);
             match purpose {
                 Some(Use::Release(pending)) if self.is_withheld(&pending.held) => {
@@ -304,6 +311,17 @@
         }
     }
 
+    /// A launch that has waited for its connection tells its host what is left now.
+    fn tell_time_left(&self, task: TaskId, body: &mut Body) {
+        let Some(launch) = self.tasks.get(&task).and_then(|task| task.out.as_ref()) else { return };
+        let left = (launch.until - self.now).max(LEAST_WAIT);
+        match body {
+            Body::Read(read) => read.wait_ms = left,
+            Body::Write(write) => write.wait_ms = left,
+            _ => {}
+        }
+    }
+
     fn is_answered(&self, task: TaskId) -> bool {
         self.tasks.get(&task).is_some_and(|task| task.answered)
     }
--- a/crates/dispatcher/src/ledger/tasks.rs
+++ b/crates/dispatcher/src/ledger/tasks.rs
@@ -45,6 +45,8 @@
     pub stream: StreamNo,
     pub reading: bool,
     pub since: Ms,
+    /// Until when its answer is waited for.
+    pub until: Ms,
     pub first: bool,
     /// Where the next token message must begin.
     pub position: u32,
--- a/crates/dispatcher/src/shell.rs
+++ b/crates/dispatcher/src/shell.rs
@@ -41,6 +41,13 @@
 /// Streams that one client may have open on a connection.
 const MOST_CALLS: u32 = 1024;
 
+/// How a connection to the list feed ended.
+enum FeedEnd {
+    Lost(String),
+    /// Its answer was no list that can be used.
+    Unusable(String),
+}
+
 /// Whether an error of accept tells of one connection that is gone, or of a call that was interrupted: accept(2) has errors
 /// of the network that were pending on the new connection passed on so, to be treated as if there were none yet.
 fn concerns_one_connection(problem: &io::Error) -> bool {
@@ -378,9 +385,10 @@
         loop {
             match listener.accept().await {
                 Ok(stream) => {
-                    self.until_there_is_a_place().await;
-                    self.inner.greeting.set(self.inner.greeting.get() + 1);
-                    spawn_local(self.clone().client(stream));
+                    if self.finds_a_place().await {
+                        self.inner.greeting.set(self.inner.greeting.get() + 1);
+                        spawn_local(self.clone().client(stream));
+                    }
                 }
                 Err(problem) if concerns_one_connection(&problem) => {
                     tracing::debug!(%problem, "connection not taken");
@@ -398,14 +406,19 @@
         }
     }
 
-    /// Guards against more connections than memory bears. One that finds no place waits, unread, until another has made
-    /// room or has ended; those behind it wait in the system's queue. Dropped, it might take a request with it that
-    /// its client had sent already.
-    async fn until_there_is_a_place(&self) {
+    /// Guards against more connections than memory bears. Where a connection carries one request at a time, one that finds
+    /// no place waits, unread, until another has made room or has ended; those behind it wait in the system's queue.
+    /// Dropped, it might take a request with it that its client had sent already. Elsewhere it is closed: its client has
+    /// not been greeted, so nothing of it has run.
+    async fn finds_a_place(&self) -> bool {
+        let limits = &self.inner.settings.limits;
         loop {
             let changed = self.inner.place_changed.notified();
-            if self.clients() + self.inner.greeting.get() < self.inner.settings.limits.most_clients {
-                return;
+            if self.clients() + self.inner.greeting.get() < limits.most_clients {
+                return true;
+            }
+            if limits.single.is_none() {
+                return false;
             }
             self.input(Input::ClientsFull);
             changed.await;
@@ -432,6 +445,8 @@
         self.inner.connections.set(conn.0);
         self.inner.clients.borrow_mut().insert(conn, out);
         self.input(Input::ClientUp { conn });
+        // It can be asked to make room from now on.
+        self.inner.place_changed.notify_waiters();
         while let Some(event) = events.recv().await {
             match event {
                 Event::Frame(Frame { body: Some(Body::Peer(said)), .. }) => {
@@ -504,12 +519,16 @@
                 return;
             }
             let address = &feeds[at % feeds.len()];
-            let reason = tokio::select! { biased;
+            let ended = tokio::select! { biased;
                 () = self.inner.moved.notified() => {
                     calls.moved();
                     continue;
                 }
-                reason = self.read_feed(address, &mut calls) => reason,
+                ended = self.read_feed(address, &mut calls) => ended,
+            };
+            let (reason, wait) = match ended {
+                FeedEnd::Lost(reason) => (reason, calls.lost()),
+                FeedEnd::Unusable(reason) => (reason, calls.unusable()),
             };
             // Said once, not with each call, while it stays so.
             if said.as_ref() != Some(&reason) {
@@ -518,7 +537,7 @@
             }
             self.input(Input::ListRefused);
             at += 1;
-            let again = self.inner.clock.now() + calls.lost();
+            let again = self.inner.clock.now() + wait;
             tokio::select! { biased;
                 () = self.inner.moved.notified() => calls.moved(),
                 () = self.inner.clock.sleep_until(again) => {}
@@ -526,7 +545,7 @@
         }
     }
 
-    async fn read_feed(&self, address: &str, calls: &mut FeedCalls) -> String {
+    async fn read_feed(&self, address: &str, calls: &mut FeedCalls) -> FeedEnd {
         let known = self.inner.ledger.borrow().known_version();
         let known_version = match calls.calling(known) {
             FirstCall::WholeList => None,
@@ -543,7 +562,7 @@
         };
         let Session { mut events, out, .. } = match called {
             Ok(session) => session,
-            Err(reason) => return reason,
+            Err(reason) => return FeedEnd::Lost(reason),
         };
         let follow = |number, known_version| {
             out.send(frame(number, Body::Follow(v1::Follow { changes: true, known_version })));
@@ -572,7 +591,7 @@
                 // Guards against a feed that is gone without a word.
                 () = silent, if quiet.is_finite() => {
                     out.close();
-                    return "it says nothing".to_owned();
+                    return FeedEnd::Lost("it says nothing".to_owned());
                 }
             };
             match next {
@@ -582,7 +601,7 @@
                     let whole = list.kind() == v1::ListKind::Full;
                     if !calls.takes(whole, list.version, newest, heard) {
                         out.close();
-                        return "its list is older than the one that is known".to_owned();
+                        return FeedEnd::Lost("its list is older than the one that is known".to_owned());
                     }
                     calls.answered();
                     let told = |line: &v1::HostLine| {
@@ -595,12 +614,13 @@
                 }
                 Some(Event::Frame(Frame { body: Some(Body::Goodbye(bye)), .. })) => {
                     out.close();
-                    return bye.reason;
+                    let ended = if bye.never_ran { FeedEnd::Lost } else { FeedEnd::Unusable };
+                    return ended(bye.reason);
                 }
                 // A long list has begun to come.
                 Some(Event::Partly) => calls.begins(),
                 Some(_) => {}
-                None => return "the connection ended".to_owned(),
+                None => return FeedEnd::Lost("the connection ended".to_owned()),
             }
         }
     }
--- a/crates/http1/src/feed.rs
+++ b/crates/http1/src/feed.rs
@@ -1,6 +1,6 @@
 //! The list feed's side: the whole list once, then the watch, each next call at once after the last answer.
 
-use crate::framing::{Came, Reading};
+use crate::framing::{Came, Length, Reading};
 use crate::{list, session, words, Bounds, Session, Shared};
 use bytes::BytesMut;
 use cindercleat_protocol::session::{Event, Io, Setup};
@@ -19,22 +19,33 @@
             () = shared.closed() => None,
             reason = run(io, bounds, &shared, &mut said) => Some(reason),
         };
-        if let Some(reason) = ended {
-            shared.say(1, Body::Goodbye(v1::Goodbye { reason, never_ran: true }));
+        let bye = |reason, never_ran| Body::Goodbye(v1::Goodbye { reason, never_ran });
+        match ended {
+            None => {}
+            Some(Ended::Lost(reason)) => shared.say(1, bye(reason, true)),
+            Some(Ended::Unusable(reason)) => shared.say(1, bye(reason, false)),
         }
         shared.end();
     });
     session
 }
 
+/// Why a session with the list feed is over.
+enum Ended {
+    /// A call was not answered, or refused.
+    Lost(String),
+    /// It was answered by what is no list, or one that is too long.
+    Unusable(String),
+}
+
 async fn run<S: Io>(
     mut io: S,
     bounds: Bounds,
     shared: &Rc<Shared>,
     said: &mut mpsc::UnboundedReceiver<Frame>,
-) -> String {
+) -> Ended {
     let Some(Frame { stream, body: Some(Body::Follow(follow)) }) = said.recv().await else {
-        return "nothing was asked".to_owned();
+        return Ended::Lost("nothing was asked".to_owned());
     };
     let mut path = match follow.known_version {
         None => words::LIST.to_owned(),
@@ -45,20 +56,20 @@
     loop {
         let call = format!("GET {path} HTTP/1.1\r\nHost: list\r\n\r\n");
         if let Err(problem) = io.write_all(call.as_bytes()).await {
-            return problem.to_string();
+            return Ended::Lost(problem.to_string());
         }
         let answered = tokio::select! { biased;
             // Nobody listens any more: the watch ends here, or it would go on for ever beside the next one.
-            () = dropped(said) => return "given up".to_owned(),
+            () = dropped(said) => return Ended::Lost("given up".to_owned()),
             answered = answer(&mut io, bounds, &mut bytes, shared) => answered,
         };
         let body = match answered {
             Ok(body) => body,
-            Err(reason) => return reason,
+            Err(ended) => return ended,
         };
         let list = match list::parse(&body) {
             Ok(list) => list,
-            Err(problem) => return format!("no list: {problem}"),
+            Err(problem) => return Ended::Unusable(format!("no list: {problem}")),
         };
         path = changes_since(list.version, bounds.feed_wait_ms);
         shared.say(stream, Body::List(list));
@@ -80,29 +91,38 @@
     bounds: Bounds,
     bytes: &mut BytesMut,
     shared: &Shared,
-) -> Result<BytesMut, String> {
+) -> Result<BytesMut, Ended> {
+    let too_long = || Ended::Unusable("the list is too long".to_owned());
     let mut begun = false;
     let mut reading = Reading::new(bounds.most_list);
     let mut body = BytesMut::new();
     loop {
-        match reading.next(bytes).map_err(|fault| format!("{fault:?}"))? {
-            Some(Came::Head(head)) if head.first != 200 => return Err(format!("status {}", head.first)),
+        match reading.next(bytes).map_err(|fault| Ended::Unusable(format!("{fault:?}")))? {
+            Some(Came::Head(head)) if head.first != 200 => {
+                return Err(Ended::Lost(format!("status {}", head.first)));
+            }
+            // Said before it comes: nobody carries it for nothing.
+            Some(Came::Head(head)) if is_longer(head.length, bounds.most_list) => return Err(too_long()),
             Some(Came::Head(_)) => {}
             Some(Came::Data(data)) if body.len() + data.len() > bounds.most_list => {
-                return Err("the list is too long".to_owned());
+                return Err(too_long());
             }
             Some(Came::Data(data)) => body.extend_from_slice(&data),
             Some(Came::End) => return Ok(body),
             None => match io.read_buf(bytes).await {
                 Ok(0) if reading.may_end() => return Ok(body),
-                Ok(0) => return Err("the connection ended".to_owned()),
+                Ok(0) => return Err(Ended::Lost("the connection ended".to_owned())),
                 Ok(_) if !begun => {
                     begun = true;
                     shared.tell(Event::Partly);
                 }
                 Ok(_) => {}
-                Err(problem) => return Err(problem.to_string()),
+                Err(problem) => return Err(Ended::Lost(problem.to_string())),
             },
         }
     }
 }
+
+fn is_longer(length: Length, most: usize) -> bool {
+    matches!(length, Length::Known(bytes) if bytes > most as u64)
+}
--- a/src/bounds.rs
+++ b/src/bounds.rs
@@ -65,7 +65,9 @@
 const BODIES_PART: f64 = 8.0;
 /// The largest body of the platform's protocol.
 const MOST_BODY: usize = 256 << 10;
-/// A list is longer: it holds every host.
+/// The part of the memory that a list may take, which holds every host: some thousands of them. It is no less than this
+/// many bodies.
+const LIST_PART: f64 = 8.0;
 const LIST_BODIES: usize = 4;
 /// The part of the hosts' idle time for which a connection rests here: well before they close it, so that no
 /// request is written to one that dies.
@@ -132,7 +134,7 @@
             most_body: MOST_BODY,
             most_bodies: (given.memory / BODIES_PART) as usize,
             most_chunk: MOST_BODY,
-            most_list: LIST_BODIES * MOST_BODY,
+            most_list: ((given.memory / LIST_PART) as usize).max(LIST_BODIES * MOST_BODY),
             window: WINDOW,
             stall: STALL,
             feed_wait,
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -52,6 +52,10 @@
     }
 }
 
+/// After lists that cannot be used, such as one that is too long, the wait grows up to this: each costs discovery as much as
+/// a good one. A third of the six seconds after which what discovery has counts as told.
+pub const UNUSABLE_MOST: Ms = 2_000.0;
+
 /// Discovery that gives only older lists for this long has begun to count anew, as it does when it was set up afresh.
 /// Half of the six seconds after which what it has counts as told.
 const COUNTS_ANEW_AFTER: Ms = 3_000.0;
@@ -135,12 +139,22 @@
         }
     }
 
-    /// The connection is over; gives the wait before the next. Guards against hundreds of dispatchers that lose
-    /// discovery at one instant and come back to it at one instant, each time: chance takes up to half of it.
+    /// The connection is over; gives the wait before the next.
     pub fn lost(&mut self) -> Ms {
+        self.wait_up_to(self.settings.again_most)
+    }
+
+    /// Its answer was no list that can be used; gives the wait before the next call.
+    pub fn unusable(&mut self) -> Ms {
+        self.wait_up_to(UNUSABLE_MOST.max(self.settings.again_most))
+    }
+
+    /// The next wait. Guards against hundreds of dispatchers that lose discovery at one instant and come back to it at one
+    /// instant, each time: chance takes up to half of it.
+    fn wait_up_to(&mut self, most: Ms) -> Ms {
         let chance: f64 = self.rng.generate();
-        let wait = self.wait.min(self.settings.again_most) * (1.0 - chance / 2.0);
-        self.wait = (2.0 * self.wait).min(self.settings.again_most);
+        let wait = self.wait.min(most) * (1.0 - chance / 2.0);
+        self.wait = (2.0 * self.wait).min(most);
         wait
     }
 }
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -1,6 +1,6 @@
 //! When discovery is called again.
 
-use cindercleat::feed::{FeedCalls, FeedSettings, FirstCall};
+use cindercleat::feed::{FeedCalls, FeedSettings, FirstCall, UNUSABLE_MOST};
 
 const SETTINGS: FeedSettings = FeedSettings {
     connect: 250.0,
@@ -77,3 +77,18 @@
     calls.calling(Some(4));
     assert_eq!(calls.calling(Some(4)), whole, "where a call costs discovery nothing");
 }
+
+/// A list that cannot be used costs discovery as much as a good one: the waits go on growing, and stay within the time
+/// after which what it has counts as told.
+#[test]
+fn a_list_that_cannot_be_used_is_asked_for_less_and_less_often() {
+    let mut calls = FeedCalls::new(SETTINGS, 1);
+    for most in [100.0, 200.0, 400.0, 800.0, 1600.0, UNUSABLE_MOST, UNUSABLE_MOST] {
+        let wait = calls.unusable();
+        assert!((most / 2.0..=most).contains(&wait), "{wait} of {most}");
+    }
+    assert!(calls.lost() <= SETTINGS.again_most, "one that is lost has its own most");
+    calls.answered();
+    assert!(calls.unusable() <= 100.0, "a spoilt one is asked for again soon");
+    const { assert!(SETTINGS.connect + SETTINGS.quiet + UNUSABLE_MOST < 6_000.0) };
+}
