Guards for sending, repeating, refusing and starting, each with a counter that logs

Lists: membership by sets in place of scans (3,200 engines), and no copy of the list where nobody keeps one. keep.rs syncs before and after its renaming (suspected: a rename without a sync).

--- a/crates/dispatcher/src/keep.rs
+++ b/crates/dispatcher/src/keep.rs
@@ -1,11 +1,12 @@
 //! The list of model hosts as last heard, kept in a file for the next start.
 //!
 //! The file is four bytes of mark, four of checksum, then the list as on the wire. It is written beside its
-//! place and renamed, so that a cut leaves the old one or the new one.
+//! place, synced and renamed, and the folder synced, so that a cut leaves the old one or the new one.
 
 use cindercleat_protocol::v1::HostList;
 use prost::Message;
-use std::io;
+use std::fs::File;
+use std::io::{self, Write};
 use std::path::Path;
 
 const MARK: &[u8; 4] = b"cchl";
@@ -44,6 +45,11 @@
     let list = list.encode_to_vec();
     let bytes = [&MARK[..], &crc32fast::hash(&list).to_be_bytes(), &list].concat();
     let beside = path.with_extension("new");
-    std::fs::write(&beside, bytes)?;
-    std::fs::rename(beside, path)
+    let mut file = File::create(&beside)?;
+    file.write_all(&bytes)?;
+    file.sync_all()?;
+    std::fs::rename(beside, path)?;
+    // Without it a cut may undo the renaming.
+    let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    File::open(folder)?.sync_all()
 }
--- a/crates/dispatcher/src/ledger/fleet.rs
+++ b/crates/dispatcher/src/ledger/fleet.rs
@@ -4,7 +4,7 @@
 use crate::settings::ProgramSettings;
 use cindercleat::interface::*;
 use cindercleat_protocol::v1;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 #[derive(Clone, Debug)]
@@ -31,8 +31,9 @@
         let full = list.kind() == v1::ListKind::Full;
         self.version = list.version;
         if full {
+            let listed: BTreeSet<&str> = list.hosts.iter().map(|line| line.host.as_str()).collect();
             for (host, row) in &mut self.hosts {
-                if !list.hosts.iter().any(|line| line.host == *host.0) {
+                if !listed.contains(host.0.as_ref()) {
                     row.condition = Condition::Gone;
                 }
             }
--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -17,17 +17,14 @@
         let Some(task) = self.tasks.get_mut(&id) else { return };
         let no = LaunchNo(task.launches);
         task.launches += 1;
-        let row = self.fleet.hosts.get(&host);
-        let reading = task.state.is_none() && row.is_some_and(|r| r.role == Role::Reader);
-        // Guards against sending what must not be: a second launch, one for a task that is over or beyond the
-        // number allowed, one to a host that is not ready. Each ends as never sent.
-        let void = task.answered
-            || task.out.is_some()
-            || task.launches > self.settings.policy.max_launches
-            || self.fleet.condition(&host) != Condition::Ready;
-        let Some(row) = row.filter(|_| !void) else {
-            return self.events.push(never_sent(id, no, host, Outcome::Void, task.answered));
-        };
+        let (holds_no_state, answered) = (task.state.is_none(), task.answered);
+        let reads = self.fleet.hosts.get(&host).is_some_and(|row| row.role == Role::Reader);
+        let reading = holds_no_state && reads;
+        // What must not be ends as never sent.
+        if !self.guard_attempt(id, &host, reading, out) {
+            return self.events.push(never_sent(id, no, host, Outcome::Void, answered));
+        }
+        let (Some(task), Some(row)) = (self.tasks.get_mut(&id), self.fleet.hosts.get(&host)) else { return };
         let address = row.line.address.clone();
         let until = until.unwrap_or(task.ends).min(task.ends);
         let state = state_of(self.settings.run, id, no);
@@ -148,6 +145,7 @@
 
     /// The ledger's end of the launch that is out; the decisions are told.
     pub(super) fn end_launch(&mut self, id: TaskId, outcome: Outcome, detail: f64, load: Load) {
+        self.note_run(id, outcome);
         let Some(task) = self.tasks.get_mut(&id) else { return };
         let Some(launch) = task.out.take() else { return };
         if outcome == Outcome::ReadDone {
--- /dev/null
+++ b/crates/dispatcher/src/ledger/invariants.rs
@@ -0,0 +1,131 @@
+//! The invariants that no decision may break, whatever led to it. Each is held by one guard, which stops what would break
+//! it, counts it, and says so in the log.
+//!
+//! The guards know by the ledger's own record what was sent and how it ended, not by what the decisions believe.
+
+use super::*;
+use std::fmt;
+
+/// What has to hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Invariant {
+    /// An attempt goes to an engine that is in service.
+    Send,
+    /// What may have run runs again only where its class allows.
+    Repeat,
+    /// A request is refused as harmless to try again only if it is.
+    Close,
+    /// An attempt begins for a request that is open, one at a time, in time, and within the number allowed.
+    Start,
+}
+
+impl fmt::Display for Invariant {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            Invariant::Send => "send",
+            Invariant::Repeat => "repeat",
+            Invariant::Close => "close",
+            Invariant::Start => "start",
+        })
+    }
+}
+
+/// How often each invariant was looked at, and how often a guard had to stop something.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Guarded {
+    pub checked: BTreeMap<Invariant, u64>,
+    pub violated: BTreeMap<Invariant, u64>,
+}
+
+/// The first attempt of a request that may have run: where and when it was sent.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct FirstRun {
+    zone: String,
+    cell: String,
+    at: Ms,
+}
+
+impl Ledger {
+    /// How often the invariants were looked at, and violated.
+    pub fn guarded(&self) -> &Guarded {
+        &self.guarded
+    }
+
+    /// Tells whether an attempt of a request may go to a host now. `reading`: it prefills only, which has no effect.
+    pub(super) fn guard_attempt(
+        &mut self,
+        id: TaskId,
+        host: &HostId,
+        reading: bool,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let Some(task) = self.tasks.get(&id) else { return false };
+        let starts = !task.answered
+            && task.out.is_none()
+            && task.launches <= self.settings.policy.max_launches
+            && self.now <= task.ends;
+        let sends = self.fleet.condition(host) == Condition::Ready;
+        let repeats = reading || self.may_run_at(task, host);
+        let checks = [(Invariant::Start, starts), (Invariant::Send, sends), (Invariant::Repeat, repeats)];
+        checks.into_iter().fold(true, |good, (invariant, holds)| {
+            self.check(invariant, holds, id, host.0.as_ref(), out) && good
+        })
+    }
+
+    /// Tells whether a request may be refused with the word that trying again is harmless.
+    pub(super) fn guard_refusal(&mut self, id: TaskId, out: &mut Vec<Output>) -> bool {
+        let Some(task) = self.tasks.get(&id) else { return true };
+        let decodes = task.out.as_ref().is_some_and(|launch| !launch.reading);
+        let may_have_run = decodes || task.first_run.is_some();
+        let harmless = match task.effect {
+            Effect::Reissuable | Effect::Numbered { group: Group::All, .. } => true,
+            Effect::Numbered { .. } | Effect::AtMostOnce => !may_have_run,
+        };
+        self.check(Invariant::Close, harmless, id, "refused", out)
+    }
+
+    /// Notes that the attempt of a task that is out may have run, if its end leaves that open.
+    pub(super) fn note_run(&mut self, id: TaskId, outcome: Outcome) {
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        let Some(launch) = task.out.as_ref().filter(|launch| !launch.reading) else { return };
+        let open = [Outcome::Failed, Outcome::TimedOut, Outcome::Broken, Outcome::CalledOff];
+        if task.first_run.is_none() && open.contains(&outcome) {
+            let line = self.fleet.hosts.get(&launch.host).map(|row| &row.line);
+            let (zone, cell) = line.map(|line| (line.zone.clone(), line.cell.clone())).unwrap_or_default();
+            task.first_run = Some(FirstRun { zone, cell, at: launch.since });
+        }
+    }
+
+    /// Whether a request's effect lets it run at a host, by what may have run before.
+    fn may_run_at(&self, task: &Task, host: &HostId) -> bool {
+        let (Some(first), Some(row)) = (&task.first_run, self.fleet.hosts.get(host)) else { return true };
+        match task.effect {
+            Effect::Reissuable => true,
+            Effect::AtMostOnce => false,
+            Effect::Numbered { window, .. } if self.now >= first.at + window => false,
+            Effect::Numbered { group: Group::All, .. } => true,
+            Effect::Numbered { group: Group::Zone, .. } => first.zone == row.line.zone,
+            Effect::Numbered { group: Group::Cell, .. } => {
+                (&first.zone, &first.cell) == (&row.line.zone, &row.line.cell)
+            }
+        }
+    }
+
+    fn check(
+        &mut self,
+        invariant: Invariant,
+        holds: bool,
+        id: TaskId,
+        what: &str,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        *self.guarded.checked.entry(invariant).or_insert(0) += 1;
+        if !holds {
+            *self.guarded.violated.entry(invariant).or_insert(0) += 1;
+            let origin = self.tasks.get(&id).map(Task::origin).unwrap_or_default();
+            let text = format!("invariant violated: {invariant}; task={} id={origin} at {what}", id.0);
+            out.push(Output::Log { level: Level::Warn, text });
+        }
+        holds
+    }
+}
--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -10,6 +10,7 @@
 mod clients;
 mod fleet;
 mod hosts;
+mod invariants;
 mod links;
 mod record;
 mod releases;
@@ -27,6 +28,7 @@
 use cindercleat_protocol::{frame, name_of, v1, Body, Frame};
 use clients::Callers;
 use fleet::Fleet;
+pub use invariants::{Guarded, Invariant};
 use links::Links;
 use releases::PendingRelease;
 use std::collections::{BTreeMap, BTreeSet};
@@ -175,6 +177,9 @@
     stories: bool,
     /// What those who watch a release want to know, if there are any.
     record: Option<record::Record>,
+    guarded: Guarded,
+    /// Whether somebody keeps the list for the next start.
+    keeps_lists: bool,
 }
 
 impl Ledger {
@@ -199,6 +204,8 @@
             stopped: false,
             stories: false,
             record: None,
+            guarded: Guarded::default(),
+            keeps_lists: true,
         }
     }
 
@@ -267,6 +274,11 @@
         self.fleet.is_known().then_some(self.fleet.version)
     }
 
+    /// Nobody keeps the list for the next start: it is not put together with each change.
+    pub fn keep_no_lists(&mut self) {
+        self.keeps_lists = false;
+    }
+
     /// Remembers from now on how its tasks end and what hosts say.
     pub fn keep_record(&mut self) {
         self.record = Some(record::Record::default());
@@ -350,7 +362,11 @@
             Action::Cancel { task, launch } => self.call_off(task, launch, out),
             Action::Bounce { task, retry_after } => {
                 let retry_after_ms = retry_after.unwrap_or(0.0).min(self.settings.policy.max_retry_after);
-                self.answer(task, v1::Answer::Bounced, retry_after_ms, "turned away", out);
+                let (answer, reason) = match self.guard_refusal(task, out) {
+                    true => (v1::Answer::Bounced, "turned away"),
+                    false => (v1::Answer::WrittenOff, "it may have run"),
+                };
+                self.answer(task, answer, retry_after_ms, reason, out);
             }
             Action::WriteOff { task } => {
                 let bounce = planted::is(Plant::WriteOffAsBounce);
@@ -472,6 +488,8 @@
             out: None,
             state: None,
             sent: false,
+            effect: profile.effect,
+            first_run: None,
         };
         self.tasks.insert(id, task);
         self.events.push(Event::Arrived(arrival));
@@ -621,7 +639,7 @@
         let list = planted.as_ref().unwrap_or(list);
         let (kind, entries, wrong) = self.fleet.take(list, &self.settings);
         out.extend(wrong.into_iter().map(|text| Output::Log { level: Level::Warn, text }));
-        if remembered.is_none() && !list.hosts.is_empty() {
+        if self.keeps_lists && remembered.is_none() && !list.hosts.is_empty() {
             out.push(Output::KeepList(self.fleet.whole()));
         }
         for entry in entries.iter().filter(|e| e.condition != Condition::Ready) {
--- a/crates/dispatcher/src/ledger/tasks.rs
+++ b/crates/dispatcher/src/ledger/tasks.rs
@@ -1,7 +1,8 @@
 //! A task as the dispatcher's ledger knows it.
 
+use super::invariants::FirstRun;
 use super::{ConnId, LinkId, StreamNo};
-use cindercleat::interface::{HostId, LaunchNo, Ms};
+use cindercleat::interface::{Effect, HostId, LaunchNo, Ms};
 use cindercleat_protocol::v1;
 
 /// A client's stream: its connection and its own number for the task.
@@ -25,6 +26,9 @@
     pub state: Option<Held>,
     /// Whether any launch of it went to a host's socket.
     pub sent: bool,
+    pub effect: Effect,
+    /// The first launch of it that may have run.
+    pub first_run: Option<FirstRun>,
 }
 
 /// A read state held at a reader.
--- a/crates/dispatcher/src/shell.rs
+++ b/crates/dispatcher/src/shell.rs
@@ -4,7 +4,7 @@
 //! ledger is called in turn for each message, and its outputs go to the outboxes at once, so what is said to one
 //! peer keeps its order.
 
-use crate::ledger::{ConnId, Input, Ledger, Level, LinkId, Output, StreamNo};
+use crate::ledger::{ConnId, Guarded, Input, Ledger, Level, LinkId, Output, StreamNo};
 use crate::{keep, ProgramSettings};
 use cindercleat::feed::{FeedCalls, FirstCall};
 use cindercleat::fleet::bounds::{Tally, Unit};
@@ -140,6 +140,9 @@
         if tracing::enabled!(tracing::Level::DEBUG) {
             ledger.tell_stories();
         }
+        if places.keep.is_none() {
+            ledger.keep_no_lists();
+        }
         let inner = Inner {
             ledger: RefCell::new(ledger),
             settings,
@@ -176,6 +179,8 @@
         self.input(Input::Stop);
         self.inner.stopped.notified().await;
         accepting.abort();
+        let guarded = self.inner.ledger.borrow().guarded().clone();
+        tracing::info!(checked = ?guarded.checked, violated = ?guarded.violated, "invariants");
         self.flush().await;
         Ok(())
     }
@@ -185,6 +190,11 @@
         self.inner.ledger.borrow().held()
     }
 
+    /// How often the invariants were looked at, and violated.
+    pub fn guarded(&self) -> Guarded {
+        self.inner.ledger.borrow().guarded().clone()
+    }
+
     /// Whether it is ready for tasks, and how much of it is used, 0 to 1.
     pub fn fares(&self) -> (bool, f64) {
         self.inner.ledger.borrow().fares()
--- a/crates/dispatcher/tests/random.rs
+++ b/crates/dispatcher/tests/random.rs
@@ -396,6 +396,8 @@
         }
         let held = self.ledger.held();
         prop_assert_eq!((held.tasks, held.links, held.timers), (0, 0, 0), "{:?}", held);
+        let guarded = self.ledger.guarded();
+        prop_assert!(guarded.violated.is_empty(), "a guard had to stop something: {:?}", guarded);
         Ok(())
     }
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -292,8 +292,9 @@
 
     fn learn_list(&mut self, kind: ListKind, entries: &[Entry]) {
         if matches!(kind, ListKind::Full | ListKind::Remembered) {
+            let here: BTreeSet<&HostId> = entries.iter().map(|entry| &entry.host).collect();
             for listed in &mut self.hosts.listed {
-                if !entries.iter().any(|e| e.host == listed.host) {
+                if !here.contains(&listed.host) {
                     listed.condition = Condition::Gone;
                 }
             }
