--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -478,12 +478,6 @@
         self.attempts[id.0].ended.get_or_insert((now, end));
     }
 
-    /// Whether the process that sent an attempt was killed since.
-    pub fn sender_was_killed(&self, id: AttemptId) -> bool {
-        let request = self.requests.get(&self.attempts[id.0].request);
-        request.is_some_and(|r| matches!(self.ended.get(&r.life), Some((_, LifeEnd::Killed))))
-    }
-
     /// An engine writes the next event of an attempt's stream; gives its number.
     pub fn event_written(&mut self, id: AttemptId, now: Ms) -> usize {
         let events = &mut self.attempts[id.0].events;
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -122,10 +122,7 @@
             told_left,
         };
         let id = self.audit.borrow_mut().attempt_begins(new);
-        let ended = tokio::select! { biased;
-            ended = self.work(connection, id, &request) => ended,
-        };
-        let (end, goes_on) = ended;
+        let (end, goes_on) = self.work(connection, id, &request).await;
         self.audit.borrow_mut().attempt_ends(id, end, self.clock.now());
         goes_on
     }
