--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -162,7 +162,6 @@
 
 #[derive(Clone, Debug)]
 struct Attempt {
-    request: RequestId,
     engine: String,
     stage: Stage,
     begun: Ms,
@@ -415,7 +414,7 @@
             request.attempts.push(id);
         }
         let (ended, events, complete, cut) = (None, Vec::new(), false, false);
-        self.attempts.push(Attempt { request: name, engine, stage, begun, ended, events, complete, cut });
+        self.attempts.push(Attempt { engine, stage, begun, ended, events, complete, cut });
         id
     }
 
