--- a/crates/dispatcher/tests/common/mod.rs
+++ b/crates/dispatcher/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use cindercleat_dispatcher::settings::Single;
 use cindercleat_dispatcher::{Limits, ProgramSettings};
 use cindercleat_protocol::{frame, v1, Body, Frame};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 pub fn settings() -> ProgramSettings {
     let profile = |effect| ProfileSettings {
@@ -162,6 +162,8 @@
     pub links_come_up: bool,
     pub hosts_answer_pings: bool,
     pub hosts_answer_releases: bool,
+    /// Hosts that have fallen silent: what is sent to them gets no answer, and connections to them do not come up.
+    pub silent: BTreeSet<String>,
 }
 
 impl Bench {
@@ -179,6 +181,7 @@
             links_come_up: true,
             hosts_answer_pings: true,
             hosts_answer_releases: true,
+            silent: BTreeSet::new(),
         };
         let ready = v1::HostCondition::Ready;
         let all = [("r1", ready), ("r2", ready), ("w1", ready), ("w2", ready)];
@@ -197,7 +200,7 @@
                 match output {
                     Output::Dial { link, host, .. } => {
                         self.hosts.insert(*link, host.0.to_string());
-                        if self.links_come_up {
+                        if self.links_come_up && !self.silent.contains(host.0.as_ref()) {
                             next.push(Input::LinkUp { link: *link, limit: None });
                         }
                     }
@@ -208,7 +211,7 @@
                         next.push(Input::Host { link: *link, frame });
                     }
                     Output::ToHost { link, frame: Frame { stream, body: Some(Body::Release(_)) } }
-                        if self.hosts_answer_releases =>
+                        if self.hosts_answer_releases && !self.is_silent(*link) =>
                     {
                         let frame = frame(*stream, Body::Done(v1::Done {}));
                         next.push(Input::Host { link: *link, frame });
@@ -252,6 +255,11 @@
         self.put(Input::Listed(list(v1::ListKind::Changes, &[(host, condition)])))
     }
 
+    /// Whether the host that a link was dialled to has fallen silent.
+    pub fn is_silent(&self, link: LinkId) -> bool {
+        self.hosts.get(&link).is_some_and(|host| self.silent.contains(host))
+    }
+
     /// The host that a link was dialled to.
     pub fn host_of(&self, link: LinkId) -> &str {
         &self.hosts[&link]
