A fleet's ports in tests are drawn together, on an address of the run

Seen: operators_see_the_fleet_hand_over_and_hold_duties_of_their_own timed out in a run of the suite with another run of it beside; d2's log ends 'cindercleat: Address already in use (os error 98)', d0 and d1 are well. Ruled out: the lost lease of an earlier cause (all three logs have no term). At fault: Fleet::start gave each port back before it drew the next, on a fixed address that both runs share. Now all six are held until all are drawn, and the address has the process id in it.

--- a/crates/cindercleat-cli/tests/common/mod.rs
+++ b/crates/cindercleat-cli/tests/common/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 
 use std::fs::OpenOptions;
-use std::net::TcpListener;
+use std::net::{Ipv4Addr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -36,14 +36,24 @@
     pub settings: Vec<PathBuf>,
 }
 
+/// A loopback address for one test of one run of the tests: another run beside it must not take its ports between
+/// their being drawn and their being used. `host` tells the tests of a run apart.
+fn address_of_this_run(host: &str) -> Ipv4Addr {
+    let [_, _, third, fourth] = host.parse::<Ipv4Addr>().expect("an address").octets();
+    let [low, high, ..] = std::process::id().to_le_bytes();
+    Ipv4Addr::new(127, 1 + high % 250, low, third.wrapping_add(fourth))
+}
+
 impl Fleet {
     pub fn start(name: &str, host: &str) -> Fleet {
         let folder = folder(name);
-        let port = || {
-            let taken = TcpListener::bind((host, 0)).expect("a port");
-            taken.local_addr().expect("it has one").to_string()
-        };
-        let at: Vec<String> = (0..3).map(|_| port()).collect();
+        let host = address_of_this_run(host);
+        // Held until all are drawn, so that none is drawn twice.
+        let taken: Vec<TcpListener> = (0..6).map(|_| TcpListener::bind((host, 0)).expect("a port")).collect();
+        let address = |listener: &TcpListener| listener.local_addr().expect("it has one").to_string();
+        let (at, listens): (Vec<String>, Vec<String>) =
+            (taken[..3].iter().map(address).collect(), taken[3..].iter().map(address).collect());
+        drop(taken);
         let voters: Vec<String> =
             at.iter().enumerate().map(|(n, at)| format!(" voter d{n} {at}\n")).collect();
         let mut fleet = Fleet { at: at.clone(), children: Vec::new(), settings: Vec::new() };
@@ -51,7 +61,7 @@
             let file = folder.join(format!("voter-{n}"));
             let text = format!(
                 "name d{n}\nnumber {n} of 3\nlisten {}\n{SERVICE}fleet\n listen {at}\n file {}\n lease 600ms\n{}end\n",
-                port(),
+                listens[n],
                 file.display(),
                 voters.concat()
             );
