A decode attempt counts as out once its engine has shown that it runs

Seen: the users' ten requests; in our record 'taken -' after 'bytes 2.983', and no line of a release. At fault: is_withheld (ledger/releases.rs) and plan (control.rs) took a written attempt for one that is out, so neither a release nor another attempt was planned.

Now an attempt is confirmed by the answer to a call that was begun after it, or by what comes 200 ms after it (held up 150, 50 on sockets). After 0.2 of the release time its engine is asked (a DELETE of a request that is over), and at 0.5 it is given up: decoded elsewhere, or the state released through an engine that runs. What is given up is reset, so that it cannot arrive later. The state's time is counted anew only from attempts that arrived. Shares of the release time, from the settings.

--- /dev/null
+++ b/crates/dispatcher/src/ledger/delivery.rs
@@ -0,0 +1,104 @@
+//! What the connections tell of attempts that were sent: whether their engine has run since.
+//!
+//! Written bytes are no proof. The answer to a call that was begun after the attempt was sent is one, on whatever
+//! connection it comes; so is anything that comes so long after it that it cannot have been under way before.
+
+use super::links::Use;
+use super::*;
+use cindercleat::control::RECEIVED_LATE;
+
+/// The part of the release time within which an engine has to answer when it is asked for a sign. Then the connection
+/// is given up, and the next question takes another one.
+const ANSWER_PART: f64 = 4.0;
+
+impl Ledger {
+    /// The decisions want to know whether an attempt has reached an engine that runs.
+    pub(super) fn confirm(&mut self, id: TaskId, no: LaunchNo, out: &mut Vec<Output>) {
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        let Some(launch) = task.out.as_mut().filter(|launch| launch.no == no) else { return };
+        // One whose connection is under way has not gone out: the connection has its own time limit.
+        let Some(sent) = launch.sent else { return };
+        let host = launch.host.clone();
+        launch.is_doubted = true;
+        if self.links.ran_at(&host) >= sent {
+            self.delivered(id);
+        } else {
+            self.unconfirmed.insert(id);
+            self.ask_for_sign(&host, out);
+        }
+    }
+
+    /// An engine has shown that it runs: what was sent to it before has arrived.
+    pub(super) fn note_sign(&mut self, host: &HostId) {
+        if self.unconfirmed.is_empty() {
+            return;
+        }
+        let ran_at = self.links.ran_at(host);
+        let arrived = |id: &&TaskId| {
+            let launch = self.tasks.get(id).and_then(|task| task.out.as_ref());
+            launch
+                .is_some_and(|launch| launch.host == *host && launch.sent.is_some_and(|sent| ran_at >= sent))
+        };
+        let arrived: Vec<TaskId> = self.unconfirmed.iter().filter(arrived).copied().collect();
+        for id in arrived {
+            self.delivered(id);
+        }
+    }
+
+    fn delivered(&mut self, task: TaskId) {
+        self.unconfirmed.remove(&task);
+        let Some(launch) = self.tasks.get(&task).and_then(|task| task.out.as_ref()) else { return };
+        self.events.push(Event::Delivered { task, launch: launch.no });
+    }
+
+    /// Asks an engine for something that any engine answers at once and that costs it little: the release of a request
+    /// that is over. A process that has had none yet probes, where that is allowed.
+    fn ask_for_sign(&mut self, host: &HostId, out: &mut Vec<Output>) {
+        let over = self.last_over.clone().filter(|origin| !self.origins.contains_key(origin));
+        let Some(origin) = over else {
+            if self.settings.policy.may_probe {
+                self.probe(host.clone(), out);
+            }
+            return;
+        };
+        let Some(row) = self.fleet.hosts.get(host).filter(|row| row.condition != Condition::Gone) else {
+            return;
+        };
+        let address = row.line.address.clone();
+        let to = (&mut self.timers, &mut *out);
+        // Without a connection there is no sign either.
+        let Ok((link, stream)) = self.links.open(host, &address, Use::Sign, self.now, &self.settings, to)
+        else {
+            return;
+        };
+        let within = self.settings.policy.release / ANSWER_PART;
+        self.timers.set(self.now + within, Due::Past(link, stream));
+        self.links.send(link, stream, Body::Release(v1::Release { state: None, origin }), out);
+    }
+
+    /// How an attempt that is out stands, for the log.
+    pub(super) fn doubt(&self, id: TaskId) -> Option<String> {
+        let task = self.tasks.get(&id)?;
+        let launch = task.out.as_ref().filter(|launch| launch.is_doubted && !launch.first)?;
+        let link = self.links.get(launch.link)?;
+        let since =
+            |at: Ms| if at.is_finite() { format!("{:.0} ms ago", self.now - at) } else { "never".to_owned() };
+        Some(format!(
+            "id={} launch={} host={} sent {}, on a connection made {} that carried {} calls; its host was last heard {}, \
+             and answered a call that was sent {}",
+            task.origin(),
+            launch.no.0,
+            launch.host.0,
+            launch.sent.map_or("not yet".to_owned(), since),
+            since(link.dialled),
+            link.carried(),
+            since(self.links.heard_at(&launch.host)),
+            since(self.links.ran_at(&launch.host)),
+        ))
+    }
+}
+
+/// The earliest instant at which an engine ran that is heard now, on a connection whose last call was begun at `call`.
+pub(super) fn ran_at(call: Ms, now: Ms) -> Ms {
+    call.max(now - RECEIVED_LATE)
+}
--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -51,6 +51,8 @@
             stream,
             reading,
             since: self.now,
+            sent: None,
+            is_doubted: false,
             until,
             first: false,
             position: 0,
@@ -60,7 +62,9 @@
             last_came: self.now,
             last_gone: self.now,
         });
-        task.sent |= self.links.get(link).is_some_and(|l| l.up);
+        if self.links.get(link).is_some_and(|link| link.up) {
+            task.note_sent(self.now);
+        }
         self.timers.set(until, Due::Launch(id, no));
         self.links.send(link, stream, body, out);
     }
@@ -83,6 +87,7 @@
         let opened = self.links.open(&host, &address, purpose, self.now, &self.settings, to);
         let (Ok((link, stream)), Some(launch)) = (opened, task.out.as_mut()) else { return false };
         (launch.link, launch.stream) = (link, stream);
+        launch.sent = self.links.get(link).filter(|link| link.up).map(|_| self.now);
         self.links.send(link, stream, body, out);
         true
     }
@@ -132,6 +137,7 @@
             Some(Use::Release(..)) if self.settings.limits.single.is_some() => {
                 return self.drop_link(id, "it does not answer a release", out);
             }
+            Some(Use::Sign) => return self.drop_link(id, "it gives no sign that it runs", out),
             Some(Use::Past | Use::Release(..)) => {}
             _ => return,
         }
@@ -148,6 +154,7 @@
         self.note_run(id, outcome);
         let Some(task) = self.tasks.get_mut(&id) else { return };
         let Some(launch) = task.out.take() else { return };
+        self.unconfirmed.remove(&id);
         if outcome == Outcome::ReadDone {
             let state = state_of(self.settings.run, id, launch.no);
             task.state = Some(Held { host: launch.host.clone(), id: state, origin: task.origin() });
@@ -199,6 +206,10 @@
         if !launch.is_some_and(|l| l.no == no && !l.first) {
             return;
         }
+        if let Some(doubt) = self.doubt(id).filter(|_| !self.is_answered(id)) {
+            let text = format!("attempt given up, it has not arrived: {doubt}");
+            out.push(Output::Log { level: Level::Info, text });
+        }
         let unsent = self.stop_launch(id, out);
         self.end_launch(id, if unsent { Outcome::Void } else { Outcome::CalledOff }, 0.0, Load::default());
     }
@@ -289,7 +300,7 @@
             }
             let frame = frame(stream.0, body);
             match purpose {
-                Some(Use::Release(pending)) if self.is_withheld(&pending.held) => {
+                Some(Use::Release(pending)) if self.is_withheld(&pending) => {
                     self.close_stream(id, stream);
                     self.withhold(&host, pending);
                 }
@@ -300,7 +311,7 @@
                 }
                 Some(Use::Launch(task, _)) => {
                     if let Some(task) = self.tasks.get_mut(&task) {
-                        task.sent = true;
+                        task.note_sent(self.now);
                     }
                     out.push(Output::ToHost { link: id, frame });
                 }
@@ -389,7 +400,7 @@
                     self.events.push(Event::Probed { host, outcome, latency: self.now - sent, load });
                 }
                 Use::Release(pending) => self.release_lost(link.host.clone(), pending),
-                Use::Hold(..) | Use::Past => {}
+                Use::Hold(..) | Use::Sign | Use::Past => {}
             }
         }
         self.forget_gone(&link.host);
@@ -402,6 +413,11 @@
         let Some(link) = self.links.get(id) else { return };
         let host = link.host.clone();
         let purpose = link.streams.get(&stream).cloned();
+        // A goodbye is said on this side, of a connection that is over.
+        if !matches!(frame.body, Some(Body::Goodbye(_))) {
+            self.links.answered(id, self.now);
+            self.note_sign(&host);
+        }
         let name = name_of(frame.body.as_ref());
         let good = match (purpose, frame.body) {
             (Some(Use::Launch(task, _)), Some(Body::Tokens(tokens))) => self.take_tokens(task, tokens, out),
@@ -442,7 +458,8 @@
                 self.close_stream(id, stream);
                 true
             }
-            (Some(Use::Release(..)), Some(Body::Done(_))) => {
+            (Some(Use::Release(..) | Use::Sign), Some(Body::Done(_)))
+            | (Some(Use::Sign), Some(Body::Goodbye(_))) => {
                 self.close_stream(id, stream);
                 true
             }
--- a/crates/dispatcher/src/ledger/links.rs
+++ b/crates/dispatcher/src/ledger/links.rs
@@ -1,6 +1,7 @@
 //! Links: connections to model hosts, and what is out on each. Which one a stream takes, when one more is
 //! dialled, asked whether it lives or closed, [`Channels`] decides.
 
+use super::delivery;
 use super::releases::PendingRelease;
 use super::timers::{Due, Timers};
 use super::{LinkId, Output, StreamNo};
@@ -19,6 +20,8 @@
     },
     Hold(TaskId, LaunchNo),
     Release(PendingRelease),
+    /// Asked for nothing but a sign that its host runs.
+    Sign,
     /// Given up here; whatever still comes is old.
     Past,
 }
@@ -33,6 +36,9 @@
     pub waiting: Vec<(StreamNo, Body)>,
     /// When it last sent anything.
     pub heard: Ms,
+    /// When it was dialled, and when its last call began.
+    pub dialled: Ms,
+    pub last_call: Ms,
     next_stream: u64,
 }
 
@@ -51,6 +57,8 @@
     decide: BTreeMap<HostId, Channels>,
     /// When a host last sent anything, on whatever link.
     heard: BTreeMap<HostId, Ms>,
+    /// When a host is known to have run, by what it sent.
+    ran: BTreeMap<HostId, Ms>,
     /// When the timer of a host's links is due.
     armed: BTreeMap<HostId, Ms>,
     seed: u64,
@@ -180,6 +188,7 @@
         let link = self.all.get_mut(&id)?;
         let stream = StreamNo(link.next_stream);
         link.next_stream += 1;
+        link.last_call = now;
         link.streams.insert(stream, purpose);
         let host = link.host.clone();
         if let Some(channels) = self.decide.get_mut(&host) {
@@ -204,6 +213,19 @@
         self.heard.get(host).copied().unwrap_or(f64::NEG_INFINITY)
     }
 
+    /// A message has come over it that its host wrote: the host ran after it had the call.
+    pub fn answered(&mut self, id: LinkId, now: Ms) {
+        let Some(link) = self.all.get(&id) else { return };
+        let ran_at = delivery::ran_at(link.last_call, now);
+        let known = self.ran.entry(link.host.clone()).or_insert(ran_at);
+        *known = known.max(ran_at);
+    }
+
+    /// The latest instant at which a host is known to have run; long ago if it never was.
+    pub fn ran_at(&self, host: &HostId) -> Ms {
+        self.ran.get(host).copied().unwrap_or(f64::NEG_INFINITY)
+    }
+
     /// The list tells of a new process there: what failed with the old one says nothing of it.
     pub fn renewed(&mut self, host: &HostId) {
         if let Some(channels) = self.decide.get_mut(host) {
@@ -234,6 +256,8 @@
             streams: BTreeMap::new(),
             waiting: Vec::new(),
             heard: now,
+            dialled: now,
+            last_call: now,
             next_stream: 1,
         };
         self.all.insert(id, link);
@@ -313,6 +337,7 @@
         if none {
             self.decide.remove(host);
             self.heard.remove(host);
+            self.ran.remove(host);
             self.armed.remove(host);
         }
         none
--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -8,6 +8,7 @@
 //! nothing held that the decisions do not know of, bounded buffers.
 
 mod clients;
+mod delivery;
 mod fleet;
 mod hosts;
 mod invariants;
@@ -169,6 +170,9 @@
     unreleased: BTreeMap<HostId, Vec<PendingRelease>>,
     /// Hosts with releases that wait until nothing of their task is out or held.
     withheld: BTreeSet<HostId>,
+    /// Requests whose attempt the decisions doubt, and the id of the last request that was over.
+    unconfirmed: BTreeSet<TaskId>,
+    last_over: Option<String>,
     /// What the decisions have not been told yet.
     events: Vec<Event>,
     stopping: Option<Ms>,
@@ -185,8 +189,12 @@
 impl Ledger {
     /// `seed` starts the chance that the decisions draw.
     pub fn new(settings: ProgramSettings, seed: u64) -> Self {
+        let mut control = Control::new(settings.policy.clone(), seed);
+        if settings.limits.single.is_some() {
+            control.track_deliveries();
+        }
         Ledger {
-            control: Control::new(settings.policy.clone(), seed),
+            control,
             settings,
             now: f64::NEG_INFINITY,
             tasks: BTreeMap::new(),
@@ -199,6 +207,8 @@
             timers: Timers::default(),
             unreleased: BTreeMap::new(),
             withheld: BTreeSet::new(),
+            unconfirmed: BTreeSet::new(),
+            last_over: None,
             events: Vec::new(),
             stopping: None,
             stopped: false,
@@ -374,6 +384,7 @@
                 self.answer(task, answer, 0.0, "no answer in time", out)
             }
             Action::Release { task } => self.release(task, out),
+            Action::Confirm { task, launch } => self.confirm(task, launch, out),
             Action::HoldAhead { task, host } => self.hold_ahead(task, &host, out),
             Action::Move { task } => self.move_away(task, out),
             Action::Arm { delay, timer } if planted::is(Plant::TimersLate) => {
@@ -618,6 +629,7 @@
             let past = self.tasks.remove(&id);
             if let Some(origin) = past.and_then(|task| task.submit.origin) {
                 self.origins.remove(&origin.id);
+                self.last_over = Some(origin.id);
             }
         }
     }
--- a/crates/dispatcher/src/ledger/releases.rs
+++ b/crates/dispatcher/src/ledger/releases.rs
@@ -31,13 +31,15 @@
     pub known: Known,
     /// Since when it is wanted.
     pub since: Ms,
+    /// The attempt that was out and had not arrived when the release was decided: it does not hold the release up.
+    pub despite: Option<LaunchNo>,
     /// Hosts that were asked and have not confirmed it.
     pub unconfirmed: Vec<HostId>,
 }
 
 impl PendingRelease {
     fn new(held: Held, known: Known, since: Ms) -> Self {
-        PendingRelease { held, known, since, unconfirmed: Vec::new() }
+        PendingRelease { held, known, since, despite: None, unconfirmed: Vec::new() }
     }
 
     fn message(&self) -> Body {
@@ -49,17 +51,29 @@
 impl Ledger {
     /// Lets the state held for a task go.
     pub(super) fn release(&mut self, id: TaskId, out: &mut Vec<Output>) {
-        let Some(held) = self.tasks.get_mut(&id).and_then(|t| t.state.take()) else { return };
-        self.release_state(held, Known::Held, out);
+        let doubt = self.doubt(id);
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        let despite = task.out.as_ref().map(|launch| launch.no);
+        let Some(held) = task.state.take() else { return };
+        if let Some(doubt) = doubt {
+            let text = format!("state released, its attempt has not arrived: {doubt}");
+            out.push(Output::Log { level: Level::Info, text });
+        }
+        let release = PendingRelease { despite, ..PendingRelease::new(held, Known::Held, self.now) };
+        self.send_release(release, out);
         self.forget_past(id);
     }
 
     pub(super) fn release_state(&mut self, held: Held, known: Known, out: &mut Vec<Output>) {
+        self.send_release(PendingRelease::new(held, known, self.now), out);
+    }
+
+    fn send_release(&mut self, release: PendingRelease, out: &mut Vec<Output>) {
         if planted::is(Plant::ReleaseForgotten) {
             return;
         }
-        let host = held.host.clone();
-        self.add_release(host.clone(), PendingRelease::new(held, known, self.now));
+        let host = release.held.host.clone();
+        self.add_release(host.clone(), release);
         if self.settings.limits.single.is_some() {
             // Only what the decisions make of this tells whether its task goes on: see `is_withheld`.
             self.withheld.insert(host);
@@ -130,10 +144,13 @@
     }
 
     /// Whether letting a state go would end what its task still needs: where states go by their task's id, a
-    /// release does not tell a launch's from the next one's.
-    pub(super) fn is_withheld(&self, held: &Held) -> bool {
-        let task = self.origins.get(&held.origin).and_then(|id| self.tasks.get(id));
-        task.is_some_and(|task| task.out.is_some() || task.state.is_some())
+    /// release does not tell a launch's from the next one's. An attempt that has not arrived needs nothing.
+    pub(super) fn is_withheld(&self, pending: &PendingRelease) -> bool {
+        let task = self.origins.get(&pending.held.origin).and_then(|id| self.tasks.get(id));
+        task.is_some_and(|task| {
+            let needs = |launch: &tasks::Launch| Some(launch.no) != pending.despite;
+            task.state.is_some() || task.out.as_ref().is_some_and(needs)
+        })
     }
 
     /// A release that was to go out on a connection that has just come up waits until its task needs nothing more.
@@ -183,7 +200,7 @@
         let release_time = self.settings.policy.release;
         let oldest = self.now - GIVE_UP_AFTER * release_time;
         for mut pending in self.unreleased.remove(host).unwrap_or_default() {
-            if self.is_withheld(&pending.held) {
+            if self.is_withheld(&pending) {
                 pending.since = self.now;
                 self.withhold(host, pending);
                 continue;
--- a/crates/dispatcher/src/ledger/story.rs
+++ b/crates/dispatcher/src/ledger/story.rs
@@ -63,6 +63,9 @@
                 }
                 text
             }
+            Event::Delivered { task, launch } => {
+                format!("{} launch={} delivered", self.called(*task), launch.0)
+            }
             Event::Place { .. } | Event::Timer { .. } | Event::Heard { .. } => return,
         };
         out.push(Output::Log { level: Level::Debug, text });
@@ -80,6 +83,9 @@
             Action::Bounce { task, .. } => format!("{} bounced", self.called(*task)),
             Action::WriteOff { task } => format!("{} written off", self.called(*task)),
             Action::Release { task } => format!("{} released", self.called(*task)),
+            Action::Confirm { task, launch } => {
+                format!("{} launch={} in doubt", self.called(*task), launch.0)
+            }
             _ => return,
         };
         out.push(Output::Log { level: Level::Debug, text });
--- a/crates/dispatcher/src/ledger/tasks.rs
+++ b/crates/dispatcher/src/ledger/tasks.rs
@@ -49,6 +49,10 @@
     pub stream: StreamNo,
     pub reading: bool,
     pub since: Ms,
+    /// When it went out on a connection that was up.
+    pub sent: Option<Ms>,
+    /// The decisions have asked whether it has arrived.
+    pub is_doubted: bool,
     /// Until when its answer is waited for.
     pub until: Ms,
     pub first: bool,
@@ -64,6 +68,14 @@
 }
 
 impl Task {
+    /// Its attempt has gone out on a connection that is up.
+    pub fn note_sent(&mut self, now: Ms) {
+        self.sent = true;
+        if let Some(launch) = &mut self.out {
+            launch.sent = Some(now);
+        }
+    }
+
     /// Nothing of it is out, held or owed.
     pub fn is_past(&self) -> bool {
         self.answered && self.out.is_none() && self.state.is_none()
--- a/crates/http1/src/host.rs
+++ b/crates/http1/src/host.rs
@@ -10,8 +10,10 @@
 use cindercleat_protocol::session::{Event, Io, Setup};
 use cindercleat_protocol::{v1, Body, Frame};
 use serde::Deserialize;
+use std::any::Any;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
@@ -22,7 +24,8 @@
     let name = setup.expects.clone();
     let them = v1::Hello { party: v1::Party::Host.into(), name, ..v1::Hello::default() };
     let (session, shared, said) = session(them, Some(1));
-    let host = Host { io, bounds, shared, said, bytes: BytesMut::new(), name: setup.expects };
+    let host =
+        Host { io, bounds, shared, said, bytes: BytesMut::new(), answered: false, name: setup.expects };
     spawn_local(host.run());
     session
 }
@@ -33,6 +36,8 @@
     shared: Rc<Shared>,
     said: mpsc::UnboundedReceiver<Frame>,
     bytes: BytesMut,
+    /// Whether anything of the present call's answer has come.
+    answered: bool,
     name: String,
 }
 
@@ -146,16 +151,25 @@
     async fn call(&mut self, stream: u64, mut call: Call, head: &[u8], body: &[u8]) -> bool {
         let whole = [head, body].concat();
         if let Err((over, written)) = self.write(stream, &whole).await {
-            if let Over::Theirs(reason) = over {
-                let bye = v1::Goodbye { reason, never_ran: written < whole.len() };
-                self.shared.say(stream, Body::Goodbye(bye));
+            match over {
+                Over::Theirs(reason) => {
+                    let bye = v1::Goodbye { reason, never_ran: written < whole.len() };
+                    self.shared.say(stream, Body::Goodbye(bye));
+                }
+                _ => discard_unsent(&self.io),
             }
             return false;
         }
         drop(whole);
+        self.answered = false;
         match self.answer(stream, &mut call).await {
             Ok(keeps) => keeps,
-            Err(Over::Ours) => false,
+            Err(Over::Ours) => {
+                if !self.answered {
+                    discard_unsent(&self.io);
+                }
+                false
+            }
             Err(Over::Theirs(reason)) => {
                 self.shared.say(stream, Body::Goodbye(v1::Goodbye { reason, never_ran: false }));
                 false
@@ -214,7 +228,10 @@
                 () = self.shared.closed() => return Err(Over::Ours),
                 frame = self.said.recv() => frame,
                 read = self.io.read_buf(&mut self.bytes), if takes => return match read {
-                    Ok(bytes) => Ok(bytes > 0),
+                    Ok(bytes) => {
+                        self.answered |= bytes > 0;
+                        Ok(bytes > 0)
+                    }
                     Err(problem) => Err(Over::Theirs(problem.to_string())),
                 },
             };
@@ -314,6 +331,16 @@
     }
 }
 
+/// Makes the end of a connection a reset. Guards against a request that was given up while it lay unsent, for a machine
+/// that has vanished: after a plain close the system would still deliver it when the machine is back. In memory nothing
+/// lies unsent.
+fn discard_unsent<S: Io>(io: &S) {
+    if let Some(stream) = (io as &dyn Any).downcast_ref::<TcpStream>() {
+        // A connection that is gone already needs none.
+        let _ = stream.set_zero_linger();
+    }
+}
+
 /// Whether an answer's body is a stream to pass on.
 fn is_stream(head: &Answer, call: &Call) -> bool {
     head.first == 200 && head.length == Length::Chunked && matches!(call, Call::Write { .. })
--- a/crates/http1/tests/session.rs
+++ b/crates/http1/tests/session.rs
@@ -582,6 +582,36 @@
     });
 }
 
+/// On sockets: what lies unsent for a machine that has vanished would go out after a plain close, when it is back.
+#[test]
+fn a_request_that_is_given_up_before_its_answer_is_reset_and_a_stream_that_has_begun_is_closed() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        for begun in [false, true] {
+            let near = tokio::net::TcpStream::connect(address).await.expect("connected");
+            let (mut engine, _) = listener.accept().await.expect("accepted");
+            let http1 = Http1::new(BOUNDS);
+            let mut session = http1.connect(near, v1::Party::Host, setup()).await.expect("a session");
+            session.out.send(frame(1, write(8)));
+            let mut request = vec![0; 1000];
+            let read = engine.read(&mut request).await.expect("a request");
+            assert!(request[..read].ends_with(b"\r\n\r\n{}"), "the whole request");
+            if begun {
+                let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n";
+                engine.write_all(head.as_bytes()).await.expect("written");
+                assert_eq!(body(&mut session).await, Some((1, text(0, "data: a\n\n"))));
+            }
+            session.out.send(frame(1, Body::Cancel(v1::Cancel {})));
+            let within = Duration::from_secs(5);
+            let end = tokio::time::timeout(within, engine.read(&mut request)).await.expect("an end");
+            let is_reset = end.as_ref().is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionReset);
+            assert_eq!((is_reset, matches!(end, Ok(0))), (!begun, begun), "{end:?}");
+        }
+    });
+}
+
 #[test]
 fn a_stream_without_credit_waits_in_its_connection() {
     run(async {
--- a/src/control.rs
+++ b/src/control.rs
@@ -7,7 +7,11 @@
 //! A step runs in three parts: `learn` takes the events in, `plan` sets what is wanted of each task that can
 //! have changed (`Turns`), and `emit` alone turns the difference between wanted and present into actions.
 
+mod delivery;
+
 use crate::interface::*;
+use delivery::Delivery;
+pub use delivery::RECEIVED_LATE;
 use nanorand::{Rng, WyRand};
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -119,6 +123,7 @@
     late: bool,
     tokens: f64,
     sent: Ms,
+    delivery: Delivery,
 }
 
 #[derive(Clone, Copy, Default, PartialEq)]
@@ -154,10 +159,12 @@
     want: Want,
     want_cancel: bool,
     want_release: bool,
+    want_confirm: bool,
 }
 
 pub struct Control {
     settings: Settings,
+    tracks_deliveries: bool,
     profiles: Vec<ProfileRow>,
     /// The shortest quoted time, and what a prompt token adds to it.
     quoted_least: Ms,
@@ -211,6 +218,7 @@
             armed: None,
             timers: 0,
             planned: 0,
+            tracks_deliveries: false,
             settings,
         }
     }
@@ -270,6 +278,7 @@
                 let (id, Some(task)) = (*task, self.tasks.get_mut(task)) else { return };
                 let Some(out) = task.out.as_mut().filter(|o| o.launch == *launch) else { return };
                 out.streaming = true;
+                out.delivery = Delivery::Confirmed;
                 task.state = None;
                 self.queue.awake.insert(id);
                 let slot = out.slot;
@@ -279,6 +288,7 @@
                 self.note_done(slot, false);
             }
             Event::Ended(ended) => self.learn_end(ended),
+            Event::Delivered { task, launch } => self.learn_delivery(*task, *launch),
             Event::Timer { timer } if timer.0 == self.timers => self.armed = None,
             Event::Probed { host, outcome, load, .. } => {
                 let Some(&slot) = self.hosts.index.get(host) else { return };
@@ -360,8 +370,7 @@
             self.hosts.heard[slot] = self.now;
         }
         task.over |= ended.last;
-        // While connections fail to come up, the time of a state that waits keeps running.
-        if !matches!(ended.outcome, Outcome::Unreachable | Outcome::Void) {
+        if out.has_arrived(ended.outcome) {
             task.idle_since = self.now;
         }
         let never_ran = self.hosts.only_reads(&out)
@@ -409,9 +418,13 @@
 
     fn plan(&mut self, task: &mut Task) {
         (task.want, task.want_cancel, task.look_at) = (Want::Rest, false, self.now);
+        task.want_confirm = false;
         if task.over {
             task.want_cancel = task.out.as_ref().is_some_and(|o| !o.streaming);
             task.want_release = task.out.is_none() && task.state.is_some();
+            if !self.settings.may_cancel {
+                self.plan_delivery(task);
+            }
             return;
         }
         if task.out.as_ref().is_some_and(|o| o.streaming) {
@@ -435,7 +448,7 @@
                 out.late = true;
                 self.hosts.learn_limit(out.slot, out.sent, true, self.now);
             }
-            return;
+            return self.plan_delivery(task);
         }
         let left = self.settings.max_launches.saturating_sub(task.launches);
         // A state whose reader is gone is read again, and let go in case the list is wrong.
@@ -718,6 +731,9 @@
                 out.cancelled = true;
             }
         }
+        if let Some(out) = task.out.as_ref().filter(|_| task.want_confirm) {
+            actions.push(Action::Confirm { task: id, launch: out.launch });
+        }
         if task.want_release {
             actions.push(Action::Release { task: id });
             task.state = None;
@@ -731,7 +747,8 @@
                 actions.push(Action::Launch { task: id, host, until: Some(task.ends) });
                 let tokens = if reading { self.hosts.unread(slot, &task.arrival) } else { 0.0 };
                 let (launch, sent) = (LaunchNo(task.launches), self.now);
-                let out = Out { launch, slot, reading, tokens, sent, ..Out::default() };
+                let delivery = if reading { Delivery::Confirmed } else { self.delivery_of(task) };
+                let out = Out { launch, slot, reading, tokens, sent, delivery, ..Out::default() };
                 self.hosts.tally(&out, 1.0);
                 let since = self.now - self.settings.fall_window;
                 self.hosts.sends[slot].retain(|&at| at > since);
@@ -813,12 +830,14 @@
         if task.over || task.out.is_some() || held {
             self.awake.remove(&id);
         }
-        let late_at =
-            task.out.as_ref().filter(|out| !out.streaming).map(|out| out.sent + QUEUED * task.allowed);
+        let waiting = task.out.as_ref().filter(|out| !out.streaming);
+        let late_at = waiting.map(|out| out.sent + QUEUED * task.allowed);
+        let confirm_at = waiting.and_then(|out| out.delivery.next_at()).unwrap_or(f64::INFINITY);
         let due = match late_at {
-            _ if task.over => return,
-            Some(late_at) if now < late_at => late_at.min(task.ends),
-            Some(_) => task.ends,
+            _ if task.over && confirm_at == f64::INFINITY => return,
+            _ if task.over => confirm_at,
+            Some(late_at) if now < late_at => late_at.min(task.ends).min(confirm_at),
+            Some(_) => task.ends.min(confirm_at),
             None if held => task.look_at.min(task.read_by).min(task.ends),
             None => return,
         };
--- /dev/null
+++ b/src/control/delivery.rs
@@ -0,0 +1,137 @@
+//! Whether a decode attempt has reached its engine.
+//!
+//! Bytes that were written to a connection prove nothing: the engine's machine may have vanished, and its connections
+//! then stay open without an error. Until the engine has shown that it runs, an attempt is not out, and the time
+//! within which the KV state has to be taken or released goes on. An engine that shows nothing in time is asked for a
+//! sign; without one the attempt is given up and another engine takes the state, or the state is released.
+//!
+//! Only where the caller can tell of deliveries ([`Control::track_deliveries`]); elsewhere what is sent counts as out.
+
+use super::{Control, Out, Slot, Task, RETRY_SHARE};
+use crate::interface::{LaunchNo, Ms, Outcome, TaskId};
+
+/// Shares of the release time. After the first of them without an answer the engine is asked for a sign, and again after
+/// each second one: on an open connection the answer takes a round trip, on a new one three.
+const ASK_AFTER: f64 = 0.2;
+const ASK_AGAIN: f64 = 0.15;
+/// By this share of the release time without a sign, an attempt is given up; so half of it is left for one at another
+/// engine. That one is asked at once, and has so much time to be confirmed.
+const GIVE_UP_AT: f64 = 0.5;
+const SECOND_WAIT: f64 = 0.2;
+/// An attempt at another engine begins no later than by this share: its own wait, and then a release, still fit in.
+const LAST_ATTEMPT_AT: f64 = 0.6;
+
+/// What comes from an engine may have been sent so much earlier: a process may be held up for 150 ms between reading its
+/// clock and acting, and the platform's protocol adds 50 ms to each time on sockets.
+pub const RECEIVED_LATE: Ms = 200.0;
+
+/// What is known of an attempt's way to its engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) enum Delivery {
+    /// The engine has shown since the send that it runs, or nobody tells of that.
+    #[default]
+    Confirmed,
+    /// Nothing was heard since: when the engine is asked next, and when the attempt is given up.
+    Unconfirmed { ask_at: Ms, give_up_at: Ms },
+    /// No sign came in time: the attempt counts as not arrived, though it may yet arrive.
+    GivenUp,
+}
+
+impl Delivery {
+    /// When something is to be done about it; never, if nothing is.
+    pub(super) fn next_at(&self) -> Option<Ms> {
+        match self {
+            Delivery::Unconfirmed { ask_at, give_up_at } => Some(ask_at.min(*give_up_at)),
+            Delivery::Confirmed | Delivery::GivenUp => None,
+        }
+    }
+}
+
+impl Out {
+    /// Whether an attempt that ended so was out: only then the time of what is held counts anew from its end.
+    pub(super) fn has_arrived(&self, outcome: Outcome) -> bool {
+        match outcome {
+            Outcome::Unreachable | Outcome::Void => false,
+            // Each is an answer of the engine's.
+            Outcome::Fulfilled | Outcome::Failed | Outcome::Full | Outcome::ReadDone => true,
+            Outcome::TimedOut | Outcome::Broken | Outcome::CalledOff => self.delivery == Delivery::Confirmed,
+        }
+    }
+}
+
+impl Control {
+    /// From now on a decode attempt counts as out only once [`Event::Delivered`](crate::interface::Event::Delivered),
+    /// its first token or its end has told that it arrived.
+    pub fn track_deliveries(&mut self) {
+        self.tracks_deliveries = true;
+    }
+
+    /// What is known of the delivery of a decode attempt that is sent now.
+    pub(super) fn delivery_of(&self, task: &Task) -> Delivery {
+        if !self.tracks_deliveries {
+            return Delivery::Confirmed;
+        }
+        let release = self.settings.release;
+        let usual = self.now + ASK_AFTER * release;
+        let ask_at = usual.min(task.idle_since + (GIVE_UP_AT - SECOND_WAIT) * release).max(self.now);
+        let give_up_at = (task.idle_since + GIVE_UP_AT * release).max(ask_at + SECOND_WAIT * release);
+        Delivery::Unconfirmed { ask_at, give_up_at }
+    }
+
+    pub(super) fn learn_delivery(&mut self, id: TaskId, launch: LaunchNo) {
+        let Some(task) = self.tasks.get_mut(&id) else { return };
+        let Some(out) = task.out.as_mut().filter(|out| out.launch == launch) else { return };
+        if matches!(out.delivery, Delivery::Unconfirmed { .. }) {
+            out.delivery = Delivery::Confirmed;
+            self.queue.awake.insert(id);
+        }
+    }
+
+    /// Plans for an attempt that is out: asks its engine for a sign, or gives it up where none came in time.
+    pub(super) fn plan_delivery(&mut self, task: &mut Task) {
+        let Some(out) = task.out.as_mut() else { return };
+        let Delivery::Unconfirmed { ask_at, give_up_at } = &mut out.delivery else { return };
+        if self.now >= *give_up_at {
+            return self.plan_undelivered(task);
+        }
+        if self.now >= *ask_at {
+            task.want_confirm = true;
+            *ask_at = self.now + ASK_AGAIN * self.settings.release;
+        }
+        let next = ask_at.min(*give_up_at);
+        self.wake_at(next);
+    }
+
+    /// An attempt that has not arrived: another engine takes its state, if the request may run there and one is to be
+    /// had in time; else the state is released, and the attempt, should it arrive after all, finds none.
+    fn plan_undelivered(&mut self, task: &mut Task) {
+        let Some(out) = task.out.as_mut() else { return };
+        out.delivery = Delivery::GivenUp;
+        let (slot, sent) = (out.slot, out.sent);
+        self.hosts.judge(slot, false);
+        // Guards against a run of requests that all wait for the same silent engine.
+        self.hosts.full_until[slot] = self.now + self.settings.release;
+        task.tried.push(slot);
+        if self.settings.may_cancel && self.has_other_engine(task, slot, sent) {
+            task.want_cancel = true;
+        } else {
+            task.want_release = task.state.is_some();
+        }
+    }
+
+    fn has_other_engine(&mut self, task: &mut Task, silent: Slot, sent: Ms) -> bool {
+        let Some(prefilled_at) = task.state else { return false };
+        let in_time = !task.over
+            && self.now - task.idle_since <= LAST_ATTEMPT_AT * self.settings.release
+            && self.now < task.ends - RETRY_SHARE * self.settings.release;
+        if !in_time || task.launches >= self.settings.max_launches {
+            return false;
+        }
+        // The one that is given up may run yet.
+        let known = task.may_have_run;
+        task.may_have_run.get_or_insert((silent, sent));
+        let other = self.choose_writer(task, prefilled_at);
+        task.may_have_run = known;
+        other.is_some_and(|slot| slot != silent)
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -219,6 +219,11 @@
         latency: Ms,
     },
     Ended(Ended),
+    /// Where deliveries are tracked: the attempt has reached a host that runs, which has shown so since.
+    Delivered {
+        task: TaskId,
+        launch: LaunchNo,
+    },
     Place {
         task: TaskId,
         launch: LaunchNo,
@@ -273,9 +278,15 @@
     WriteOff {
         task: TaskId,
     },
+    /// Lets go of what is held for a task, also while a launch is out that is taken for one that has not arrived.
     Release {
         task: TaskId,
     },
+    /// Asks for a sign that the launch's host runs; `Event::Delivered` tells of one.
+    Confirm {
+        task: TaskId,
+        launch: LaunchNo,
+    },
     HoldAhead {
         task: TaskId,
         host: HostId,
