--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -2,9 +2,11 @@
 //!
 //! It does no I/O and reads no clock. All instants are of one clock, and do not go back.
 
+use crate::passage::Passage;
 use crate::Ms;
 use std::collections::BTreeMap;
 use std::fmt;
+use std::rc::Rc;
 
 /// What has to hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -95,8 +97,18 @@
     pub bad_client: Ms,
     /// A process is to be ready by then, nine times in ten.
     pub ready: Ms,
-    /// What the stand-ins' own scheduling may add to any time that is measured.
-    pub measuring: Ms,
+    /// 'Every time limit is longer by 50 ms' (the platform's protocol).
+    pub any_time: Ms,
+    /// 'A dispatcher that is held up for up to 0.15 s between reading its clock and writing: deadlines and windows allow
+    /// for that, the grace of drain has to cover it' (the standing test).
+    pub held_up: Ms,
+}
+
+impl Rules {
+    /// What is added to deadlines and windows.
+    fn deadline_extra(&self) -> Ms {
+        self.any_time + self.held_up
+    }
 }
 
 /// A request, by the id that its client gave it.
@@ -153,11 +165,14 @@
     pub request: RequestId,
     pub engine: String,
     pub stage: Stage,
-    /// When its first and its last byte came.
-    pub first_byte: Ms,
+    /// When its first and its last byte left its process.
+    pub sent: (Ms, Ms),
+    /// When its last byte came.
     pub begun: Ms,
     /// The time that it says is left.
     pub told_left: Option<Ms>,
+    /// Its connection, where a proxy sees it.
+    pub passage: Option<Rc<Passage>>,
 }
 
 #[derive(Clone, Debug)]
@@ -169,8 +184,27 @@
     /// Events written, by the instant of each.
     events: Vec<Ms>,
     complete: bool,
-    /// Its end may have been lost on the way.
-    cut: bool,
+    /// When its connection was reset on the way; what was written then may have been lost.
+    cut: Option<Ms>,
+    passage: Option<Rc<Passage>>,
+}
+
+impl Attempt {
+    /// When its process knew that it was over, or had ended it itself; none while it is out. What an engine says counts
+    /// once it has got through: 'within `release` of the last `attempt_end`' (the wire's rule on what is held).
+    fn over_at(&self) -> Option<Ms> {
+        let closed = self.passage.as_ref().and_then(|passage| passage.closed_at());
+        let ended = self.ended.and_then(|(at, end)| match (end, &self.passage) {
+            (AttemptEnd::Served | AttemptEnd::TurnedAway, Some(passage)) => {
+                passage.passed_on(at).or(self.cut)
+            }
+            _ => Some(at),
+        });
+        match (ended, closed) {
+            (Some(ended), Some(closed)) => Some(ended.min(closed)),
+            (ended, closed) => ended.or(closed),
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -179,6 +213,8 @@
     effect: Effect,
     sent: Ms,
     deadline: Ms,
+    /// By when its answer is due, grace apart.
+    due: Ms,
     gone: Option<Ms>,
     answered: bool,
     attempts: Vec<AttemptId>,
@@ -196,14 +232,14 @@
     told_out: BTreeMap<usize, Ms>,
     begun: Vec<Ms>,
     overloaded: bool,
-    /// Until when what it writes may be held up on the way; for good while that goes on.
-    held_up_until: Ms,
 }
 
 /// How a run of a process ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LifeEnd {
     Killed,
+    /// Killed at the end of the time that a stop may take.
+    KilledInStop,
     Ended,
 }
 
@@ -277,6 +313,7 @@
             effect,
             sent: now,
             deadline: now + left,
+            due: now + left,
             gone: None,
             answered: false,
             attempts: Vec::new(),
@@ -287,6 +324,19 @@
         self.requests.insert(id.to_owned(), request);
     }
 
+    /// A request crossed the close of a connection that rested, and was not read: it counts as not sent.
+    pub fn request_crossed(&mut self, id: &str) {
+        self.requests.remove(id);
+    }
+
+    /// A request was sent behind another on its connection, whose answer has come now. Answers come in that order, and
+    /// 'clients send one request at a time per connection': its own is not due before this.
+    pub fn waited_behind_another(&mut self, id: &str, now: Ms) {
+        if let Some(request) = self.requests.get_mut(id) {
+            request.due = request.due.max(now);
+        }
+    }
+
     /// The client closes its connection.
     pub fn client_gone(&mut self, id: &str, now: Ms) {
         if let Some(request) = self.requests.get_mut(id) {
@@ -299,14 +349,18 @@
         self.requests.get(id).is_some_and(|request| !request.attempts.is_empty())
     }
 
-    /// Whether a process may have taken a request that it did not answer: it neither was killed nor was stopping for so
-    /// long that it need not take it.
+    /// Whether a process owed an answer to a request that had none by now. 'When a process dies', what it held is its
+    /// clients' to retry; at the kill that ends a stop, 'whatever SIGKILL finds unanswered' is lost 'if that request came
+    /// more than 0.7 s after SIGTERM', and only then.
     fn owes(&self, request: &Request, now: Ms) -> bool {
-        let killed = matches!(self.ended.get(&request.life), Some((_, LifeEnd::Killed)));
-        let late = request.attempts.is_empty()
-            && self.stopping.get(&request.life).is_some_and(|at| request.sent > at + STOP_TAKES);
         let gone = request.gone.is_some_and(|gone| gone <= now);
-        !killed && !late && !gone
+        let stopped = self.stopping.get(&request.life).copied().unwrap_or(f64::INFINITY);
+        let ends = match self.ended.get(&request.life) {
+            Some((_, LifeEnd::Killed)) => false,
+            Some((at, LifeEnd::KilledInStop)) if now >= *at => request.sent > stopped + STOP_TAKES,
+            _ => true,
+        };
+        ends && !gone
     }
 
     /// What a client got for a request.
@@ -325,7 +379,7 @@
             _ => None,
         };
         let began_late = !matches!(answer, Answer::Whole(_) | Answer::Broken(_) | Answer::Nothing);
-        let latest = request.deadline + self.rules.answer_grace + self.rules.measuring;
+        let latest = request.due + self.rules.answer_grace + self.rules.deadline_extra();
         let late = (broken.is_none() && began_late && owed && now > latest)
             .then(|| format!("its answer came {:.0} ms after its deadline", now - request.deadline));
         let story = || self.story(&request);
@@ -370,7 +424,9 @@
     /// A stream may break for its client only if it has broken at its engine, after a whole event.
     fn break_is_wrong(&self, request: &Request, events: usize) -> Option<String> {
         let failed = |attempt: &Attempt| matches!(attempt.ended, Some((_, AttemptEnd::Failed)));
-        let broke = self.decodes(request).any(|attempt| attempt.cut || failed(attempt) && !attempt.complete);
+        let broke = self
+            .decodes(request)
+            .any(|attempt| attempt.cut.is_some() || failed(attempt) && !attempt.complete);
         if events == 0 {
             Some("its stream ended before a whole event".to_owned())
         } else if !broke {
@@ -395,17 +451,15 @@
     /// An engine has got the last byte of an attempt.
     pub fn attempt_begins(&mut self, new: NewAttempt) -> AttemptId {
         let id = AttemptId(self.attempts.len());
-        let NewAttempt { request: name, engine, stage, first_byte, begun, told_left } = new;
-        self.check_drain(&name, &engine, first_byte);
+        let NewAttempt { request: name, engine, stage, sent, begun, told_left, passage } = new;
+        self.check_drain(&name, &engine, sent.0);
         self.check_slow_start(&engine, begun);
         if let Some(request) = self.requests.get(&name).cloned() {
             self.check_client(&name, &request, begun);
             self.check_repeat(&name, &request, stage, begun);
-            let recent = begun - self.rules.measuring;
-            let held_up = self.engines.get(&engine).is_some_and(|record| record.held_up_until >= recent);
-            if let Some(told) = told_left.filter(|_| !held_up) {
-                let left = request.deadline - begun;
-                let most = left + self.rules.deadline_slack + self.rules.measuring;
+            if let Some(told) = told_left {
+                let left = request.deadline - sent.1;
+                let most = left + self.rules.deadline_slack + self.rules.any_time;
                 let broken = (told > most).then(|| format!("{name}: {told:.0} ms told, {left:.0} left"));
                 self.check(begun, Invariant::DeadlineTold, broken);
             }
@@ -413,8 +467,8 @@
         if let Some(request) = self.requests.get_mut(&name) {
             request.attempts.push(id);
         }
-        let (ended, events, complete, cut) = (None, Vec::new(), false, false);
-        self.attempts.push(Attempt { engine, stage, begun, ended, events, complete, cut });
+        let (ended, events, complete, cut) = (None, Vec::new(), false, None);
+        self.attempts.push(Attempt { engine, stage, begun, ended, events, complete, cut, passage });
         id
     }
 
@@ -424,7 +478,7 @@
         let told = told.and_then(|e| e.told_out.get(&process).copied());
         let late = told
             .map(|told| first_byte - told)
-            .filter(|late| *late > self.rules.drain_grace + self.rules.measuring);
+            .filter(|late| *late > self.rules.drain_grace + self.rules.any_time);
         let what = |late| format!("{request} to {engine} {late:.0} ms after process {process} was told");
         self.check(first_byte, Invariant::DrainKept, late.map(what));
     }
@@ -446,19 +500,19 @@
 
     fn check_client(&mut self, name: &str, request: &Request, begun: Ms) {
         let late = request.gone.map(|gone| begun - gone);
-        let late = late.filter(|late| *late > self.rules.gone_grace + self.rules.measuring);
+        let late = late.filter(|late| *late > self.rules.gone_grace + self.rules.deadline_extra());
         let what = |late| format!("an attempt of {name} began {late:.0} ms after its client had gone");
         self.check(begun, Invariant::ClientThere, late.map(what));
     }
 
     fn check_repeat(&mut self, name: &str, request: &Request, stage: Stage, begun: Ms) {
         let open = |id: &&AttemptId| {
-            let ended = self.attempts[id.0].ended;
-            ended.is_none_or(|(at, _)| begun < at - self.rules.measuring)
+            let over = self.attempts[id.0].over_at();
+            over.is_none_or(|at| begun < at - self.rules.any_time)
         };
         let two = request.attempts.iter().any(|id| open(&id));
         let first = self.decodes(request).find(|attempt| Self::may_have_run(attempt)).map(|a| a.begun);
-        let late = self.rules.measuring;
+        let late = self.rules.deadline_extra();
         let broken = match (request.effect, first) {
             (_, _) if two => Some("while another was out"),
             (Effect::AtMostOnce, Some(_)) => Some("though an earlier one may have run"),
@@ -495,14 +549,16 @@
         let expected = record.events_came;
         record.events_came += 1;
         let record = record.clone();
-        let passed = self.decodes(&record).filter_map(|a| Some((a.engine.clone(), *a.events.get(number)?)));
-        let (engine, written) = passed.last().unwrap_or_default();
-        let held_up = self.engines.get(&engine).is_some_and(|record| record.held_up_until >= written);
-        let most = self.rules.event_delay + self.rules.measuring;
+        let passed_on = |attempt: &Attempt| {
+            let written = *attempt.events.get(number)?;
+            attempt.passage.as_ref().map_or(Some(written), |passage| passage.passed_on(written))
+        };
+        let passed = self.decodes(&record).filter_map(passed_on).last().unwrap_or(now);
+        let most = self.rules.event_delay + self.rules.deadline_extra();
         let broken = if number != expected {
             Some(format!("event {number} of {request} came where {expected} was due"))
-        } else if !held_up && now - written > most {
-            Some(format!("event {number} of {request} came {:.0} ms late", now - written))
+        } else if now - passed > most {
+            Some(format!("event {number} of {request} came {:.0} ms late", now - passed))
         } else {
             None
         };
@@ -526,20 +582,15 @@
     pub fn engine_cut(&mut self, engine: &str, since: Ms, now: Ms) {
         for attempt in self.attempts.iter_mut().filter(|attempt| attempt.engine == engine) {
             match attempt.ended {
-                None => (attempt.ended, attempt.cut) = (Some((now, AttemptEnd::Failed)), true),
-                Some((at, AttemptEnd::Served)) if at >= since => attempt.cut = true,
+                None => (attempt.ended, attempt.cut) = (Some((now, AttemptEnd::Failed)), Some(now)),
+                Some((at, AttemptEnd::Served | AttemptEnd::TurnedAway)) if at >= since => {
+                    attempt.cut = Some(now)
+                }
                 Some(_) => {}
             }
         }
     }
 
-    /// What an engine writes is held up on its way, until the instant given.
-    pub fn engine_held_up(&mut self, engine: &str, until: Ms) {
-        if let Some(record) = self.engines.get_mut(engine) {
-            record.held_up_until = until;
-        }
-    }
-
     /// An engine's process is gone, and with it what it held.
     pub fn engine_gone(&mut self, engine: &str) {
         for request in self.requests.values_mut().filter(|r| r.held_at.as_deref() == Some(engine)) {
@@ -549,12 +600,7 @@
 
     /// Looks at what should have happened by now. To be called often.
     pub fn look(&mut self, now: Ms) {
-        let most = self.rules.release + self.rules.measuring;
-        // A send into a proxy that passes nothing on counts as received to everybody but the engine; what it holds up
-        // is not judged.
-        if self.engines.values().any(|record| record.held_up_until > now - most) {
-            return;
-        }
+        let most = self.rules.release + self.rules.any_time;
         let held: Vec<RequestId> = self
             .requests
             .iter()
@@ -574,13 +620,13 @@
 
     /// Since when no attempt of a request is out; none while one is.
     fn idle_since(&self, request: &Request) -> Option<Ms> {
-        let ends = request.attempts.iter().map(|id| self.attempts[id.0].ended.map(|(at, _)| at));
+        let ends = request.attempts.iter().map(|id| self.attempts[id.0].over_at());
         ends.collect::<Option<Vec<Ms>>>()?.into_iter().reduce(f64::max)
     }
 
     /// Discovery has an engine in service, of a process that started just now, or long ago.
     pub fn engine_in_service(&mut self, engine: &str, started: Option<Ms>) {
-        let record = EngineRecord { started, held_up_until: f64::NEG_INFINITY, ..EngineRecord::default() };
+        let record = EngineRecord { started, ..EngineRecord::default() };
         self.engines.insert(engine.to_owned(), record);
     }
 
@@ -627,9 +673,14 @@
         self.ended.insert(life, (now, LifeEnd::Killed));
     }
 
+    /// A process that was told to end is about to be killed, as its time is up.
+    pub fn process_killed_in_stop(&mut self, life: Life, now: Ms) {
+        self.ended.insert(life, (now, LifeEnd::KilledInStop));
+    }
+
     /// A process has ended by itself; `well`: as it was told to.
     pub fn process_ended(&mut self, life: Life, well: bool, how: &str, now: Ms) {
-        self.ended.insert(life, (now, LifeEnd::Ended));
+        self.ended.entry(life).or_insert((now, LifeEnd::Ended));
         let broken = (!well).then(|| format!("process {} ended: {how}", life.process));
         self.check(now, Invariant::ProcessUp, broken);
     }
@@ -641,7 +692,7 @@
 
     /// A client that stopped within its request got an end after this long; none if it never came.
     pub fn bad_client_ended(&mut self, after: Option<Ms>, now: Ms) {
-        let most = self.rules.bad_client + self.rules.measuring;
+        let most = self.rules.bad_client + self.rules.any_time;
         let broken = match after {
             Some(after) if after <= most => None,
             Some(after) => Some(format!("half a request was ended after {after:.0} ms")),
@@ -673,7 +724,7 @@
     }
 
     fn is_lost(&self, request: &Request, now: Ms) -> bool {
-        let latest = request.deadline + self.rules.answer_grace + self.rules.measuring;
+        let latest = request.due + self.rules.answer_grace + self.rules.deadline_extra();
         !request.answered && request.gone.is_none() && now > latest && self.owes(request, now)
     }
 }
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -1,13 +1,13 @@
 //! Clients of one process: they ask, read their answers, leave early, write slowly, or stop in the middle of a request.
 
 use crate::audit::{Answer, Audit, Life};
-use crate::configuration::{Class, CLASSES};
+use crate::plan::Class;
 use crate::service::{sleep, Clock};
 use crate::Ms;
 use bytes::BytesMut;
 use cindercleat_http1::framing::{Came, Reading};
 use nanorand::{Rng, WyRand};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,6 +29,11 @@
 /// A client waits for an answer this much longer than its deadline.
 const WAITS_ON: Ms = 2_000.0;
 
+/// For how long a client waits for the next event of its stream: it is left waiting for 5 s at the most.
+const STREAM_WAITS: Ms = 6_000.0;
+/// An idle client that was closed comes back after this.
+const IDLE_COMES_BACK: Ms = 500.0;
+
 /// What a client is like.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Manner {
@@ -61,6 +66,7 @@
     clock: Clock,
     audit: Rc<RefCell<Audit>>,
     rng: Rc<RefCell<WyRand>>,
+    classes: [Class; 3],
     resting: Rc<RefCell<Vec<Line>>>,
 }
 
@@ -77,10 +83,11 @@
         address: SocketAddr,
         clock: Clock,
         audit: Rc<RefCell<Audit>>,
+        classes: [Class; 3],
         seed: u64,
     ) -> Clients {
         let rng = Rc::new(RefCell::new(WyRand::new_seed(seed)));
-        Clients { life, address, clock, audit, rng, resting: Rc::default() }
+        Clients { life, address, clock, audit, rng, classes, resting: Rc::default() }
     }
 
     fn draw_manner(&self) -> Manner {
@@ -106,7 +113,7 @@
 
     fn draw_request(&self) -> Asked {
         let mut rng = self.rng.borrow_mut();
-        let class = CLASSES[rng.generate_range(0..CLASSES.len())];
+        let class = self.classes[rng.generate_range(0..self.classes.len())];
         let id = format!("{:016x}", rng.generate::<u64>());
         // Some are told to wait for little.
         let left =
@@ -126,6 +133,24 @@
         }
     }
 
+    /// One client asks on a connection that is open, if one rests: none comes anew.
+    pub async fn ask_on_resting(self) {
+        let Some(line) = self.resting.borrow_mut().pop() else { return };
+        let asked = self.draw_request();
+        self.try_on(line, &asked, Manner::Plain).await;
+    }
+
+    /// A client that stays connected, asks nothing, and comes back when it is closed, until `over`.
+    pub async fn stay_idle(self, over: impl Fn() -> bool) {
+        while !over() {
+            if let Ok(mut line) = self.connect().await {
+                // Whatever ends it: it comes back.
+                let _ = line.io.read_buf(&mut line.bytes).await;
+            }
+            sleep(IDLE_COMES_BACK).await;
+        }
+    }
+
     /// Sends a request and sees it through. If a connection that rested ends with no answer, and nothing shows that the
     /// request was read, it goes out once more on a new one.
     async fn request(&self, asked: &Asked, manner: Manner) {
@@ -164,13 +189,15 @@
             Manner::Leaves { after, .. } => after,
             _ => f64::from(asked.left) + WAITS_ON,
         };
+        let leaves_at = Cell::new(now + leaves);
         let went = tokio::select! { biased;
-            went = self.read(&mut line, &asked.id) => went,
-            () = sleep(leaves) => return self.leave(line, asked, manner),
+            went = self.read(&mut line, &asked.id, &leaves_at, manner) => went,
+            () = self.until(&leaves_at) => return self.leave(line, asked, manner),
         };
         let crossed =
             went.answer == Answer::Nothing && line.used && !self.audit.borrow().was_attempted(&asked.id);
         if crossed {
+            self.audit.borrow_mut().request_crossed(&asked.id);
             return false;
         }
         self.audit.borrow_mut().answered(&asked.id, went.answer, self.clock.now());
@@ -181,6 +208,13 @@
         true
     }
 
+    /// Waits until an instant that may be put off meanwhile.
+    async fn until(&self, at: &Cell<Ms>) {
+        while self.clock.now() < at.get() {
+            sleep(at.get() - self.clock.now()).await;
+        }
+    }
+
     /// A client that has had enough; one that waited past its deadline leaves nothing excused.
     fn leave(&self, line: Line, asked: &Asked, manner: Manner) -> bool {
         if let Manner::Leaves { resets, .. } = manner {
@@ -207,8 +241,9 @@
             self.audit.borrow_mut().request_sent(&asked.id, self.life, effect, now, f64::from(asked.left));
         }
         for asked in &both {
-            let went = self.read(&mut line, &asked.id).await;
+            let went = self.read(&mut line, &asked.id, &Cell::default(), Manner::Pipelines).await;
             self.audit.borrow_mut().answered(&asked.id, went.answer, self.clock.now());
+            self.audit.borrow_mut().waited_behind_another(&both[1].id, self.clock.now());
             if !went.keeps {
                 // The connection ends with that answer; what was sent behind it nobody has to read.
                 self.audit.borrow_mut().client_gone(&both[1].id, now);
@@ -237,7 +272,7 @@
     }
 
     /// Reads an answer to its end.
-    async fn read(&self, line: &mut Line, id: &str) -> Went {
+    async fn read(&self, line: &mut Line, id: &str, leaves_at: &Cell<Ms>, manner: Manner) -> Went {
         let mut reading = Reading::new(MOST_CHUNK);
         let (mut head, mut events, mut text) = (None, 0, Vec::new());
         loop {
@@ -249,6 +284,10 @@
                 Ok(Some(Came::Data(data))) => {
                     text.extend_from_slice(&data);
                     events += self.take_events(&mut text, id);
+                    if !matches!(manner, Manner::Leaves { .. }) {
+                        // A stream that has begun is the client's, whatever its deadline was.
+                        leaves_at.set(leaves_at.get().max(self.clock.now() + STREAM_WAITS));
+                    }
                     continue;
                 }
                 Ok(Some(Came::End)) => {
--- a/crates/soak/src/configuration.rs
+++ b/crates/soak/src/configuration.rs
@@ -1,28 +1,13 @@
 //! The configuration of each process, in the platform's form, and what the audit takes from the same settings.
 
 use crate::audit::{Effect, Rules};
+use crate::plan::Class;
 use crate::Ms;
 use std::net::SocketAddr;
 
-/// A request class.
-#[derive(Clone, Copy, Debug)]
-pub struct Class {
-    pub name: &'static str,
-    pub effect: Effect,
-    pub deadline: u32,
-}
-
-const WINDOW: u32 = 2_000;
-pub const CLASSES: [Class; 3] = [
-    Class { name: "draft", effect: Effect::Idempotent, deadline: 3_000 },
-    Class { name: "order", effect: Effect::AtMostOnce, deadline: 3_000 },
-    Class { name: "form", effect: Effect::Keyed { window: WINDOW }, deadline: 3_000 },
-];
 pub const ZONES: [&str; 2] = ["a", "b"];
 /// Kinds of engines: those that prefill, and those that decode.
 pub const KINDS: [&str; 2] = ["p", "d"];
-pub const LONGEST_DEADLINE: Ms = 3_000.0;
-
 const DRAIN_GRACE: Ms = 1_000.0;
 const RELEASE: Ms = 500.0;
 const CONNECT_TIMEOUT: Ms = 250.0;
@@ -32,17 +17,19 @@
 const START_CAPACITY: f64 = 0.32;
 /// The part of an engine's capacity that the traffic asks for.
 const USED: f64 = 0.6;
-/// The rules' own extras on sockets: any time, and what is held.
+/// The rules' own extras on sockets: any time, what is held, and a process that is held up.
 const ANY_TIME: Ms = 50.0;
 const HELD: Ms = 300.0;
-/// A process that is held up, and the stand-ins' own lateness.
-const MEASURING: Ms = 200.0;
+const HELD_UP: Ms = 150.0;
+/// The latency that is aimed at, and the part of a short deadline that it is at most.
+const AIM: Ms = 1_000.0;
+const AIM_PART: f64 = 2.0;
 
 /// The rules as the settings have them. `rate`: requests a second that each engine of a kind gets in the mean.
 pub fn rules(rate: f64) -> Rules {
     Rules {
         answer_grace: 500.0,
-        drain_grace: DRAIN_GRACE + ANY_TIME,
+        drain_grace: DRAIN_GRACE,
         release: RELEASE + HELD,
         gone_grace: 100.0,
         deadline_slack: 150.0,
@@ -52,12 +39,14 @@
         cold_for: COLD_FOR,
         bad_client: 3_000.0,
         ready: 10_000.0,
-        measuring: MEASURING,
+        any_time: ANY_TIME,
+        held_up: HELD_UP,
     }
 }
 
 /// Which process a configuration is for.
-pub struct Place {
+pub struct Place<'a> {
+    pub classes: &'a [Class],
     pub number: usize,
     pub processes: usize,
     pub start: u32,
@@ -66,8 +55,8 @@
 }
 
 /// The file of a process; `known`: the list that it had last.
-pub fn file(place: &Place, known: &str) -> String {
-    let Place { number, processes, start, discovery, lists_are_asked_for } = place;
+pub fn file(place: &Place<'_>, known: &str) -> String {
+    let Place { classes, number, processes, start, discovery, lists_are_asked_for } = place;
     let micros = |time: Ms| (time * 1000.0) as u64;
     let (release, connect, grace) = (micros(RELEASE), micros(CONNECT_TIMEOUT), micros(DRAIN_GRACE));
     let (window, ramp) = (micros(FALL_WINDOW), micros(COLD_FOR));
@@ -79,15 +68,21 @@
             Effect::Keyed { .. } => "keyed",
             Effect::AtMostOnce => "unsafe",
         };
+        let window = match class.effect {
+            Effect::Keyed { window } => window,
+            Effect::Idempotent | Effect::AtMostOnce => 0,
+        };
+        let aim = AIM.min(f64::from(class.deadline) / AIM_PART);
         format!(
-            "{{\"name\":\"{}\",\"effect\":\"{effect}\",\"keyScope\":\"all\",\"dedupWindow\":{},\"aim\":1000000,\
+            "{{\"name\":\"{}\",\"effect\":\"{effect}\",\"keyScope\":\"all\",\"dedupWindow\":{},\"aim\":{},\
              \"giveUp\":{},\"importance\":1.0,\"lateShare\":0.3,\"stream\":true}}",
             class.name,
-            u64::from(WINDOW) * 1000,
+            u64::from(window) * 1000,
+            micros(aim),
             u64::from(class.deadline) * 1000
         )
     };
-    let services: Vec<String> = CLASSES.iter().map(service).collect();
+    let services: Vec<String> = classes.iter().map(service).collect();
     let seed = 0x9e37_79b9_u64.wrapping_mul(*number as u64 + 1) ^ u64::from(*start) << 40;
     format!(
         r#"{{"name":"n{number}","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"{seed:x}","peers":[],
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -2,6 +2,7 @@
 //! of each attempt.
 
 use crate::audit::{AttemptEnd, AttemptId, Audit, NewAttempt, Stage};
+use crate::passage::Passages;
 use crate::service::{answer, sleep, Clock, Connection, Received};
 use crate::Ms;
 use nanorand::{Rng, WyRand};
@@ -19,7 +20,8 @@
 const PREFILL: Ms = 20.0;
 const FIRST_EVENT: Ms = 15.0;
 const BETWEEN_EVENTS: Ms = 20.0;
-const MOST_EVENTS: usize = 12;
+const EVENTS: std::ops::Range<usize> = 2..12;
+const EVENTS_OF_LONG: std::ops::Range<usize> = 40..80;
 /// Between two pieces of what is written in pieces.
 const BETWEEN_PIECES: Ms = 4.0;
 /// Of a hundred streams, how many break within their first event, break later, and cannot be read; and how many come in
@@ -28,6 +30,7 @@
 const BREAKS_LATER: u32 = 3;
 const SPOILT: u32 = 2;
 const IN_PIECES: u32 = 30;
+const LONG: u32 = 5;
 
 /// What an engine does besides its work.
 #[derive(Default)]
@@ -45,6 +48,7 @@
     clock: Clock,
     audit: Rc<RefCell<Audit>>,
     rng: Rc<RefCell<WyRand>>,
+    pub passages: Passages,
     pub behaviour: Rc<Behaviour>,
 }
 
@@ -60,7 +64,7 @@
 impl Engine {
     pub fn new(id: String, stage: Stage, clock: Clock, audit: Rc<RefCell<Audit>>, seed: u64) -> Engine {
         let rng = Rc::new(RefCell::new(WyRand::new_seed(seed)));
-        Engine { id, stage, clock, audit, rng, behaviour: Rc::default() }
+        Engine { id, stage, clock, audit, rng, passages: Passages::default(), behaviour: Rc::default() }
     }
 
     /// Serves on a free port.
@@ -113,13 +117,16 @@
         let Some(request) = head.text("X-Txn").map(str::to_owned) else {
             return Some(connection.say(&answer("404 Not Found", "", "")).await.is_ok());
         };
+        let passage = connection.peer().and_then(|peer| self.passages.get(peer));
+        let sent = passage.as_ref().and_then(|passage| passage.request());
         let new = NewAttempt {
             request: request.clone(),
             engine: self.id.clone(),
             stage: self.stage,
-            first_byte: received.first_byte,
+            sent: sent.unwrap_or((received.first_byte, received.last_byte)),
             begun: received.last_byte,
             told_left,
+            passage,
         };
         let id = self.audit.borrow_mut().attempt_begins(new);
         let (end, goes_on) = self.work(connection, id, &request).await;
@@ -184,7 +191,8 @@
             drawn if drawn < BREAKS_FIRST + BREAKS_LATER + SPOILT => Course::Spoilt,
             _ => Course::Whole,
         };
-        (course, rng.generate_range(2..MOST_EVENTS), rng.generate_range(0..100u32) < IN_PIECES)
+        let events = if rng.generate_range(0..100u32) < LONG { EVENTS_OF_LONG } else { EVENTS };
+        (course, rng.generate_range(events), rng.generate_range(0..100u32) < IN_PIECES)
     }
 
     async fn stream(&self, connection: &mut Connection, id: AttemptId) -> (AttemptEnd, Option<bool>) {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod discovery;
 mod engine;
+pub mod passage;
 pub mod plan;
 mod process;
 mod proxy;
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,5 +1,10 @@
-//! A TCP proxy in front of one stand-in: passes bytes on, and can refuse, hold up, silence or reset connections.
+//! A TCP proxy in front of one stand-in: passes bytes on, and can refuse, silence or reset connections.
+//!
+//! A silent proxy stands for a machine that has vanished: connections stay open and no byte gets through either way.
+//! When it is back, what lay there is delivered, unless its sender has reset the connection meanwhile.
 
+use crate::passage::{Passage, Passages};
+use crate::service::Clock;
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
@@ -19,13 +24,21 @@
     Refuse,
     /// Nothing is passed on, either way, on old ones and new ones.
     Silent,
+    /// The next bytes of a process are passed on by half; from then on it is silent.
+    SilentWithin,
 }
 
 /// Bytes that one turn of passing on takes at most.
 const TURN: usize = 16 << 10;
+/// After a close on one side, the other one's connection stays for so long.
+const LINGER: Duration = Duration::from_millis(2);
+/// Bytes that may lie in each direction of a connection while it is silent.
+const MOST_LYING: usize = 1 << 20;
 
 struct Shared {
-    target: Cell<SocketAddr>,
+    target: SocketAddr,
+    clock: Clock,
+    passages: Passages,
     mode: Cell<Mode>,
     changed: Notify,
     /// How often all connections were reset: those that are open see the number change.
@@ -40,14 +53,16 @@
 }
 
 impl Proxy {
-    /// Listens on a free port and passes connections on to `target`.
+    /// Listens on a free port and passes connections on to `target`, noting in `passages` what it sees.
     ///
     /// # Errors
     /// No port can be had.
-    pub async fn start(target: SocketAddr) -> io::Result<Proxy> {
+    pub async fn start(target: SocketAddr, clock: Clock, passages: Passages) -> io::Result<Proxy> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let shared = Rc::new(Shared {
-            target: Cell::new(target),
+            target,
+            clock,
+            passages,
             mode: Cell::new(Mode::Pass),
             changed: Notify::new(),
             cuts: Cell::new(0),
@@ -58,8 +73,7 @@
     }
 
     pub fn set_mode(&self, mode: Mode) {
-        self.shared.mode.set(mode);
-        self.shared.changed.notify_waiters();
+        self.shared.set_mode(mode);
     }
 
     /// Resets all connections.
@@ -69,6 +83,33 @@
     }
 }
 
+impl Shared {
+    fn set_mode(&self, mode: Mode) {
+        self.mode.set(mode);
+        self.changed.notify_waiters();
+    }
+
+    async fn until_passing(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if self.mode.get() != Mode::Silent {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    async fn until_cut(&self, cuts: u64) {
+        loop {
+            let changed = self.changed.notified();
+            if self.cuts.get() != cuts {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
 async fn accept(listener: TcpListener, shared: Rc<Shared>) {
     while let Ok((from, _)) = listener.accept().await {
         if shared.mode.get() == Mode::Refuse {
@@ -85,84 +126,135 @@
     let _ = stream.set_zero_linger();
 }
 
-/// Why a connection's passing on ended.
+/// How a connection's passing on ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Over {
-    /// One side closed it, or it broke.
-    Ended,
-    Cut,
+    /// One side closed it.
+    Closed,
+    /// It broke, or was cut: the other side sees a reset.
+    Reset,
+}
+
+/// Which way bytes go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    ToEngine,
+    ToProcess,
 }
 
 async fn pass(from: TcpStream, shared: Rc<Shared>) {
     let cuts = shared.cuts.get();
-    until_passing(&shared).await;
-    let Ok(to) = TcpStream::connect(shared.target.get()).await else { return reset(from) };
+    let passage = Rc::new(Passage::default());
+    let (mut forth, mut back) = (Lying::default(), Lying::default());
+    let (mut from_read, mut from_write) = from.into_split();
+    // What comes for a machine that has vanished lies there, as on a connection that was up before.
+    tokio::select! { biased;
+        () = shared.until_cut(cuts) => {}
+        () = shared.until_passing() => {}
+        () = lie(&mut from_read, &mut forth, Way::ToEngine, &shared, &passage) => {}
+    };
+    let to = TcpStream::connect(shared.target).await;
+    let seen_as = to.as_ref().ok().and_then(|to| to.local_addr().ok());
+    let (Ok(to), Some(seen_as), true) = (to, seen_as, shared.cuts.get() == cuts) else {
+        if let Ok(from) = from_read.reunite(from_write) {
+            reset(from);
+        }
+        return;
+    };
+    shared.passages.add(seen_as, passage.clone());
     // Without it what is small waits for more; a proxy that lacks it still passes on.
-    let _ = (from.set_nodelay(true), to.set_nodelay(true));
-    let (from_read, from_write) = from.into_split();
-    let (to_read, to_write) = to.into_split();
-    let mut forth = (from_read, to_write);
-    let mut back = (to_read, from_write);
+    let _ = (from_write.as_ref().set_nodelay(true), to.set_nodelay(true));
+    let (mut to_read, mut to_write) = to.into_split();
     let over = tokio::select! { biased;
-        () = until_cut(&shared, cuts) => Over::Cut,
-        () = both(&mut forth, &mut back, &shared) => Over::Ended,
+        () = shared.until_cut(cuts) => Over::Reset,
+        over = one_way(&mut from_read, &mut to_write, &mut forth, Way::ToEngine, &shared, &passage) => over,
+        over = one_way(&mut to_read, &mut from_write, &mut back, Way::ToProcess, &shared, &passage) => over,
     };
-    let (from, to) = (forth.0.reunite(back.1), back.0.reunite(forth.1));
-    if let (Over::Cut, Ok(from), Ok(to)) = (over, from, to) {
+    let (from, to) = (from_read.reunite(from_write), to_read.reunite(to_write));
+    if let (Over::Reset, Ok(from), Ok(to)) = (over, from, to) {
         reset(from);
         reset(to);
     }
 }
 
-/// Passes on both ways until both sides have ended, or one has closed altogether.
-async fn both(
-    forth: &mut (OwnedReadHalf, OwnedWriteHalf),
-    back: &mut (OwnedReadHalf, OwnedWriteHalf),
-    shared: &Shared,
-) {
-    // When either side ends, so does the connection: nobody here goes on after half of a close.
-    tokio::select! { biased;
-        () = one_way(&mut forth.0, &mut forth.1, shared) => {}
-        () = one_way(&mut back.0, &mut back.1, shared) => {}
-    }
+/// What has come on one way of a connection and has not gone on.
+#[derive(Default)]
+struct Lying {
+    bytes: Vec<u8>,
+    end: Option<Over>,
 }
 
-async fn one_way(from: &mut OwnedReadHalf, to: &mut OwnedWriteHalf, shared: &Shared) {
-    let mut bytes = vec![0; TURN];
-    loop {
-        let read = match from.read(&mut bytes).await {
-            Ok(0) | Err(_) => break,
-            Ok(read) => read,
-        };
-        until_passing(shared).await;
-        if to.write_all(&bytes[..read]).await.is_err() {
-            break;
+impl Lying {
+    /// Takes in what comes next.
+    async fn take(&mut self, from: &mut OwnedReadHalf, way: Way, shared: &Shared, passage: &Passage) {
+        let mut bytes = vec![0; TURN];
+        let read = from.read(&mut bytes).await;
+        let now = shared.clock.now();
+        match read {
+            Ok(0) => self.end = Some(Over::Closed),
+            Ok(read) => self.bytes.extend_from_slice(&bytes[..read]),
+            // A reset takes along what lies there.
+            Err(_) => (self.bytes, self.end) = (Vec::new(), Some(Over::Reset)),
+        }
+        if way == Way::ToEngine {
+            match self.end {
+                Some(_) => passage.process_closed(now),
+                None => passage.request_came(now),
+            }
         }
     }
-    until_passing(shared).await;
-    // The other end sees what came before this as it is.
-    let _ = to.shutdown().await;
-    tokio::time::sleep(LINGER).await;
-}
 
-/// After a close on one side, what comes from the other is passed on for so long.
-const LINGER: Duration = Duration::from_millis(2);
+    fn takes_more(&self) -> bool {
+        self.end.is_none() && self.bytes.len() < MOST_LYING
+    }
+}
 
-async fn until_passing(shared: &Shared) {
-    loop {
-        let changed = shared.changed.notified();
-        if shared.mode.get() != Mode::Silent {
-            return;
-        }
-        changed.await;
+/// Takes in what comes, for good.
+async fn lie(from: &mut OwnedReadHalf, lying: &mut Lying, way: Way, shared: &Shared, passage: &Passage) {
+    while lying.takes_more() {
+        lying.take(from, way, shared, passage).await;
     }
+    std::future::pending().await
 }
 
-async fn until_cut(shared: &Shared, cuts: u64) {
+/// Passes bytes on one way until their sender ends. What comes while the proxy is silent lies there.
+async fn one_way(
+    from: &mut OwnedReadHalf,
+    to: &mut OwnedWriteHalf,
+    lying: &mut Lying,
+    way: Way,
+    shared: &Shared,
+    passage: &Passage,
+) -> Over {
     loop {
         let changed = shared.changed.notified();
-        if shared.cuts.get() != cuts {
-            return;
+        let mode = shared.mode.get();
+        if mode != Mode::Silent && !lying.bytes.is_empty() {
+            let ends_within = mode == Mode::SilentWithin && way == Way::ToEngine;
+            let part = if ends_within { lying.bytes.len() / 2 } else { lying.bytes.len() };
+            if ends_within {
+                shared.set_mode(Mode::Silent);
+            }
+            if to.write_all(&lying.bytes[..part]).await.is_err() {
+                return Over::Reset;
+            }
+            lying.bytes.drain(..part);
+            if way == Way::ToProcess {
+                passage.answer_passed(shared.clock.now());
+            }
+            continue;
+        }
+        if let (Some(end), true) = (lying.end, mode != Mode::Silent) {
+            if end == Over::Closed {
+                // The other end sees what came before this as it is.
+                let _ = to.shutdown().await;
+                tokio::time::sleep(LINGER).await;
+            }
+            return end;
+        }
+        tokio::select! { biased;
+            () = changed => {}
+            () = lying.take(from, way, shared, passage), if lying.takes_more() => {}
         }
-        changed.await;
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -2,10 +2,10 @@
 
 use crate::audit::{Audit, Life, Report, Stage};
 use crate::client::Clients;
-use crate::configuration::{self, Place, KINDS, LONGEST_DEADLINE, ZONES};
+use crate::configuration::{self, Place, KINDS, ZONES};
 use crate::discovery::{self, Discovery, Entry};
 use crate::engine::Engine;
-use crate::plan::{Plan, Planned, Trouble};
+use crate::plan::{Engines, Plan, Planned, Silence, Trouble};
 use crate::process::{Process, Program, Shim};
 use crate::proxy::{self, Proxy};
 use crate::service::{sleep, wall_ms, Clock, Connection};
@@ -22,16 +22,28 @@
 
 /// Engines of each of the two kinds.
 const ENGINES_OF_A_KIND: usize = 4;
-const ENGINES: usize = 2 * ENGINES_OF_A_KIND;
+const ENGINES: Engines =
+    Engines { count: KINDS.len() * ENGINES_OF_A_KIND, kinds: KINDS.len(), zones: ZONES.len() };
 /// Requests a second that each process gets in the mean; some get several times that.
 const RATE: f64 = 4.0;
 /// How often the audit looks at what lies, and the runner at processes.
 const LOOK: Ms = 25.0;
 /// A process that is not ready by then never is.
 const NEVER_READY: Ms = 30_000.0;
-/// After a signal to stop: for how long new connections still come, and when the process is killed.
+/// After a signal to stop: for how long new connections still come ('for 0.2 to 0.4 s'), and how long after the longest
+/// deadline, 'counted as 3 s where it is longer', the process is killed, which is the earliest that the protocol allows.
 const STOP_NOTICED: Ms = 300.0;
-const STOP_KILLS: Ms = LONGEST_DEADLINE + 1_200.0;
+const STOP_KILLS: Ms = 700.0;
+const LONGEST_COUNTED: Ms = 3_000.0;
+/// Between the stops of several processes, and between a reload and a stop behind it.
+const BETWEEN_STOPS: Ms = 250.0;
+const BEHIND_A_RELOAD: Ms = 5.0;
+/// Where it is crowded: clients of each process that ask nothing, and bursts of requests.
+const IDLE_CLIENTS: usize = 25;
+const BURST: usize = 12;
+const BETWEEN_BURSTS: Ms = 2_500.0;
+/// How late the look at what lies may be; a later one may see what has not been taken in yet, and waits for the next.
+const LOOK_LATE: Ms = 15.0;
 /// A process is held up for at most so long between two steps.
 const PAUSE: Ms = 140.0;
 /// Where lists are asked for, a change counts as told this long after discovery had it.
@@ -109,6 +121,7 @@
     /// The list as processes find it at their start: from some time before.
     known: RefCell<String>,
     over: Cell<bool>,
+    looked_at: Cell<Ms>,
 }
 
 impl Soak {
@@ -120,7 +133,7 @@
         let discovery = Discovery::new(clock);
         let addresses = [discovery.listen().await?, discovery.listen().await?];
         let mut engines = Vec::new();
-        for at in 0..ENGINES {
+        for at in 0..ENGINES.count {
             let slot = start_engine(options.seed, at, 0, clock, &audit).await?;
             audit.borrow_mut().engine_in_service(&slot.entry.id, None);
             discovery.change(slot.entry.clone());
@@ -145,6 +158,7 @@
             out: RefCell::default(),
             known: RefCell::new(known),
             over: Cell::new(false),
+            looked_at: Cell::new(0.0),
         })
     }
 
@@ -197,7 +211,10 @@
     /// Looks for states that lie, and for processes that have ended though nobody told them to.
     fn look(&self) {
         let now = self.clock.now();
-        self.audit.borrow_mut().look(now);
+        let late = now - self.looked_at.replace(now) - LOOK;
+        if late <= LOOK_LATE {
+            self.audit.borrow_mut().look(now);
+        }
         for (number, process) in self.processes.iter().enumerate().filter(|(n, _)| !self.busy[*n].get()) {
             let mut process = process.borrow_mut();
             let life = process.life();
@@ -212,14 +229,7 @@
     /// Starts the next run of a process, and its clients once it is ready.
     fn start_process(self: &Rc<Self>, number: usize) {
         let mut process = self.processes[number].borrow_mut();
-        let place = Place {
-            number,
-            processes: self.processes.len(),
-            start: process.next_start(),
-            discovery: self.addresses[self.at.get()],
-            lists_are_asked_for: self.plan.lists_are_asked_for,
-        };
-        let started = process.configure(&configuration::file(&place, &self.known.borrow()));
+        let started = process.configure(&self.configuration(number, process.next_start()));
         if let Err(problem) = started.and_then(|()| process.start()) {
             self.audit.borrow_mut().process_is_wrong(format!("{number}: {problem}"), self.clock.now());
             return;
@@ -231,6 +241,18 @@
         spawn_local(self.clone().bring_up(life));
     }
 
+    fn configuration(&self, number: usize, start: u32) -> String {
+        let place = Place {
+            classes: &self.plan.classes,
+            number,
+            processes: self.processes.len(),
+            start,
+            discovery: self.addresses[self.at.get()],
+            lists_are_asked_for: self.plan.lists_are_asked_for,
+        };
+        configuration::file(&place, &self.known.borrow())
+    }
+
     async fn bring_up(self: Rc<Self>, life: Life) {
         let began = self.clock.now();
         let process = &self.processes[life.process];
@@ -253,32 +275,73 @@
     async fn run_clients(self: Rc<Self>, life: Life, address: SocketAddr) {
         let seed = self.seed ^ (life.process as u64) << 32 ^ u64::from(life.start) << 48;
         let mut rng = WyRand::new_seed(seed);
-        let clients = Clients::new(life, address, self.clock, self.audit.clone(), seed);
+        let clients = Clients::new(life, address, self.clock, self.audit.clone(), self.plan.classes, seed);
+        if self.plan.is_crowded {
+            self.crowd(life, &clients);
+        }
         // Uneven traffic: the busiest process gets some times the mean.
         let weight = 0.3 + 0.7 * -(1.0 - rng.generate::<f64>()).ln();
         loop {
             sleep(-(1.0 - rng.generate::<f64>()).ln() * 1000.0 / (RATE * weight)).await;
-            if self.over.get() || self.takes_no_more(life) {
+            if !self.is_up(life) {
                 return;
             }
-            spawn_local(clients.clone().ask());
+            // After a signal to stop no client comes anew, and those that are there go on until the kill.
+            if self.audit.borrow().stopped_before(life, self.clock.now() - STOP_NOTICED) {
+                spawn_local(clients.clone().ask_on_resting());
+            } else if !self.over.get() {
+                spawn_local(clients.clone().ask());
+            }
+        }
+    }
+
+    /// Clients of a process that ask nothing, and others that all ask at once.
+    fn crowd(self: &Rc<Self>, life: Life, clients: &Clients) {
+        for _ in 0..IDLE_CLIENTS {
+            let soak = self.clone();
+            spawn_local(clients.clone().stay_idle(move || !soak.takes_new(life)));
         }
+        let (soak, clients) = (self.clone(), clients.clone());
+        spawn_local(async move {
+            while soak.takes_new(life) {
+                sleep(BETWEEN_BURSTS).await;
+                for _ in 0..BURST {
+                    if soak.takes_new(life) {
+                        spawn_local(clients.clone().ask());
+                    }
+                }
+            }
+        });
     }
 
-    fn takes_no_more(&self, life: Life) -> bool {
+    fn is_up(&self, life: Life) -> bool {
         let process = self.processes[life.process].borrow();
-        process.life() != life
-            || !process.is_up()
-            || self.audit.borrow().stopped_before(life, self.clock.now() - STOP_NOTICED)
+        process.life() == life && process.is_up()
+    }
+
+    /// Whether clients still come to a run of a process.
+    fn takes_new(&self, life: Life) -> bool {
+        let stopped = self.audit.borrow().stopped_before(life, self.clock.now() - STOP_NOTICED);
+        self.is_up(life) && !stopped && !self.over.get()
     }
 
     async fn trouble(self: &Rc<Self>, planned: Planned) {
         let Planned { until, trouble, .. } = planned;
         match trouble {
             Trouble::Stop { process } => self.stop_process(process, true).await,
+            Trouble::StopSeveral { first, count } => self.stop_several(first, count).await,
             Trouble::Kill { process } => self.kill_process(process, until).await,
             Trouble::Pause { process } => self.pause_process(process).await,
             Trouble::Reload => self.reload(),
+            Trouble::ReloadTwice => {
+                self.reload();
+                self.reload();
+            }
+            Trouble::ReloadAndStop { process } => {
+                self.reload();
+                sleep(BEHIND_A_RELOAD).await;
+                self.stop_process(process, true).await;
+            }
             Trouble::Replace { engine } => self.replace_engine(engine, until).await,
             Trouble::Hang { engine } => {
                 let behaviour = self.engines.borrow()[engine].engine.behaviour.clone();
@@ -296,8 +359,8 @@
                 self.engines.borrow()[engine].engine.behaviour.close_idle.notify_waiters();
             }
             Trouble::Reset { engine } => self.cut_engine(engine),
-            Trouble::Refuse { engine } => self.block_engine(engine, proxy::Mode::Refuse, until).await,
-            Trouble::Unreachable { engine } => self.block_engine(engine, proxy::Mode::Silent, until).await,
+            Trouble::Refuse { engine } => self.refuse_connections(engine, until).await,
+            Trouble::Silence(silence) => self.silence_engines(silence, until).await,
             Trouble::DiscoverySilent => self.lose_discovery(discovery::Mode::Silent, until).await,
             Trouble::DiscoveryRefuses => self.lose_discovery(discovery::Mode::Refuses, until).await,
             Trouble::DiscoveryResets => self.discovery.cut(),
@@ -317,6 +380,7 @@
         let life = self.processes[number].borrow().life();
         self.audit.borrow_mut().process_stops(life, began);
         self.processes[number].borrow().signal(Signal::TERM);
+        let kills = began + self.plan.longest_deadline().min(LONGEST_COUNTED) + STOP_KILLS;
         let mut killed = false;
         loop {
             let ended = self.processes[number].borrow_mut().ended();
@@ -326,8 +390,9 @@
                 self.audit.borrow_mut().process_ended(life, well, &how, self.clock.now());
                 break;
             }
-            if !killed && self.clock.now() > began + STOP_KILLS {
+            if !killed && self.clock.now() > kills {
                 killed = true;
+                self.audit.borrow_mut().process_killed_in_stop(life, self.clock.now());
                 self.processes[number].borrow().signal(Signal::KILL);
             }
             sleep(LOOK).await;
@@ -337,6 +402,20 @@
         }
     }
 
+    /// Signals in series, as a release sends them.
+    async fn stop_several(self: &Rc<Self>, first: usize, count: usize) {
+        let stops = (0..count).map(|nth| {
+            let (soak, number) = (self.clone(), (first + nth) % self.processes.len());
+            spawn_local(async move {
+                sleep(nth as f64 * BETWEEN_STOPS).await;
+                soak.stop_process(number, true).await;
+            })
+        });
+        for stop in stops.collect::<Vec<_>>() {
+            let _ = stop.await;
+        }
+    }
+
     async fn kill_process(self: &Rc<Self>, number: usize, until: Ms) {
         if !self.occupy(number) {
             return;
@@ -365,15 +444,8 @@
         self.at.set(1 - self.at.get());
         for (number, process) in self.processes.iter().enumerate().filter(|(n, _)| !self.busy[*n].get()) {
             let process = process.borrow();
-            let place = Place {
-                number,
-                processes: self.processes.len(),
-                start: process.life().start,
-                discovery: self.addresses[self.at.get()],
-                lists_are_asked_for: self.plan.lists_are_asked_for,
-            };
             // A file that cannot be written is the old one, which is as good.
-            let _ = process.configure(&configuration::file(&place, &self.known.borrow()));
+            let _ = process.configure(&self.configuration(number, process.life().start));
             process.signal(Signal::HUP);
         }
     }
@@ -385,25 +457,44 @@
         engines[at].proxy.cut();
     }
 
-    async fn block_engine(&self, at: usize, mode: proxy::Mode, until: Ms) {
-        let (proxy, id) = {
-            let engines = self.engines.borrow();
-            (engines[at].proxy.clone(), engines[at].entry.id.clone())
-        };
+    async fn refuse_connections(&self, at: usize, until: Ms) {
+        let proxy = self.proxy(at);
+        proxy.set_mode(proxy::Mode::Refuse);
+        sleep(until - self.clock.now()).await;
+        self.pass_again(at, &proxy);
+    }
+
+    /// Machines vanish, and come back with or without what lay there.
+    async fn silence_engines(&self, silence: Silence, until: Ms) {
         let since = self.clock.now();
-        if mode == proxy::Mode::Silent {
-            self.audit.borrow_mut().engine_held_up(&id, f64::INFINITY);
+        let silenced: Vec<_> =
+            ENGINES.silenced(silence.who).into_iter().map(|at| (at, self.proxy(at))).collect();
+        let mode = if silence.within_a_message { proxy::Mode::SilentWithin } else { proxy::Mode::Silent };
+        for (_, proxy) in &silenced {
+            proxy.set_mode(mode);
         }
-        proxy.set_mode(mode);
-        sleep(until - self.clock.now()).await;
-        if mode == proxy::Mode::Silent {
-            // What was lying comes at once now, or its connection is reset.
-            self.audit.borrow_mut().engine_cut(&id, since - ON_ITS_WAY, self.clock.now());
-            proxy.cut();
-            self.audit.borrow_mut().engine_held_up(&id, self.clock.now());
+        sleep(until - since).await;
+        for (at, proxy) in silenced {
+            if !silence.delivers && self.is_behind(at, &proxy) {
+                let id = self.engines.borrow()[at].entry.id.clone();
+                self.audit.borrow_mut().engine_cut(&id, since - ON_ITS_WAY, self.clock.now());
+                proxy.cut();
+            }
+            self.pass_again(at, &proxy);
         }
-        let engines = self.engines.borrow();
-        if engines[at].entry.id == id {
+    }
+
+    fn proxy(&self, at: usize) -> Proxy {
+        self.engines.borrow()[at].proxy.clone()
+    }
+
+    /// Whether the engine that has this place now is behind this proxy: it may have been replaced meanwhile.
+    fn is_behind(&self, at: usize, proxy: &Proxy) -> bool {
+        self.engines.borrow()[at].proxy.address == proxy.address
+    }
+
+    fn pass_again(&self, at: usize, proxy: &Proxy) {
+        if self.is_behind(at, proxy) {
             proxy.set_mode(proxy::Mode::Pass);
         }
     }
@@ -482,7 +573,7 @@
     let id = format!("{}{}-{generation}", KINDS[kind], at / KINDS.len());
     let engine =
         Engine::new(id.clone(), stage, clock, audit.clone(), seed ^ (at as u64) << 8 ^ u64::from(generation));
-    let proxy = Proxy::start(engine.listen().await?).await?;
+    let proxy = Proxy::start(engine.listen().await?, clock, engine.passages.clone()).await?;
     let place = at / KINDS.len();
     let entry = Entry {
         id,
--- a/crates/soak/src/service.rs
+++ b/crates/soak/src/service.rs
@@ -4,6 +4,7 @@
 use bytes::BytesMut;
 use cindercleat_http1::framing::{self, Body, Came, Part, Reading, Request};
 use std::io;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -57,6 +58,11 @@
         Connection { io, bytes: BytesMut::new() }
     }
 
+    /// The address of the other side.
+    pub fn peer(&self) -> Option<SocketAddr> {
+        self.io.peer_addr().ok()
+    }
+
     /// The next request; none if the connection ends first, or what comes is none.
     pub async fn request(&mut self, clock: Clock) -> Option<Received> {
         let mut first_byte = (!self.bytes.is_empty()).then(|| clock.now());
--- a/crates/soak/tests/audit.rs
+++ b/crates/soak/tests/audit.rs
@@ -1,8 +1,10 @@
 //! The judge: a soak in which all goes well breaks nothing, and a planted fault of each kind is found.
 
 use cindercleat_soak::audit::*;
-use cindercleat_soak::plan::Plan;
+use cindercleat_soak::passage::Passage;
+use cindercleat_soak::plan::{Engines, Plan};
 use cindercleat_soak::Ms;
+use std::rc::Rc;
 use test_case::test_case;
 
 const RULES: Rules = Rules {
@@ -17,9 +19,11 @@
     cold_for: 6_000.0,
     bad_client: 3_000.0,
     ready: 10_000.0,
-    measuring: 100.0,
+    any_time: 50.0,
+    held_up: 50.0,
 };
 const LIFE: Life = Life { process: 0, start: 1 };
+const ENGINES: Engines = Engines { count: 8, kinds: 2, zones: 2 };
 
 /// A soak of one process, with a prefill and a decode engine.
 fn audit() -> Audit {
@@ -32,7 +36,8 @@
 
 fn new(request: &str, engine: &str, stage: Stage, begun: Ms, told_left: f64) -> NewAttempt {
     let (request, engine) = (request.to_owned(), engine.to_owned());
-    NewAttempt { request, engine, stage, first_byte: begun, begun, told_left: Some(told_left) }
+    let told_left = Some(told_left);
+    NewAttempt { request, engine, stage, sent: (begun, begun), begun, told_left, passage: None }
 }
 
 /// A request that was read; its state waits since 20 ms after it was sent.
@@ -122,17 +127,142 @@
     assert_eq!(report.violations.len(), 2, "{:?}", report.violations);
 }
 
+/// Two requests at once on a connection: the answer of the second comes behind that of the first.
 #[test]
-fn a_request_that_crossed_a_stop_is_not_owed_an_answer_unless_it_was_read() {
-    for read in [false, true] {
+fn an_answer_is_due_no_sooner_than_the_one_before_it_on_its_connection_and_in_time_from_then() {
+    for (answered, found) in [(2_400.0, false), (2_700.0, true)] {
+        let mut audit = audit();
+        audit.request_sent("behind", LIFE, Effect::Idempotent, 0.0, 1_000.0);
+        audit.waited_behind_another("behind", 2_000.0);
+        audit.answered("behind", Answer::Refused, answered);
+        assert_eq!(violated(audit, 3_000.0), if found { vec![Invariant::Answered] } else { vec![] });
+    }
+}
+
+/// A decode attempt on its way to an engine that is silent: it is not out. What the prefill engine said counts from when it
+/// got through.
+#[test]
+fn a_state_behind_an_attempt_that_has_not_arrived_is_found_while_its_engine_is_silent() {
+    for (answer_passed, looked_at, found) in [
+        (Some(20.0), 860.0, false),
+        (Some(20.0), 880.0, true),
+        (Some(400.0), 1_200.0, false),
+        (Some(400.0), 1_300.0, true),
+        (None, 3_000.0, false),
+    ] {
+        let mut audit = audit();
+        let passage = Rc::new(Passage::default());
+        audit.request_sent("a", LIFE, Effect::Idempotent, 0.0, 4_000.0);
+        let attempt = new("a", "p", Stage::Prefill, 1.0, 3_999.0);
+        let prefill = audit.attempt_begins(NewAttempt { passage: Some(passage.clone()), ..attempt });
+        audit.state_held("a", "p");
+        audit.attempt_ends(prefill, AttemptEnd::Served, 20.0);
+        if let Some(at) = answer_passed {
+            passage.answer_passed(at);
+        }
+        audit.look(looked_at);
+        audit.answered("a", Answer::Failed, 4_000.0);
+        audit.state_taken("a");
+        assert_eq!(violated(audit, 4_000.0), if found { vec![Invariant::StateReleased] } else { vec![] });
+    }
+}
+
+/// Each on connections that are silent: no byte of an engine gets through.
+#[test]
+fn what_breaks_while_an_engine_is_silent_is_found() {
+    let silent = || Some(Rc::new(Passage::default()));
+    let mut told = audit();
+    told.request_sent("a", LIFE, Effect::Idempotent, 0.0, 1_000.0);
+    told.attempt_begins(NewAttempt { passage: silent(), ..new("a", "d", Stage::Prefill, 100.0, 1_200.0) });
+    assert_eq!(violated(told, 200.0), [Invariant::DeadlineTold]);
+    let mut drain = audit();
+    drain.engine_out_of_service("d");
+    drain.told_out("d", 0, 0.0);
+    drain.request_sent("a", LIFE, Effect::Idempotent, 1_000.0, 1_000.0);
+    drain.attempt_begins(NewAttempt { passage: silent(), ..new("a", "d", Stage::Prefill, 1_100.0, 900.0) });
+    assert_eq!(violated(drain, 1_200.0), [Invariant::DrainKept]);
+    let mut twice = audit();
+    prefilled(&mut twice, "a", Effect::Idempotent, 0.0);
+    twice.attempt_begins(NewAttempt { passage: silent(), ..new("a", "d", Stage::Decode, 30.0, 900.0) });
+    twice.attempt_begins(new("a", "d", Stage::Decode, 400.0, 500.0));
+    twice.state_taken("a");
+    assert_eq!(violated(twice, 500.0), [Invariant::RunOnce]);
+    let mut gone = audit();
+    gone.request_sent("a", LIFE, Effect::Idempotent, 0.0, 1_000.0);
+    gone.client_gone("a", 10.0);
+    gone.attempt_begins(NewAttempt { passage: silent(), ..new("a", "p", Stage::Prefill, 300.0, 600.0) });
+    assert_eq!(violated(gone, 400.0), [Invariant::ClientThere]);
+    let mut lost = audit();
+    lost.request_sent("a", LIFE, Effect::Idempotent, 0.0, 1_000.0);
+    lost.attempt_begins(NewAttempt { passage: silent(), ..new("a", "p", Stage::Prefill, 300.0, 600.0) });
+    assert_eq!(violated(lost, 2_000.0), [Invariant::Answered]);
+}
+
+/// An attempt that its process has ended is not out any more, though its engine does not know.
+#[test]
+fn an_attempt_may_follow_one_that_was_closed_on_a_silent_connection() {
+    let mut audit = audit();
+    prefilled(&mut audit, "a", Effect::Idempotent, 0.0);
+    let passage = Rc::new(Passage::default());
+    let first = NewAttempt { passage: Some(passage.clone()), ..new("a", "d", Stage::Decode, 30.0, 900.0) };
+    audit.attempt_begins(first);
+    passage.process_closed(280.0);
+    audit.attempt_begins(new("a", "d", Stage::Decode, 282.0, 700.0));
+    audit.state_taken("a");
+    assert_eq!(violated(audit, 500.0), []);
+}
+
+#[test]
+fn an_event_counts_from_when_it_got_through() {
+    for (passed, came, found) in [(900.0, 910.0, false), (900.0, 1_400.0, true), (31.0, 500.0, true)] {
+        let mut audit = audit();
+        prefilled(&mut audit, "a", Effect::Idempotent, 0.0);
+        let passage = Rc::new(Passage::default());
+        let decode = audit.attempt_begins(NewAttempt {
+            passage: Some(passage.clone()),
+            ..new("a", "d", Stage::Decode, 21.0, 900.0)
+        });
+        audit.state_taken("a");
+        audit.event_written(decode, 31.0);
+        passage.answer_passed(passed);
+        audit.event_came("a", 0, came);
+        assert_eq!(violated(audit, 1_500.0), if found { vec![Invariant::EventsInTime] } else { vec![] });
+    }
+}
+
+#[test]
+fn a_request_is_owed_an_answer_in_a_stop_unless_it_crossed_the_close_of_a_resting_connection() {
+    for (crossed, read) in [(true, false), (false, false), (false, true)] {
         let mut audit = audit();
         audit.process_stops(LIFE, 0.0);
         audit.request_sent("a", LIFE, Effect::Idempotent, 800.0, 1_000.0);
         if read {
             audit.attempt_begins(new("a", "p", Stage::Prefill, 810.0, 900.0));
         }
+        if crossed {
+            audit.request_crossed("a");
+        }
         audit.answered("a", Answer::Nothing, 900.0);
-        assert_eq!(violated(audit, 1_000.0), if read { vec![Invariant::Answered] } else { vec![] });
+        assert_eq!(violated(audit, 1_000.0), if crossed { vec![] } else { vec![Invariant::Answered] });
+    }
+}
+
+/// What the kill at the end of a stop finds unanswered, and when it had come.
+#[test_case(600.0, Answer::Nothing, false; "a request of the first moments")]
+#[test_case(800.0, Answer::Nothing, true; "a request that came later")]
+#[test_case(800.0, Answer::Broken(1), true; "a stream that came later")]
+fn what_the_kill_of_a_stop_finds_unanswered_is_lost_if_it_came_late(sent: Ms, answer: Answer, found: bool) {
+    for at_the_kill in [true, false] {
+        let mut audit = audit();
+        audit.process_stops(LIFE, 0.0);
+        prefilled(&mut audit, "a", Effect::Idempotent, sent);
+        decoding(&mut audit, "a", sent + 21.0);
+        if at_the_kill {
+            audit.process_killed_in_stop(LIFE, 1_100.0);
+        }
+        audit.answered("a", answer, 1_100.0);
+        let found = found || !at_the_kill;
+        assert_eq!(violated(audit, 1_200.0), if found { vec![Invariant::Answered] } else { vec![] });
     }
 }
 
@@ -259,8 +389,8 @@
 #[test]
 fn troubles_overlap_and_follow_from_the_seed() {
     for seed in 0..20 {
-        let plan = Plan::draw(1_000 * seed, 12, 8, 60.0);
-        assert_eq!(plan.troubles, Plan::draw(1_000 * seed, 12, 8, 60.0).troubles);
+        let plan = Plan::draw(1_000 * seed, 12, ENGINES, 60.0);
+        assert_eq!(plan.troubles, Plan::draw(1_000 * seed, 12, ENGINES, 60.0).troubles);
         let mean: f64 = plan.troubles.iter().map(|t| t.until - t.from).sum::<f64>() / 60_000.0;
         assert!((1.0..4.0).contains(&mean), "{mean:.1} at a time");
         assert!(plan.troubles.iter().all(|t| t.from >= 1_000.0 && t.until <= 57_500.0));
