--- a/crates/dispatcher/tests/endings.rs
+++ b/crates/dispatcher/tests/endings.rs
@@ -1034,6 +1034,25 @@
         }
     }
 
+    /// A client that has just come is about to ask; a shortage that is over at the next try costs it nothing.
+    #[test]
+    fn is_not_shut_for_a_shortage_that_is_over_at_the_next_try() {
+        const ENFILE: i32 = 23;
+        run(|net| async move {
+            net.gate.fail_accepts(&[ENFILE]);
+            let mut first = net.connect().await;
+            until(|| net.shell.clients() == 1).await;
+            let second = net.connect().await;
+            net.pass_until(|| net.shell.clients() == 2).await;
+            first.say(&request("a", "proof")).await;
+            net.prefilled().await;
+            let (mut decode, _) = net.host("w1").asked().await;
+            decode.say(&format!("{STREAM}{EVENT}{END}")).await;
+            assert!(first.text_until(END).await.ends_with(END));
+            drop(second);
+        });
+    }
+
     /// More than there may be: a client whose request has come waits for a place, and is answered.
     #[test]
     fn that_finds_no_place_waits_for_one_and_is_not_dropped_with_its_request() {
--- a/crates/dispatcher/tests/silence.rs
+++ b/crates/dispatcher/tests/silence.rs
@@ -266,3 +266,35 @@
     assert!(decode.is_none(), "{decode:?}");
     assert!(after <= settings().policy.release + HELD_SLACK, "released after {after} ms");
 }
+
+/// A prefill engine that is silent may end a prefill that was given up, and hold its state: another engine's word that it
+/// is released does not count for what comes into being after it.
+#[test]
+fn the_release_of_a_prefill_that_was_given_up_is_repeated_until_its_own_engine_has_confirmed_it() {
+    let mut bench = bench();
+    warm_up(&mut bench);
+    let out = asks(&mut bench, 1, "draft");
+    let prefill = bench.launches(&out).pop().expect("a prefill goes out");
+    silence(&mut bench, &[prefill.host.as_str()]);
+    bench.pass(100.0);
+    bench.put(Input::ClientClosed { conn: ConnId(1) });
+    let out = bench.pass(1_500.0);
+    let passed_on = releases_of(1, &out).into_iter().any(|link| !bench.is_silent(link));
+    assert!(passed_on, "another engine was asked meanwhile");
+    bench.silent.clear();
+    let since = bench.now;
+    let own = |bench: &Bench, out: &[Output]| {
+        releases_of(1, out).into_iter().any(|link| bench.host_of(link) == prefill.host)
+    };
+    loop {
+        let out = bench.pass(5.0);
+        if own(&bench, &out) {
+            break;
+        }
+        let after = bench.now - since;
+        assert!(after <= settings().policy.release, "not released {after} ms after its engine was back");
+    }
+    bench.pass(100.0);
+    let out = bench.pass(10_000.0);
+    assert_eq!(releases_of(1, &out), [], "once its engine has confirmed it, it is not said again");
+}
--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -189,7 +189,16 @@
     passage: Option<Rc<Passage>>,
 }
 
+/// A reset takes along what its reader has not taken yet: what got through so long ago is there.
+const ON_ITS_WAY: Ms = 50.0;
+
 impl Attempt {
+    /// Whether what its engine wrote may not have come to its process.
+    fn is_on_its_way(&self, written: Ms, now: Ms) -> bool {
+        let passed = self.passage.as_ref().map_or(Some(written), |passage| passage.passed_on(written));
+        passed.is_none_or(|passed| passed > now - ON_ITS_WAY)
+    }
+
     /// When its process knew that it was over, or had ended it itself; none while it is out. What an engine says counts
     /// once it has got through: 'within `release` of the last `attempt_end`' (the wire's rule on what is held).
     fn over_at(&self) -> Option<Ms> {
@@ -577,14 +586,14 @@
         self.requests.get_mut(request).is_some_and(|request| request.held_at.take().is_some())
     }
 
-    /// All connections to an engine are about to be reset: what is out there breaks, and what the engine has written since
-    /// an instant may not have got through.
-    pub fn engine_cut(&mut self, engine: &str, since: Ms, now: Ms) {
+    /// All connections to an engine are about to be reset: what is out there breaks, and what it wrote may be lost if it
+    /// has not got through, or only just now.
+    pub fn engine_cut(&mut self, engine: &str, now: Ms) {
         for attempt in self.attempts.iter_mut().filter(|attempt| attempt.engine == engine) {
             match attempt.ended {
                 None => (attempt.ended, attempt.cut) = (Some((now, AttemptEnd::Failed)), Some(now)),
-                Some((at, AttemptEnd::Served | AttemptEnd::TurnedAway)) if at >= since => {
-                    attempt.cut = Some(now)
+                Some((at, AttemptEnd::Served | AttemptEnd::TurnedAway)) if attempt.is_on_its_way(at, now) => {
+                    attempt.cut = Some(now);
                 }
                 Some(_) => {}
             }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -50,8 +50,6 @@
 const TOLD_AFTER: Ms = 6_000.0;
 /// One process in so many has its wall clock stepped.
 const STEPPED_ONE_IN: usize = 3;
-/// What was written so long ago has got through its proxy.
-const ON_ITS_WAY: Ms = 50.0;
 /// An engine drains for at least so long before it is gone.
 const DRAINS_FOR: Ms = 1_500.0;
 
@@ -453,7 +451,7 @@
     fn cut_engine(&self, at: usize) {
         let engines = self.engines.borrow();
         let now = self.clock.now();
-        self.audit.borrow_mut().engine_cut(&engines[at].entry.id, now - ON_ITS_WAY, now);
+        self.audit.borrow_mut().engine_cut(&engines[at].entry.id, now);
         engines[at].proxy.cut();
     }
 
@@ -477,7 +475,7 @@
         for (at, proxy) in silenced {
             if !silence.delivers && self.is_behind(at, &proxy) {
                 let id = self.engines.borrow()[at].entry.id.clone();
-                self.audit.borrow_mut().engine_cut(&id, since - ON_ITS_WAY, self.clock.now());
+                self.audit.borrow_mut().engine_cut(&id, self.clock.now());
                 proxy.cut();
             }
             self.pass_again(at, &proxy);
