--- a/crates/dispatcher/tests/endings.rs
+++ b/crates/dispatcher/tests/endings.rs
@@ -1039,17 +1039,20 @@
     fn is_not_shut_for_a_shortage_that_is_over_at_the_next_try() {
         const ENFILE: i32 = 23;
         run(|net| async move {
-            net.gate.fail_accepts(&[ENFILE]);
             let mut first = net.connect().await;
             until(|| net.shell.clients() == 1).await;
+            // The next is taken by the call that is under way; the one behind it fails.
+            net.gate.fail_accepts(&[ENFILE]);
             let second = net.connect().await;
-            net.pass_until(|| net.shell.clients() == 2).await;
+            until(|| net.shell.clients() == 2).await;
+            let third = net.connect().await;
+            net.pass_until(|| net.shell.clients() == 3).await;
             first.say(&request("a", "proof")).await;
             net.prefilled().await;
             let (mut decode, _) = net.host("w1").asked().await;
             decode.say(&format!("{STREAM}{EVENT}{END}")).await;
             assert!(first.text_until(END).await.ends_with(END));
-            drop(second);
+            drop((second, third));
         });
     }
 
