One failed accept closes nobody; the release of a cut prefill is repeated until its engine says so

Ruled out: the limit of clients (112, some 40 were there), stops. At fault: shell.rs accept asked for room at any failed accept, and shed takes one that has not asked yet. Now only for a second failure in a row.

Ruled out: a lost release (the other engine answered). At fault: any host's word ended a release. That of a prefill that was cut off now goes on, every half of the release time, until its own engine has confirmed it or is gone, for ten release times at most.

--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -458,8 +458,12 @@
                 self.close_stream(id, stream);
                 true
             }
-            (Some(Use::Release(..) | Use::Sign), Some(Body::Done(_)))
-            | (Some(Use::Sign), Some(Body::Goodbye(_))) => {
+            (Some(Use::Release(pending)), Some(Body::Done(_))) => {
+                self.close_stream(id, stream);
+                self.release_done(&host, pending);
+                true
+            }
+            (Some(Use::Sign), Some(Body::Done(_) | Body::Goodbye(_))) => {
                 self.close_stream(id, stream);
                 true
             }
--- a/crates/dispatcher/src/ledger/releases.rs
+++ b/crates/dispatcher/src/ledger/releases.rs
@@ -12,6 +12,9 @@
 /// part that passes before the next host is asked.
 const CONFIRM_PART: f64 = 4.0;
 const NEXT_HOST_PART: f64 = 25.0;
+/// Where the engine of a prefill that was cut off has confirmed nothing itself: the part of the release time after which
+/// it is asked again.
+const REPEAT_PART: f64 = 2.0;
 /// For how many release times a release that nobody confirms is sent again.
 const GIVE_UP_AFTER: f64 = 10.0;
 
@@ -99,6 +102,23 @@
         self.timers.set(self.now + wait, Due::Release(next));
     }
 
+    /// A host has confirmed a release. Where any host passes one on, that of a prefill that was cut off is not done before
+    /// its own engine says so. Guards against an engine that is silent and ends the prefill afterwards: its state would lie
+    /// there.
+    pub(super) fn release_done(&mut self, asked: &HostId, mut pending: PendingRelease) {
+        let engine = pending.held.host.clone();
+        let may_come = pending.known == Known::MayBeHeld
+            && *asked != engine
+            && self.fleet.condition(&engine) != Condition::Gone
+            && self.settings.limits.single.is_some();
+        if may_come {
+            pending.unconfirmed.clear();
+            self.add_release(engine.clone(), pending);
+            let again = self.now + self.settings.policy.release / REPEAT_PART;
+            self.timers.set(again, Due::Release(engine));
+        }
+    }
+
     /// Where a release goes that is due at a host: there, unless nothing was heard of that one lately and something was
     /// of another, or it is gone. Guards against a release that overtakes the end of a prefill that was cut off: by way
     /// of a nearer host it could come before the state is there.
--- a/crates/dispatcher/src/shell.rs
+++ b/crates/dispatcher/src/shell.rs
@@ -392,9 +392,11 @@
     }
 
     async fn accept(self, mut listener: T::Listener) {
+        let mut is_short = false;
         loop {
             match listener.accept().await {
                 Ok(stream) => {
+                    is_short = false;
                     if self.finds_a_place().await {
                         self.inner.greeting.set(self.inner.greeting.get() + 1);
                         spawn_local(self.clone().client(stream));
@@ -404,11 +406,14 @@
                     tracing::debug!(%problem, "connection not taken");
                     yield_now().await;
                 }
-                // There is none to be had for now: too many files are open, or memory is short. A client's connection
-                // that rests makes room.
+                // There is none to be had for now: too many files are open, or memory is short. If that lasts, a client's
+                // connection that rests makes room; its client may be about to ask, so not for a single failure.
                 Err(problem) => {
                     tracing::warn!(%problem, "no connection can be taken");
-                    self.input(Input::ClientsFull);
+                    if is_short {
+                        self.input(Input::ClientsFull);
+                    }
+                    is_short = true;
                     let again = self.inner.clock.now() + ACCEPT_AGAIN;
                     self.inner.clock.sleep_until(again).await;
                 }
