A stop's bounds follow the longest deadline; streams that begin late in it are moved as well

The kill may come 0.7 s after the longest deadline, counted as 3 s where it is longer. src/bounds.rs moved streams 2.5 s after the signal whatever the deadlines were: with deadlines of 0.4 s that is 1.4 s after the kill. Now at two thirds of the time to the kill (2.47 s at 3 s), and every 0.1 s after that. The grace is no shorter than the longest deadline. The second test serves a request first, as a process with none that is over has nothing to ask an engine; with that it still fails without the mend.

--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -36,6 +36,8 @@
 use tasks::{Held, Task, Ticket};
 use timers::{Due, Timers};
 
+/// After streams were moved in a stop: how often those are that have begun since.
+const STOP_MOVES_AGAIN: Ms = 100.0;
 /// What is left to a request whose time has passed while it came.
 const NO_TIME: Ms = 0.001;
 
@@ -412,7 +414,13 @@
             Due::Past(link, stream) => self.look_at_past(link, stream, out),
             Due::Release(host) => self.flush_releases(&host, out),
             Due::StopNotice => self.end_notice(out),
-            Due::StopMoves => self.move_all(out),
+            Due::StopMoves => {
+                self.move_all(out);
+                // What begins from now on is moved soon as well.
+                if !self.tasks.is_empty() {
+                    self.timers.set(self.now + STOP_MOVES_AGAIN, Due::StopMoves);
+                }
+            }
             Due::StopGrace => self.end_grace(out),
             Due::StopReleases => {}
         }
--- a/crates/dispatcher/tests/single.rs
+++ b/crates/dispatcher/tests/single.rs
@@ -240,6 +240,9 @@
     let limits =
         Limits { stop_notice: 600.0, stop_moves: Some(800.0), stop_grace: 60_000.0, ..single_limits() };
     let mut bench = bench_with(limits);
+    let over = writing(&mut bench, 2, "over", "draft");
+    bench.host(&over, tokens(0));
+    bench.ended(&over, Status::Fulfilled);
     let write = writing(&mut bench, 1, "a", "draft");
     bench.put(Input::Stop);
     bench.pass(900.0);
--- a/src/bounds.rs
+++ b/src/bounds.rs
@@ -99,11 +99,15 @@
 const AGAIN_FIRST: f64 = 0.1;
 /// A client that reads its answer closes within a round trip or two.
 const DRAIN: Ms = 500.0;
-/// The front deals out connections for a moment after a stop. Streams go on until shortly before the process
-/// may be killed, so that most end by themselves and the others go on elsewhere.
+/// The front deals out connections for a moment after a stop. The process may be killed so long after the longest
+/// deadline, counted as 3 s where it is longer (the platform's protocol). Streams go on for a part of that, so that most
+/// end by themselves and the others go on elsewhere; their clients have the rest of it to come back.
 const STOP_NOTICE: Ms = 600.0;
-const STOP_MOVES: Ms = 2_500.0;
-const STOP_GRACE: Ms = 60_000.0;
+const KILL_AFTER: Ms = 700.0;
+const LONGEST_COUNTED: Ms = 3_000.0;
+const STOP_MOVES_PART: f64 = 2.0 / 3.0;
+/// Where a stop is not ended by a kill: for how long streams go on after the last deadline.
+const STOP_STREAMS: Ms = 60_000.0;
 
 impl Allowed {
     /// None if there are too few descriptors for any work.
@@ -144,8 +148,13 @@
             drain: DRAIN,
             most_drained: LIST_BODIES * MOST_BODY,
             stop_notice: STOP_NOTICE,
-            stop_moves: given.clients_resume.then_some(STOP_MOVES),
-            stop_grace: STOP_GRACE,
+            stop_moves: given.clients_resume.then_some(STOP_MOVES_PART * earliest_kill(given)),
+            stop_grace: given.longest_deadline + STOP_STREAMS,
         })
     }
 }
+
+/// How long after the signal to stop the process may be killed.
+fn earliest_kill(given: &Given) -> Ms {
+    given.longest_deadline.min(LONGEST_COUNTED) + KILL_AFTER
+}
