--- a/crates/dispatcher/src/ledger/delivery.rs
+++ b/crates/dispatcher/src/ledger/delivery.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Whether its engine has run since an attempt was sent.
+    pub(super) fn has_arrived(&self, launch: &tasks::Launch) -> bool {
+        launch.sent.is_some_and(|sent| self.links.ran_at(&launch.host) >= sent)
+    }
+
     fn delivered(&mut self, task: TaskId) {
         self.unconfirmed.remove(&task);
         let Some(launch) = self.tasks.get(&task).and_then(|task| task.out.as_ref()) else { return };
--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -152,6 +152,8 @@
     /// The ledger's end of the launch that is out; the decisions are told.
     pub(super) fn end_launch(&mut self, id: TaskId, outcome: Outcome, detail: f64, load: Load) {
         self.note_run(id, outcome);
+        let arrived =
+            self.tasks.get(&id).and_then(|task| task.out.as_ref()).is_some_and(|l| self.has_arrived(l));
         let Some(task) = self.tasks.get_mut(&id) else { return };
         let Some(launch) = task.out.take() else { return };
         self.unconfirmed.remove(&id);
@@ -163,6 +165,7 @@
         }
         let latency = self.now - launch.since;
         let last = task.answered;
+        let begins = outcome == Outcome::ReadDone || arrived;
         let (launch, host) = (launch.no, launch.host);
         self.events.push(Event::Ended(Ended {
             task: id,
@@ -174,6 +177,9 @@
             detail,
             load,
         }));
+        if begins {
+            self.note_held(id);
+        }
         self.forget_past(id);
     }
 
--- a/crates/dispatcher/src/ledger/invariants.rs
+++ b/crates/dispatcher/src/ledger/invariants.rs
@@ -17,8 +17,15 @@
     Close,
     /// An attempt begins for a request that is open, one at a time, in time, and within the number allowed.
     Start,
+    /// A KV state that no attempt has reached is taken or released in time.
+    Hold,
 }
 
+/// What is held may be held so much longer than the settings say (the platform's protocol): the guard leaves half of it for
+/// the release to get through.
+const HELD_EXTRA: Ms = 300.0;
+const HELD_PART: f64 = 2.0;
+
 impl fmt::Display for Invariant {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         f.write_str(match self {
@@ -26,6 +33,7 @@
             Invariant::Repeat => "repeat",
             Invariant::Close => "close",
             Invariant::Start => "start",
+            Invariant::Hold => "hold",
         })
     }
 }
@@ -84,6 +92,32 @@
         self.check(Invariant::Close, harmless, id, "refused", out)
     }
 
+    /// The time of what a request holds counts from now on.
+    pub(super) fn note_held(&mut self, id: TaskId) {
+        if self.settings.limits.single.is_none() {
+            return;
+        }
+        let Some(task) = self.tasks.get_mut(&id).filter(|task| task.state.is_some()) else { return };
+        task.held_since = self.now;
+        self.timers.set(self.now + self.settings.policy.release + HELD_EXTRA / HELD_PART, Due::Held(id));
+    }
+
+    /// Sees to it that a state is released which the decisions have left: no attempt of its request has reached an engine
+    /// since its time began.
+    pub(super) fn guard_held(&mut self, id: TaskId, out: &mut Vec<Output>) {
+        let Some(task) = self.tasks.get(&id).filter(|task| task.state.is_some()) else { return };
+        let due = task.held_since + self.settings.policy.release + HELD_EXTRA / HELD_PART;
+        if task.out.as_ref().is_some_and(|launch| self.has_arrived(launch)) {
+            return self.note_held(id);
+        }
+        if self.now < due {
+            return self.timers.set(due, Due::Held(id));
+        }
+        let engine = task.state.as_ref().map(|held| held.host.0.to_string()).unwrap_or_default();
+        self.check(Invariant::Hold, false, id, &engine, out);
+        self.release(id, out);
+    }
+
     /// Notes that the attempt of a task that is out may have run, if its end leaves that open.
     pub(super) fn note_run(&mut self, id: TaskId, outcome: Outcome) {
         let Some(task) = self.tasks.get_mut(&id) else { return };
--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -412,6 +412,7 @@
             Due::Links(host) => self.look_at_links(&host, out),
             Due::Probe(link, stream) => self.end_probe(link, stream, Outcome::TimedOut, Load::default()),
             Due::Past(link, stream) => self.look_at_past(link, stream, out),
+            Due::Held(task) => self.guard_held(task, out),
             Due::Release(host) => self.flush_releases(&host, out),
             Due::StopNotice => self.end_notice(out),
             Due::StopMoves => {
@@ -506,6 +507,7 @@
             launches: 0,
             out: None,
             state: None,
+            held_since: self.now,
             sent: false,
             effect: profile.effect,
             first_run: None,
--- a/crates/dispatcher/src/ledger/tasks.rs
+++ b/crates/dispatcher/src/ledger/tasks.rs
@@ -24,6 +24,8 @@
     pub out: Option<Launch>,
     /// Where the read state waits.
     pub state: Option<Held>,
+    /// Since when the time of that counts.
+    pub held_since: Ms,
     /// Whether any launch of it went to a host's socket.
     pub sent: bool,
     pub effect: Effect,
--- a/crates/dispatcher/src/ledger/timers.rs
+++ b/crates/dispatcher/src/ledger/timers.rs
@@ -22,6 +22,8 @@
     Probe(LinkId, StreamNo),
     /// The host should have ended what was called off.
     Past(LinkId, StreamNo),
+    /// What this task holds may have lain for too long.
+    Held(TaskId),
     /// States there whose release was lost are let go again.
     Release(HostId),
     /// What comes from now on is not taken any more.
--- a/crates/dispatcher/tests/common/mod.rs
+++ b/crates/dispatcher/tests/common/mod.rs
@@ -164,6 +164,8 @@
     pub hosts_answer_releases: bool,
     /// Hosts that have fallen silent: what is sent to them gets no answer, and connections to them do not come up.
     pub silent: BTreeSet<String>,
+    /// Connections to silent hosts come up all the same, as where a process hangs on a machine that runs.
+    pub silent_hosts_accept: bool,
 }
 
 impl Bench {
@@ -182,6 +184,7 @@
             hosts_answer_pings: true,
             hosts_answer_releases: true,
             silent: BTreeSet::new(),
+            silent_hosts_accept: false,
         };
         let ready = v1::HostCondition::Ready;
         let all = [("r1", ready), ("r2", ready), ("w1", ready), ("w2", ready)];
@@ -200,7 +203,8 @@
                 match output {
                     Output::Dial { link, host, .. } => {
                         self.hosts.insert(*link, host.0.to_string());
-                        if self.links_come_up && !self.silent.contains(host.0.as_ref()) {
+                        let runs = self.silent_hosts_accept || !self.silent.contains(host.0.as_ref());
+                        if self.links_come_up && runs {
                             next.push(Input::LinkUp { link: *link, limit: None });
                         }
                     }
--- a/crates/dispatcher/tests/silence.rs
+++ b/crates/dispatcher/tests/silence.rs
@@ -298,3 +298,29 @@
     let out = bench.pass(10_000.0);
     assert_eq!(releases_of(1, &out), [], "once its engine has confirmed it, it is not said again");
 }
+
+/// A process with little to do: nothing was heard of any engine lately, and only one of them runs.
+#[test]
+fn a_release_gets_through_in_time_while_most_engines_are_silent_and_none_was_heard_lately() {
+    let all = ["r1", "r2", "r3", "r4", "w1", "w2", "w3", "w4"];
+    for (runs, accept) in all.into_iter().flat_map(|runs| [(runs, false), (runs, true)]) {
+        for class in ["draft", "proof"] {
+            let mut bench = bench();
+            bench.silent_hosts_accept = accept;
+            warm_up(&mut bench);
+            bench.pass(3_000.0);
+            let out = asks(&mut bench, 1, class);
+            let prefill = bench.launches(&out).pop().expect("a prefill goes out");
+            let silent: Vec<&str> = all.into_iter().filter(|name| *name != runs).collect();
+            silence(&mut bench, &silent);
+            let out = bench.ended(&prefill, Status::ReadDone);
+            let arrived = bench.launches(&out).iter().any(|sent| !bench.silent.contains(&sent.host));
+            if arrived {
+                continue;
+            }
+            let (after, _) = until_state_is_taken(&mut bench, 1);
+            let most = settings().policy.release + HELD_SLACK;
+            assert!(after <= most, "{class}, {runs}, {accept}: taken or released after {after} ms");
+        }
+    }
+}
