--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -132,6 +132,11 @@
     /// Guards against a host that hears nothing any more on a connection that never breaks: what was called
     /// off there would take its room for ever.
     pub(super) fn look_at_past(&mut self, id: LinkId, stream: StreamNo, out: &mut Vec<Output>) {
+        let Some(link) = self.links.get(id) else { return };
+        let (host, single) = (link.host.clone(), self.settings.limits.single.is_some());
+        if single && matches!(link.streams.get(&stream), Some(Use::Release(..) | Use::Sign)) {
+            self.links.left_unanswered(&host, self.now);
+        }
         let Some(link) = self.links.get(id) else { return };
         match link.streams.get(&stream) {
             Some(Use::Release(..)) if self.settings.limits.single.is_some() => {
--- a/crates/dispatcher/src/ledger/links.rs
+++ b/crates/dispatcher/src/ledger/links.rs
@@ -57,6 +57,8 @@
     decide: BTreeMap<HostId, Channels>,
     /// When a host last sent anything, on whatever link.
     heard: BTreeMap<HostId, Ms>,
+    /// When a host left a question unanswered.
+    unanswered: BTreeMap<HostId, Ms>,
     /// When a host is known to have run, by what it sent.
     ran: BTreeMap<HostId, Ms>,
     /// When the timer of a host's links is due.
@@ -166,7 +168,6 @@
         let Some(link) = self.all.get_mut(&id) else { return };
         link.up = true;
         let host = link.host.clone();
-        self.heard.insert(host.clone(), now);
         if let Some(channels) = self.decide.get_mut(&host) {
             channels.up(ChannelId(id.0), limit, now);
         }
@@ -202,7 +203,6 @@
     pub fn heard(&mut self, id: LinkId, now: Ms) {
         let Some(link) = self.all.get_mut(&id) else { return };
         link.heard = now;
-        self.heard.insert(link.host.clone(), now);
         if let Some(channels) = self.decide.get_mut(&link.host) {
             channels.heard(ChannelId(id.0), now);
         }
@@ -216,11 +216,22 @@
     /// A message has come over it that its host wrote: the host ran after it had the call.
     pub fn answered(&mut self, id: LinkId, now: Ms) {
         let Some(link) = self.all.get(&id) else { return };
+        self.heard.insert(link.host.clone(), now);
         let ran_at = delivery::ran_at(link.last_call, now);
         let known = self.ran.entry(link.host.clone()).or_insert(ran_at);
         *known = known.max(ran_at);
     }
 
+    /// A question to a host was given up without an answer.
+    pub fn left_unanswered(&mut self, host: &HostId, now: Ms) {
+        self.unanswered.insert(host.clone(), now);
+    }
+
+    /// Whether it has said nothing since it left a question unanswered.
+    pub fn is_suspected(&self, host: &HostId) -> bool {
+        self.unanswered.get(host).is_some_and(|at| *at > self.heard_at(host))
+    }
+
     /// The latest instant at which a host is known to have run; long ago if it never was.
     pub fn ran_at(&self, host: &HostId) -> Ms {
         self.ran.get(host).copied().unwrap_or(f64::NEG_INFINITY)
@@ -338,6 +349,7 @@
             self.decide.remove(host);
             self.heard.remove(host);
             self.ran.remove(host);
+            self.unanswered.remove(host);
             self.armed.remove(host);
         }
         none
--- a/crates/dispatcher/src/ledger/releases.rs
+++ b/crates/dispatcher/src/ledger/releases.rs
@@ -12,6 +12,9 @@
 /// part that passes before the next host is asked.
 const CONFIRM_PART: f64 = 4.0;
 const NEXT_HOST_PART: f64 = 25.0;
+/// Each round without an answer asks one host more at once, so many at the most: when nearly all of a fleet are silent,
+/// one after another would take too long.
+const MOST_AT_ONCE: usize = 4;
 /// Where the engine of a prefill that was cut off has confirmed nothing itself: the part of the release time after which
 /// it is asked again.
 const REPEAT_PART: f64 = 2.0;
@@ -38,11 +41,13 @@
     pub despite: Option<LaunchNo>,
     /// Hosts that were asked and have not confirmed it.
     pub unconfirmed: Vec<HostId>,
+    /// Sent beside the one that is kept until it is confirmed: nothing follows if it is lost.
+    pub is_copy: bool,
 }
 
 impl PendingRelease {
     fn new(held: Held, known: Known, since: Ms) -> Self {
-        PendingRelease { held, known, since, despite: None, unconfirmed: Vec::new() }
+        PendingRelease { held, known, since, despite: None, unconfirmed: Vec::new(), is_copy: false }
     }
 
     fn message(&self) -> Body {
@@ -92,14 +97,41 @@
     /// A release was not confirmed by the host that was asked: it is sent again.
     pub(super) fn release_lost(&mut self, asked: HostId, mut pending: PendingRelease) {
         let release_time = self.settings.policy.release;
-        let (next, wait) = if self.settings.limits.single.is_some() {
-            pending.unconfirmed.push(asked.clone());
-            (self.next_host_for(&mut pending).unwrap_or(asked), release_time / NEXT_HOST_PART)
-        } else {
-            (asked, release_time / RETRY_PART)
-        };
+        if self.settings.limits.single.is_none() {
+            self.add_release(asked.clone(), pending);
+            return self.timers.set(self.now + release_time / RETRY_PART, Due::Release(asked));
+        }
+        if pending.is_copy {
+            return;
+        }
+        pending.unconfirmed.push(asked.clone());
+        let again = self.now + release_time / NEXT_HOST_PART;
+        let next = self.next_host_for(&mut pending).unwrap_or(asked);
+        for copy in self.copies_of(&mut pending, &next) {
+            self.timers.set(again, Due::Release(copy));
+        }
         self.add_release(next.clone(), pending);
-        self.timers.set(self.now + wait, Due::Release(next));
+        self.timers.set(again, Due::Release(next));
+    }
+
+    /// Has a release go to some hosts more beside the next one, the more of them the more have not answered; gives which.
+    fn copies_of(&mut self, pending: &mut PendingRelease, next: &HostId) -> Vec<HostId> {
+        let most = pending.unconfirmed.len().min(MOST_AT_ONCE - 1);
+        let mut copies = Vec::new();
+        let mut asked = PendingRelease { is_copy: true, ..pending.clone() };
+        asked.unconfirmed.push(next.clone());
+        while copies.len() < most {
+            let known = asked.unconfirmed.len();
+            let Some(host) = self.next_host_for(&mut asked).filter(|_| asked.unconfirmed.len() == known)
+            else {
+                break;
+            };
+            asked.unconfirmed.push(host.clone());
+            pending.unconfirmed.push(host.clone());
+            self.add_release(host.clone(), asked.clone());
+            copies.push(host);
+        }
+        copies
     }
 
     /// A host has confirmed a release. Where any host passes one on, that of a prefill that was cut off is not done before
@@ -139,8 +171,9 @@
         self.links.heard_at(host) >= self.now - self.settings.policy.release / CONFIRM_PART
     }
 
-    /// The host that most likely runs, of those that have not been asked: one that was heard lately and has a
-    /// connection at rest, one that was heard lately, or the one that was heard last. Once all were asked it begins
+    /// The host that most likely runs, of those that have not been asked: none that has left a question unanswered since it
+    /// was heard, if there is another; one that was heard lately and has a connection at rest, one that was heard lately,
+    /// or the one that was heard last. Once all were asked it begins
     /// anew. Guards against a part of the fleet that falls silent at once: its connections at rest stay up, while
     /// those of the hosts that work are busy.
     fn next_host_for(&self, pending: &mut PendingRelease) -> Option<HostId> {
@@ -153,11 +186,12 @@
         }
         let rank = |host: &HostId| {
             let fresh = self.was_heard_lately(host);
-            (fresh, fresh && self.links.up(host, true).is_some(), self.links.heard_at(host))
+            let rests = fresh && self.links.up(host, true).is_some();
+            (!self.links.is_suspected(host), fresh, rests, self.links.heard_at(host))
         };
         let order = |a: &&HostId, b: &&HostId| {
             let (a, b) = (rank(a), rank(b));
-            (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2))
+            (a.0, a.1, a.2).cmp(&(b.0, b.1, b.2)).then(a.3.total_cmp(&b.3))
         };
         let unasked = hosts.into_iter().filter(|host| !pending.unconfirmed.contains(host));
         unasked.max_by(order).cloned()
@@ -228,7 +262,8 @@
             if pending.since < oldest {
                 continue;
             }
-            let Some(via) = self.host_for(host, &mut pending) else { continue };
+            let via = if pending.is_copy { Some(host.clone()) } else { self.host_for(host, &mut pending) };
+            let Some(via) = via else { continue };
             let address = self.fleet.hosts.get(&via).map(|row| row.line.address.clone()).unwrap_or_default();
             let (body, purpose) = (pending.message(), Use::Release(pending.clone()));
             let to = (&mut self.timers, &mut *out);
