--- a/crates/dispatcher/src/ledger/delivery.rs
+++ b/crates/dispatcher/src/ledger/delivery.rs
@@ -69,6 +69,9 @@
         let Some(row) = self.fleet.hosts.get(host).filter(|row| row.condition != Condition::Gone) else {
             return;
         };
+        if self.links.is_asked_in_vain(host) {
+            return;
+        }
         let address = row.line.address.clone();
         let to = (&mut self.timers, &mut *out);
         // Without a connection there is no sign either.
--- a/crates/dispatcher/src/ledger/links.rs
+++ b/crates/dispatcher/src/ledger/links.rs
@@ -232,6 +232,15 @@
         self.unanswered.get(host).is_some_and(|at| *at > self.heard_at(host))
     }
 
+    /// Whether a host that left a question unanswered has another one open.
+    pub fn is_asked_in_vain(&self, host: &HostId) -> bool {
+        let asks = |id: &LinkId| {
+            let streams = self.all.get(id).into_iter().flat_map(|link| link.streams.values());
+            streams.into_iter().any(|purpose| matches!(purpose, Use::Release(..) | Use::Sign))
+        };
+        self.is_suspected(host) && self.of.get(host).into_iter().flatten().any(asks)
+    }
+
     /// The latest instant at which a host is known to have run; long ago if it never was.
     pub fn ran_at(&self, host: &HostId) -> Ms {
         self.ran.get(host).copied().unwrap_or(f64::NEG_INFINITY)
--- a/crates/dispatcher/src/ledger/releases.rs
+++ b/crates/dispatcher/src/ledger/releases.rs
@@ -15,6 +15,8 @@
 /// Each round without an answer asks one host more at once, so many at the most: when nearly all of a fleet are silent,
 /// one after another would take too long.
 const MOST_AT_ONCE: usize = 4;
+/// For so many release times; what has not got through by then may as well wait.
+const HURRIED_FOR: f64 = 2.0;
 /// Where the engine of a prefill that was cut off has confirmed nothing itself: the part of the release time after which
 /// it is asked again.
 const REPEAT_PART: f64 = 2.0;
@@ -116,7 +118,8 @@
 
     /// Has a release go to some hosts more beside the next one, the more of them the more have not answered; gives which.
     fn copies_of(&mut self, pending: &mut PendingRelease, next: &HostId) -> Vec<HostId> {
-        let most = pending.unconfirmed.len().min(MOST_AT_ONCE - 1);
+        let is_hurried = self.now - pending.since < HURRIED_FOR * self.settings.policy.release;
+        let most = if is_hurried { pending.unconfirmed.len().min(MOST_AT_ONCE - 1) } else { 0 };
         let mut copies = Vec::new();
         let mut asked = PendingRelease { is_copy: true, ..pending.clone() };
         asked.unconfirmed.push(next.clone());
@@ -193,7 +196,9 @@
             let (a, b) = (rank(a), rank(b));
             (a.0, a.1, a.2).cmp(&(b.0, b.1, b.2)).then(a.3.total_cmp(&b.3))
         };
+        // Guards against a storm: all requests that a process has open at a silent host would ask it again and again.
         let unasked = hosts.into_iter().filter(|host| !pending.unconfirmed.contains(host));
+        let unasked = unasked.filter(|host| !self.links.is_asked_in_vain(host));
         unasked.max_by(order).cloned()
     }
 
@@ -263,7 +268,18 @@
                 continue;
             }
             let via = if pending.is_copy { Some(host.clone()) } else { self.host_for(host, &mut pending) };
-            let Some(via) = via else { continue };
+            let Some(mut via) = via else { continue };
+            if self.links.is_asked_in_vain(&via) {
+                if pending.is_copy {
+                    continue;
+                }
+                let Some(next) = self.next_host_for(&mut pending) else {
+                    self.add_release(host.clone(), pending);
+                    self.timers.set(self.now + release_time / NEXT_HOST_PART, Due::Release(host.clone()));
+                    continue;
+                };
+                via = next;
+            }
             let address = self.fleet.hosts.get(&via).map(|row| row.line.address.clone()).unwrap_or_default();
             let (body, purpose) = (pending.message(), Use::Release(pending.clone()));
             let to = (&mut self.timers, &mut *out);
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -245,8 +245,8 @@
             self.audit.borrow_mut().answered(&asked.id, went.answer, self.clock.now());
             self.audit.borrow_mut().waited_behind_another(&both[1].id, self.clock.now());
             if !went.keeps {
-                // The connection ends with that answer; what was sent behind it nobody has to read.
-                self.audit.borrow_mut().client_gone(&both[1].id, now);
+                // The connection ends with that answer, and the client with it.
+                self.audit.borrow_mut().client_gone(&both[1].id, self.clock.now());
                 return;
             }
         }
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -76,8 +76,10 @@
         let address = listener.local_addr()?;
         let engine = self.clone();
         spawn_local(async move {
-            while let Ok((io, _)) = listener.accept().await {
-                spawn_local(engine.clone().serve(Connection::new(io)));
+            while let Ok((io, peer)) = listener.accept().await {
+                let mut connection = Connection::new(io);
+                connection.peer = Some(peer);
+                spawn_local(engine.clone().serve(connection));
             }
         });
         Ok(address)
@@ -117,7 +119,7 @@
         let Some(request) = head.text("X-Txn").map(str::to_owned) else {
             return Some(connection.say(&answer("404 Not Found", "", "")).await.is_ok());
         };
-        let passage = connection.peer().and_then(|peer| self.passages.get(peer));
+        let passage = connection.peer.and_then(|peer| self.passages.get(peer));
         let sent = passage.as_ref().and_then(|passage| passage.request());
         let new = NewAttempt {
             request: request.clone(),
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -153,7 +153,10 @@
         () = shared.until_passing() => {}
         () = lie(&mut from_read, &mut forth, Way::ToEngine, &shared, &passage) => {}
     };
-    let to = TcpStream::connect(shared.target).await;
+    let to = tokio::select! { biased;
+        to = TcpStream::connect(shared.target) => to,
+        () = lie(&mut from_read, &mut forth, Way::ToEngine, &shared, &passage) => return,
+    };
     let seen_as = to.as_ref().ok().and_then(|to| to.local_addr().ok());
     let (Ok(to), Some(seen_as), true) = (to, seen_as, shared.cuts.get() == cuts) else {
         if let Ok(from) = from_read.reunite(from_write) {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,6 +13,7 @@
 use nanorand::{Rng, WyRand};
 use rustix::process::Signal;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -30,6 +31,8 @@
 const LOOK: Ms = 25.0;
 /// A process that is not ready by then never is.
 const NEVER_READY: Ms = 30_000.0;
+/// So many engines can always be reached.
+const LEAST_REACHABLE: usize = 2;
 /// After a signal to stop: for how long new connections still come ('for 0.2 to 0.4 s'), and how long after the longest
 /// deadline, 'counted as 3 s where it is longer', the process is killed, which is the earliest that the protocol allows.
 const STOP_NOTICED: Ms = 300.0;
@@ -118,6 +121,8 @@
     out: RefCell<Vec<String>>,
     /// The list as processes find it at their start: from some time before.
     known: RefCell<String>,
+    /// Engines that nobody reaches now.
+    unreachable: RefCell<BTreeSet<usize>>,
     over: Cell<bool>,
     looked_at: Cell<Ms>,
 }
@@ -155,6 +160,7 @@
             busy: (0..options.processes).map(|_| Cell::new(true)).collect(),
             out: RefCell::default(),
             known: RefCell::new(known),
+            unreachable: RefCell::default(),
             over: Cell::new(false),
             looked_at: Cell::new(0.0),
         })
@@ -456,17 +462,27 @@
     }
 
     async fn refuse_connections(&self, at: usize, until: Ms) {
+        if !self.become_unreachable(at) {
+            return;
+        }
         let proxy = self.proxy(at);
         proxy.set_mode(proxy::Mode::Refuse);
         sleep(until - self.clock.now()).await;
         self.pass_again(at, &proxy);
     }
 
+    /// Tells whether an engine may be cut off: it is not so yet, and enough are left. What is held can only be released
+    /// through an engine that runs.
+    fn become_unreachable(&self, at: usize) -> bool {
+        let mut unreachable = self.unreachable.borrow_mut();
+        unreachable.len() + LEAST_REACHABLE < ENGINES.count && unreachable.insert(at)
+    }
+
     /// Machines vanish, and come back with or without what lay there.
     async fn silence_engines(&self, silence: Silence, until: Ms) {
         let since = self.clock.now();
-        let silenced: Vec<_> =
-            ENGINES.silenced(silence.who).into_iter().map(|at| (at, self.proxy(at))).collect();
+        let silenced = ENGINES.silenced(silence.who).into_iter().filter(|at| self.become_unreachable(*at));
+        let silenced: Vec<_> = silenced.map(|at| (at, self.proxy(at))).collect();
         let mode = if silence.within_a_message { proxy::Mode::SilentWithin } else { proxy::Mode::Silent };
         for (_, proxy) in &silenced {
             proxy.set_mode(mode);
@@ -492,6 +508,7 @@
     }
 
     fn pass_again(&self, at: usize, proxy: &Proxy) {
+        self.unreachable.borrow_mut().remove(&at);
         if self.is_behind(at, proxy) {
             proxy.set_mode(proxy::Mode::Pass);
         }
--- a/crates/soak/src/service.rs
+++ b/crates/soak/src/service.rs
@@ -41,6 +41,8 @@
 /// A connection that carries requests one after another.
 pub struct Connection {
     pub io: TcpStream,
+    /// The address of the other side; a connection that is reset does not tell it any more.
+    pub peer: Option<SocketAddr>,
     bytes: BytesMut,
 }
 
@@ -55,12 +57,8 @@
     pub fn new(io: TcpStream) -> Connection {
         // A connection that is gone already shows it with the next read.
         let _ = io.set_nodelay(true);
-        Connection { io, bytes: BytesMut::new() }
-    }
-
-    /// The address of the other side.
-    pub fn peer(&self) -> Option<SocketAddr> {
-        self.io.peer_addr().ok()
+        let peer = io.peer_addr().ok();
+        Connection { io, peer, bytes: BytesMut::new() }
     }
 
     /// The next request; none if the connection ends first, or what comes is none.
