--- a/crates/dispatcher/tests/silence.rs
+++ b/crates/dispatcher/tests/silence.rs
@@ -324,3 +324,26 @@
         }
     }
 }
+
+/// A prefill that broke may have left a state, and the next one is written to an engine that is silent: that one is not
+/// out either.
+#[test]
+fn the_release_of_a_prefill_that_broke_does_not_wait_for_one_that_has_not_arrived() {
+    let mut bench = bench();
+    warm_up(&mut bench);
+    let out = asks(&mut bench, 1, "draft");
+    let broken = bench.launches(&out).pop().expect("a prefill goes out");
+    let others: Vec<String> =
+        (1..=4).map(|at| format!("r{at}")).filter(|name| *name != broken.host).collect();
+    silence(&mut bench, &others.iter().map(String::as_str).collect::<Vec<_>>());
+    let bye = v1::Goodbye { reason: "reset".to_owned(), never_ran: false };
+    let mut out = bench.host(&broken, Body::Goodbye(bye));
+    let since = bench.now;
+    let second = bench.launches(&out).pop().expect("it is read again");
+    assert!(bench.is_silent(second.link), "at an engine that is silent");
+    while releases_of(1, &out).into_iter().all(|link| bench.is_silent(link)) {
+        let after = bench.now - since;
+        assert!(after <= settings().policy.release + HELD_SLACK, "not released after {after} ms");
+        out = bench.pass(5.0);
+    }
+}
--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -507,7 +507,18 @@
         self.check(begun, Invariant::SlowStart, over.then(what));
     }
 
+    /// 'When a process dies, its connections are reset': what it had sent by then concerns it no more.
+    fn was_killed(&self, request: &Request, begun: Ms) -> bool {
+        match self.ended.get(&request.life) {
+            Some((at, LifeEnd::Killed | LifeEnd::KilledInStop)) => *at <= begun,
+            Some((_, LifeEnd::Ended)) | None => false,
+        }
+    }
+
     fn check_client(&mut self, name: &str, request: &Request, begun: Ms) {
+        if self.was_killed(request, begun) {
+            return;
+        }
         let late = request.gone.map(|gone| begun - gone);
         let late = late.filter(|late| *late > self.rules.gone_grace + self.rules.deadline_extra());
         let what = |late| format!("an attempt of {name} began {late:.0} ms after its client had gone");
