--- a/crates/dispatcher/src/ledger/releases.rs
+++ b/crates/dispatcher/src/ledger/releases.rs
@@ -12,6 +12,10 @@
 /// part that passes before the next host is asked.
 const CONFIRM_PART: f64 = 4.0;
 const NEXT_HOST_PART: f64 = 25.0;
+/// Where a release waits for an attempt of its request: the part of the release time after which the attempt's engine is
+/// asked for a sign, and the part after which an attempt without one is waited for no longer.
+const ASK_PART: f64 = 4.0;
+const DOUBT_PART: f64 = 2.0;
 /// Each round without an answer asks one host more at once, so many at the most: when nearly all of a fleet are silent,
 /// one after another would take too long.
 const MOST_AT_ONCE: usize = 4;
@@ -37,7 +41,8 @@
 pub(super) struct PendingRelease {
     pub held: Held,
     pub known: Known,
-    /// Since when it is wanted.
+    /// Since when it is wanted, and since when nothing has held it up.
+    pub wanted: Ms,
     pub since: Ms,
     /// The attempt that was out and had not arrived when the release was decided: it does not hold the release up.
     pub despite: Option<LaunchNo>,
@@ -49,7 +54,15 @@
 
 impl PendingRelease {
     fn new(held: Held, known: Known, since: Ms) -> Self {
-        PendingRelease { held, known, since, despite: None, unconfirmed: Vec::new(), is_copy: false }
+        PendingRelease {
+            held,
+            known,
+            wanted: since,
+            since,
+            despite: None,
+            unconfirmed: Vec::new(),
+            is_copy: false,
+        }
     }
 
     fn message(&self) -> Body {
@@ -207,11 +220,34 @@
     pub(super) fn is_withheld(&self, pending: &PendingRelease) -> bool {
         let task = self.origins.get(&pending.held.origin).and_then(|id| self.tasks.get(id));
         task.is_some_and(|task| {
-            let needs = |launch: &tasks::Launch| Some(launch.no) != pending.despite;
+            let doubted_for = self.now - pending.wanted;
+            let needs = |launch: &tasks::Launch| {
+                let may_arrive = doubted_for < self.settings.policy.release / DOUBT_PART;
+                Some(launch.no) != pending.despite && (may_arrive || self.has_arrived(launch))
+            };
             task.state.is_some() || task.out.as_ref().is_some_and(needs)
         })
     }
 
+    /// A release waits for an attempt that may not have arrived: its engine is asked for a sign, and without one the release
+    /// goes out in time.
+    fn doubt_attempt(&mut self, pending: &PendingRelease, out: &mut Vec<Output>) {
+        let Some(id) = self.origins.get(&pending.held.origin).copied() else { return };
+        let Some(launch) = self.tasks.get(&id).and_then(|task| task.out.as_ref()) else { return };
+        let until = pending.wanted + self.settings.policy.release / DOUBT_PART;
+        if launch.is_doubted || launch.first || self.now >= until || self.has_arrived(launch) {
+            return;
+        }
+        let asks_at = pending.wanted + self.settings.policy.release / ASK_PART;
+        let (no, host) = (launch.no, pending.held.host.clone());
+        if self.now >= asks_at {
+            self.confirm(id, no, out);
+            self.timers.set(until, Due::Release(host));
+        } else if self.now == pending.wanted {
+            self.timers.set(asks_at, Due::Release(host));
+        }
+    }
+
     /// A release that was to go out on a connection that has just come up waits until its task needs nothing more.
     pub(super) fn withhold(&mut self, host: &HostId, pending: PendingRelease) {
         self.add_release(host.clone(), pending);
@@ -261,6 +297,7 @@
         for mut pending in self.unreleased.remove(host).unwrap_or_default() {
             if self.is_withheld(&pending) {
                 pending.since = self.now;
+                self.doubt_attempt(&pending, out);
                 self.withhold(host, pending);
                 continue;
             }
