--- a/crates/dispatcher/src/ledger/links.rs
+++ b/crates/dispatcher/src/ledger/links.rs
@@ -49,18 +49,31 @@
     }
 }
 
+/// What tells whether a host runs, by whatever link. Instants long ago stand for never.
+#[derive(Clone, Copy, Debug)]
+struct Signs {
+    /// When it last sent anything.
+    heard: Ms,
+    /// When it is known to have run, by what it sent.
+    ran: Ms,
+    /// When it left a question unanswered.
+    unanswered: Ms,
+}
+
+impl Default for Signs {
+    fn default() -> Self {
+        let never = f64::NEG_INFINITY;
+        Signs { heard: never, ran: never, unanswered: never }
+    }
+}
+
 #[derive(Debug, Default)]
 pub(super) struct Links {
     all: BTreeMap<LinkId, Link>,
     of: BTreeMap<HostId, Vec<LinkId>>,
     made: u64,
     decide: BTreeMap<HostId, Channels>,
-    /// When a host last sent anything, on whatever link.
-    heard: BTreeMap<HostId, Ms>,
-    /// When a host left a question unanswered.
-    unanswered: BTreeMap<HostId, Ms>,
-    /// When a host is known to have run, by what it sent.
-    ran: BTreeMap<HostId, Ms>,
+    signs: BTreeMap<HostId, Signs>,
     /// When the timer of a host's links is due.
     armed: BTreeMap<HostId, Ms>,
     seed: u64,
@@ -210,26 +223,29 @@
 
     /// When the host last sent anything; long ago if it never did.
     pub fn heard_at(&self, host: &HostId) -> Ms {
-        self.heard.get(host).copied().unwrap_or(f64::NEG_INFINITY)
+        self.signs.get(host).map_or(f64::NEG_INFINITY, |signs| signs.heard)
     }
 
     /// A message has come over it that its host wrote: the host ran after it had the call.
     pub fn answered(&mut self, id: LinkId, now: Ms) {
         let Some(link) = self.all.get(&id) else { return };
-        self.heard.insert(link.host.clone(), now);
-        let ran_at = delivery::ran_at(link.last_call, now);
-        let known = self.ran.entry(link.host.clone()).or_insert(ran_at);
-        *known = known.max(ran_at);
+        if !self.signs.contains_key(&link.host) {
+            self.signs.insert(link.host.clone(), Signs::default());
+        }
+        if let Some(signs) = self.signs.get_mut(&link.host) {
+            signs.heard = now;
+            signs.ran = signs.ran.max(delivery::ran_at(link.last_call, now));
+        }
     }
 
     /// A question to a host was given up without an answer.
     pub fn left_unanswered(&mut self, host: &HostId, now: Ms) {
-        self.unanswered.insert(host.clone(), now);
+        self.signs.entry(host.clone()).or_default().unanswered = now;
     }
 
     /// Whether it has said nothing since it left a question unanswered.
     pub fn is_suspected(&self, host: &HostId) -> bool {
-        self.unanswered.get(host).is_some_and(|at| *at > self.heard_at(host))
+        self.signs.get(host).is_some_and(|signs| signs.unanswered > signs.heard)
     }
 
     /// Whether a host that left a question unanswered has another one open.
@@ -243,7 +259,7 @@
 
     /// The latest instant at which a host is known to have run; long ago if it never was.
     pub fn ran_at(&self, host: &HostId) -> Ms {
-        self.ran.get(host).copied().unwrap_or(f64::NEG_INFINITY)
+        self.signs.get(host).map_or(f64::NEG_INFINITY, |signs| signs.ran)
     }
 
     /// The list tells of a new process there: what failed with the old one says nothing of it.
@@ -356,9 +372,7 @@
         let none = !self.of.contains_key(host);
         if none {
             self.decide.remove(host);
-            self.heard.remove(host);
-            self.ran.remove(host);
-            self.unanswered.remove(host);
+            self.signs.remove(host);
             self.armed.remove(host);
         }
         none
