--- a/crates/dispatcher/src/ledger/delivery.rs
+++ b/crates/dispatcher/src/ledger/delivery.rs
@@ -88,6 +88,9 @@
     pub(super) fn doubt(&self, id: TaskId) -> Option<String> {
         let task = self.tasks.get(&id)?;
         let launch = task.out.as_ref().filter(|launch| launch.is_doubted && !launch.first)?;
+        if self.has_arrived(launch) {
+            return None;
+        }
         let link = self.links.get(launch.link)?;
         let since =
             |at: Ms| if at.is_finite() { format!("{:.0} ms ago", self.now - at) } else { "never".to_owned() };
--- a/crates/dispatcher/tests/silence.rs
+++ b/crates/dispatcher/tests/silence.rs
@@ -347,3 +347,13 @@
         out = bench.pass(5.0);
     }
 }
+
+/// One connection alone falls silent, with no error, while its engine runs and answers on others.
+#[test]
+fn a_state_behind_an_attempt_on_a_connection_that_alone_is_silent_is_released_in_time() {
+    let mut bench = bench();
+    warm_up(&mut bench);
+    decoding(&mut bench, 1, "proof");
+    let (after, _) = until_state_is_taken(&mut bench, 1);
+    assert!(after <= settings().policy.release + HELD_SLACK, "released after {after} ms");
+}
