--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -89,16 +89,6 @@
         self.changed.notify_waiters();
     }
 
-    async fn until_passing(&self) {
-        loop {
-            let changed = self.changed.notified();
-            if self.mode.get() != Mode::Silent {
-                return;
-            }
-            changed.await;
-        }
-    }
-
     async fn until_cut(&self, cuts: u64) {
         loop {
             let changed = self.changed.notified();
@@ -147,12 +137,8 @@
     let passage = Rc::new(Passage::default());
     let (mut forth, mut back) = (Lying::default(), Lying::default());
     let (mut from_read, mut from_write) = from.into_split();
-    // What comes for a machine that has vanished lies there, as on a connection that was up before.
-    tokio::select! { biased;
-        () = shared.until_cut(cuts) => {}
-        () = shared.until_passing() => {}
-        () = lie(&mut from_read, &mut forth, Way::ToEngine, &shared, &passage) => {}
-    };
+    // At once, also for a machine that has vanished: when it is back, all that lies there would want a connection in the
+    // same instant, more than its listener queues, and some would stay silent alone.
     let to = tokio::select! { biased;
         to = TcpStream::connect(shared.target) => to,
         () = lie(&mut from_read, &mut forth, Way::ToEngine, &shared, &passage) => return,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -131,7 +131,9 @@
     async fn start(options: &Options) -> io::Result<Soak> {
         let clock = Clock::start();
         let plan = Plan::draw(options.seed, options.processes, ENGINES, options.seconds);
-        let rate = RATE * options.processes as f64 / ENGINES_OF_A_KIND as f64;
+        // Engines show that they bear what comes, bursts too.
+        let bursts = if plan.is_crowded { BURST as f64 * 1000.0 / BETWEEN_BURSTS } else { 0.0 };
+        let rate = (RATE + bursts) * options.processes as f64 / ENGINES_OF_A_KIND as f64;
         let audit = Rc::new(RefCell::new(Audit::new(configuration::rules(rate))));
         let discovery = Discovery::new(clock);
         let addresses = [discovery.listen().await?, discovery.listen().await?];
