--- a/crates/dispatcher/src/ledger/delivery.rs
+++ b/crates/dispatcher/src/ledger/delivery.rs
@@ -5,7 +5,6 @@
 
 use super::links::Use;
 use super::*;
-use cindercleat::control::RECEIVED_LATE;
 
 /// The part of the release time within which an engine has to answer when it is asked for a sign. Then the connection
 /// is given up, and the next question takes another one.
@@ -20,7 +19,7 @@
         let Some(sent) = launch.sent else { return };
         let host = launch.host.clone();
         launch.is_doubted = true;
-        if self.links.ran_at(&host) >= sent {
+        if self.links.has_run_since(&host, sent) {
             self.delivered(id);
         } else {
             self.unconfirmed.insert(id);
@@ -30,14 +29,9 @@
 
     /// An engine has shown that it runs: what was sent to it before has arrived.
     pub(super) fn note_sign(&mut self, host: &HostId) {
-        if self.unconfirmed.is_empty() {
-            return;
-        }
-        let ran_at = self.links.ran_at(host);
         let arrived = |id: &&TaskId| {
             let launch = self.tasks.get(id).and_then(|task| task.out.as_ref());
-            launch
-                .is_some_and(|launch| launch.host == *host && launch.sent.is_some_and(|sent| ran_at >= sent))
+            launch.is_some_and(|launch| launch.host == *host && self.has_arrived(launch))
         };
         let arrived: Vec<TaskId> = self.unconfirmed.iter().filter(arrived).copied().collect();
         for id in arrived {
@@ -47,7 +41,7 @@
 
     /// Whether its engine has run since an attempt was sent.
     pub(super) fn has_arrived(&self, launch: &tasks::Launch) -> bool {
-        launch.sent.is_some_and(|sent| self.links.ran_at(&launch.host) >= sent)
+        launch.sent.is_some_and(|sent| self.links.has_run_since(&launch.host, sent))
     }
 
     fn delivered(&mut self, task: TaskId) {
@@ -108,8 +102,3 @@
         ))
     }
 }
-
-/// The earliest instant at which an engine ran that is heard now, on a connection whose last call was begun at `call`.
-pub(super) fn ran_at(call: Ms, now: Ms) -> Ms {
-    call.max(now - RECEIVED_LATE)
-}
--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -133,18 +133,18 @@
     /// off there would take its room for ever.
     pub(super) fn look_at_past(&mut self, id: LinkId, stream: StreamNo, out: &mut Vec<Output>) {
         let Some(link) = self.links.get(id) else { return };
-        let (host, single) = (link.host.clone(), self.settings.limits.single.is_some());
-        if single && matches!(link.streams.get(&stream), Some(Use::Release(..) | Use::Sign)) {
-            self.links.left_unanswered(&host, self.now);
-        }
-        let Some(link) = self.links.get(id) else { return };
-        match link.streams.get(&stream) {
+        let unanswered = match link.streams.get(&stream) {
             Some(Use::Release(..)) if self.settings.limits.single.is_some() => {
-                return self.drop_link(id, "it does not answer a release", out);
+                Some("it does not answer a release")
             }
-            Some(Use::Sign) => return self.drop_link(id, "it gives no sign that it runs", out),
-            Some(Use::Past | Use::Release(..)) => {}
+            Some(Use::Sign) => Some("it gives no sign that it runs"),
+            Some(Use::Past | Use::Release(..)) => None,
             _ => return,
+        };
+        if let Some(reason) = unanswered {
+            let host = link.host.clone();
+            self.links.left_unanswered(&host, self.now);
+            return self.drop_link(id, reason, out);
         }
         let until = link.heard + self.settings.limits.stall_limit;
         if self.now >= until {
@@ -157,8 +157,6 @@
     /// The ledger's end of the launch that is out; the decisions are told.
     pub(super) fn end_launch(&mut self, id: TaskId, outcome: Outcome, detail: f64, load: Load) {
         self.note_run(id, outcome);
-        let arrived =
-            self.tasks.get(&id).and_then(|task| task.out.as_ref()).is_some_and(|l| self.has_arrived(l));
         let Some(task) = self.tasks.get_mut(&id) else { return };
         let Some(launch) = task.out.take() else { return };
         self.unconfirmed.remove(&id);
@@ -170,7 +168,7 @@
         }
         let latency = self.now - launch.since;
         let last = task.answered;
-        let begins = outcome == Outcome::ReadDone || arrived;
+        let holds_anew = outcome == Outcome::ReadDone || self.has_arrived(&launch);
         let (launch, host) = (launch.no, launch.host);
         self.events.push(Event::Ended(Ended {
             task: id,
@@ -182,7 +180,7 @@
             detail,
             load,
         }));
-        if begins {
+        if holds_anew {
             self.note_held(id);
         }
         self.forget_past(id);
--- a/crates/dispatcher/src/ledger/links.rs
+++ b/crates/dispatcher/src/ledger/links.rs
@@ -1,12 +1,12 @@
 //! Links: connections to model hosts, and what is out on each. Which one a stream takes, when one more is
 //! dialled, asked whether it lives or closed, [`Channels`] decides.
 
-use super::delivery;
 use super::releases::PendingRelease;
 use super::timers::{Due, Timers};
 use super::{LinkId, Output, StreamNo};
 use crate::settings::ProgramSettings;
 use cindercleat::channels::{ChannelId, Channels, Do, Placement, Refusal};
+use cindercleat::control::RECEIVED_LATE;
 use cindercleat::interface::{HostId, LaunchNo, Ms, TaskId};
 use cindercleat_protocol::{frame, Body};
 use std::collections::BTreeMap;
@@ -234,10 +234,15 @@
         }
         if let Some(signs) = self.signs.get_mut(&link.host) {
             signs.heard = now;
-            signs.ran = signs.ran.max(delivery::ran_at(link.last_call, now));
+            signs.ran = signs.ran.max(link.last_call).max(now - RECEIVED_LATE);
         }
     }
 
+    /// Whether a host is known to have run at an instant or later.
+    pub fn has_run_since(&self, host: &HostId, instant: Ms) -> bool {
+        self.ran_at(host) >= instant
+    }
+
     /// A question to a host was given up without an answer.
     pub fn left_unanswered(&mut self, host: &HostId, now: Ms) {
         self.signs.entry(host.clone()).or_default().unanswered = now;
--- a/crates/dispatcher/src/ledger/releases.rs
+++ b/crates/dispatcher/src/ledger/releases.rs
@@ -52,6 +52,15 @@
     pub is_copy: bool,
 }
 
+/// Where a release that is due goes.
+enum Route {
+    Through(HostId),
+    /// All that may be asked have been, and have not answered yet.
+    Later,
+    /// Its engine is gone, or another release of the state is on its way.
+    Nowhere,
+}
+
 impl PendingRelease {
     fn new(held: Held, known: Known, since: Ms) -> Self {
         PendingRelease {
@@ -156,6 +165,7 @@
     pub(super) fn release_done(&mut self, asked: &HostId, mut pending: PendingRelease) {
         let engine = pending.held.host.clone();
         let may_come = pending.known == Known::MayBeHeld
+            && !pending.is_copy
             && *asked != engine
             && self.fleet.condition(&engine) != Condition::Gone
             && self.settings.limits.single.is_some();
@@ -183,15 +193,25 @@
         }
     }
 
+    /// The same, past hosts that are silent and have been asked.
+    fn route_for(&self, host: &HostId, pending: &mut PendingRelease) -> Route {
+        let via = if pending.is_copy { Some(host.clone()) } else { self.host_for(host, pending) };
+        match via {
+            None => Route::Nowhere,
+            Some(via) if !self.links.is_asked_in_vain(&via) => Route::Through(via),
+            Some(_) if pending.is_copy => Route::Nowhere,
+            Some(_) => self.next_host_for(pending).map_or(Route::Later, Route::Through),
+        }
+    }
+
     fn was_heard_lately(&self, host: &HostId) -> bool {
         self.links.heard_at(host) >= self.now - self.settings.policy.release / CONFIRM_PART
     }
 
     /// The host that most likely runs, of those that have not been asked: none that has left a question unanswered since it
     /// was heard, if there is another; one that was heard lately and has a connection at rest, one that was heard lately,
-    /// or the one that was heard last. Once all were asked it begins
-    /// anew. Guards against a part of the fleet that falls silent at once: its connections at rest stay up, while
-    /// those of the hosts that work are busy.
+    /// or the one that was heard last. Once all were asked it begins anew. Guards against a part of the fleet that falls
+    /// silent at once: its connections at rest stay up, while those of the hosts that work are busy.
     fn next_host_for(&self, pending: &mut PendingRelease) -> Option<HostId> {
         let ready = |(_, row): &(&HostId, &fleet::HostRow)| row.condition == Condition::Ready;
         let hosts: Vec<&HostId> = self.fleet.hosts.iter().filter(ready).map(|(host, _)| host).collect();
@@ -304,19 +324,15 @@
             if pending.since < oldest {
                 continue;
             }
-            let via = if pending.is_copy { Some(host.clone()) } else { self.host_for(host, &mut pending) };
-            let Some(mut via) = via else { continue };
-            if self.links.is_asked_in_vain(&via) {
-                if pending.is_copy {
-                    continue;
-                }
-                let Some(next) = self.next_host_for(&mut pending) else {
+            let via = match self.route_for(host, &mut pending) {
+                Route::Through(via) => via,
+                Route::Later => {
                     self.add_release(host.clone(), pending);
                     self.timers.set(self.now + release_time / NEXT_HOST_PART, Due::Release(host.clone()));
                     continue;
-                };
-                via = next;
-            }
+                }
+                Route::Nowhere => continue,
+            };
             let address = self.fleet.hosts.get(&via).map(|row| row.line.address.clone()).unwrap_or_default();
             let (body, purpose) = (pending.message(), Use::Release(pending.clone()));
             let to = (&mut self.timers, &mut *out);
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::audit::{Answer, Audit, Life};
 use crate::plan::Class;
-use crate::service::{sleep, Clock};
+use crate::service::{draw_part, sleep, Clock};
 use crate::Ms;
 use bytes::BytesMut;
 use cindercleat_http1::framing::{Came, Reading};
@@ -92,14 +92,7 @@
 
     fn draw_manner(&self) -> Manner {
         let mut rng = self.rng.borrow_mut();
-        let drawn = rng.generate_range(0..100u32);
-        let bounds = [LEAVE, STOP_WITHIN, SLOW, PIPELINE];
-        let mut sum = 0;
-        let which = bounds.iter().position(|part| {
-            sum += part;
-            drawn < sum
-        });
-        match which {
+        match draw_part(&mut rng, [LEAVE, STOP_WITHIN, SLOW, PIPELINE]) {
             Some(0) => {
                 let (after, resets) = (rng.generate::<f64>() * 150.0, rng.generate_range(0..2u32) == 0);
                 Manner::Leaves { after, resets }
@@ -190,8 +183,9 @@
             _ => f64::from(asked.left) + WAITS_ON,
         };
         let leaves_at = Cell::new(now + leaves);
+        let stays_on = !matches!(manner, Manner::Leaves { .. });
         let went = tokio::select! { biased;
-            went = self.read(&mut line, &asked.id, &leaves_at, manner) => went,
+            went = self.read(&mut line, &asked.id, stays_on.then_some(&leaves_at)) => went,
             () = self.until(&leaves_at) => return self.leave(line, asked, manner),
         };
         let crossed =
@@ -241,7 +235,7 @@
             self.audit.borrow_mut().request_sent(&asked.id, self.life, effect, now, f64::from(asked.left));
         }
         for asked in &both {
-            let went = self.read(&mut line, &asked.id, &Cell::default(), Manner::Pipelines).await;
+            let went = self.read(&mut line, &asked.id, None).await;
             self.audit.borrow_mut().answered(&asked.id, went.answer, self.clock.now());
             self.audit.borrow_mut().waited_behind_another(&both[1].id, self.clock.now());
             if !went.keeps {
@@ -271,8 +265,8 @@
         self.audit.borrow_mut().bad_client_ended(ended.then_some(now - began), now);
     }
 
-    /// Reads an answer to its end.
-    async fn read(&self, line: &mut Line, id: &str, leaves_at: &Cell<Ms>, manner: Manner) -> Went {
+    /// Reads an answer to its end; each event puts off when its client leaves, if that may be put off.
+    async fn read(&self, line: &mut Line, id: &str, leaves_at: Option<&Cell<Ms>>) -> Went {
         let mut reading = Reading::new(MOST_CHUNK);
         let (mut head, mut events, mut text) = (None, 0, Vec::new());
         loop {
@@ -284,7 +278,7 @@
                 Ok(Some(Came::Data(data))) => {
                     text.extend_from_slice(&data);
                     events += self.take_events(&mut text, id);
-                    if !matches!(manner, Manner::Leaves { .. }) {
+                    if let Some(leaves_at) = leaves_at {
                         // A stream that has begun is the client's, whatever its deadline was.
                         leaves_at.set(leaves_at.get().max(self.clock.now() + STREAM_WAITS));
                     }
--- a/crates/soak/src/discovery.rs
+++ b/crates/soak/src/discovery.rs
@@ -1,14 +1,12 @@
 //! The stand-in of discovery: the list of engines, whole and by changes, as the platform's protocol has it.
 
-use crate::service::{answer, sleep, Clock, Connection};
+use crate::service::{answer, listen, sleep, Clock, Connection};
 use crate::Ms;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::TcpListener;
 use tokio::sync::Notify;
-use tokio::task::spawn_local;
 
 /// An engine as the list has it.
 #[derive(Clone, Debug)]
@@ -80,15 +78,8 @@
     /// # Errors
     /// No port can be had.
     pub async fn listen(&self) -> io::Result<SocketAddr> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
         let discovery = self.clone();
-        spawn_local(async move {
-            while let Ok((io, _)) = listener.accept().await {
-                spawn_local(discovery.clone().serve(Connection::new(io)));
-            }
-        });
-        Ok(address)
+        listen(move |connection| discovery.clone().serve(connection)).await
     }
 
     pub fn set_mode(&self, mode: Mode) {
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -3,16 +3,14 @@
 
 use crate::audit::{AttemptEnd, AttemptId, Audit, NewAttempt, Stage};
 use crate::passage::Passages;
-use crate::service::{answer, sleep, Clock, Connection, Received};
+use crate::service::{answer, draw_part, listen, sleep, Clock, Connection, Received};
 use crate::Ms;
 use nanorand::{Rng, WyRand};
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::TcpListener;
 use tokio::sync::Notify;
-use tokio::task::spawn_local;
 
 const STATES: &str = "/bootstrap/rooms/";
 const TURNED_AWAY: &str = "X-Turned-Away: 1\r\n";
@@ -72,17 +70,8 @@
     /// # Errors
     /// No port can be had.
     pub async fn listen(&self) -> io::Result<SocketAddr> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
         let engine = self.clone();
-        spawn_local(async move {
-            while let Ok((io, peer)) = listener.accept().await {
-                let mut connection = Connection::new(io);
-                connection.peer = Some(peer);
-                spawn_local(engine.clone().serve(connection));
-            }
-        });
-        Ok(address)
+        listen(move |connection| engine.clone().serve(connection)).await
     }
 
     async fn serve(self, mut connection: Connection) {
@@ -187,14 +176,14 @@
 
     fn draw_course(&self) -> (Course, usize, bool) {
         let mut rng = self.rng.borrow_mut();
-        let course = match rng.generate_range(0..100u32) {
-            drawn if drawn < BREAKS_FIRST => Course::BreaksFirst,
-            drawn if drawn < BREAKS_FIRST + BREAKS_LATER => Course::BreaksLater,
-            drawn if drawn < BREAKS_FIRST + BREAKS_LATER + SPOILT => Course::Spoilt,
+        let course = match draw_part(&mut rng, [BREAKS_FIRST, BREAKS_LATER, SPOILT]) {
+            Some(0) => Course::BreaksFirst,
+            Some(1) => Course::BreaksLater,
+            Some(2) => Course::Spoilt,
             _ => Course::Whole,
         };
-        let events = if rng.generate_range(0..100u32) < LONG { EVENTS_OF_LONG } else { EVENTS };
-        (course, rng.generate_range(events), rng.generate_range(0..100u32) < IN_PIECES)
+        let events = if draw_part(&mut rng, [LONG]).is_some() { EVENTS_OF_LONG } else { EVENTS };
+        (course, rng.generate_range(events), draw_part(&mut rng, [IN_PIECES]).is_some())
     }
 
     async fn stream(&self, connection: &mut Connection, id: AttemptId) -> (AttemptEnd, Option<bool>) {
--- a/crates/soak/src/service.rs
+++ b/crates/soak/src/service.rs
@@ -1,13 +1,17 @@
-//! What the stand-ins that serve have in common: a clock, and requests read with the instants of their bytes.
+//! What the stand-ins have in common: a clock, drawn parts, and for those that serve connections, and requests read with the
+//! instants of their bytes.
 
 use crate::Ms;
 use bytes::BytesMut;
 use cindercleat_http1::framing::{self, Body, Came, Part, Reading, Request};
+use nanorand::{Rng, WyRand};
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
 
 /// The largest body that is read.
 const MOST_BODY: usize = 1 << 20;
@@ -41,7 +45,7 @@
 /// A connection that carries requests one after another.
 pub struct Connection {
     pub io: TcpStream,
-    /// The address of the other side; a connection that is reset does not tell it any more.
+    /// The address of the other side, if it was accepted: a connection that is reset does not tell it any more.
     pub peer: Option<SocketAddr>,
     bytes: BytesMut,
 }
@@ -53,12 +57,39 @@
     pub last_byte: Ms,
 }
 
+/// Serves each connection to a free port; gives the port's address.
+///
+/// # Errors
+/// No port can be had.
+pub async fn listen<F>(serve: impl Fn(Connection) -> F + 'static) -> io::Result<SocketAddr>
+where
+    F: Future<Output = ()> + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    spawn_local(async move {
+        while let Ok((io, peer)) = listener.accept().await {
+            spawn_local(serve(Connection { peer: Some(peer), ..Connection::new(io) }));
+        }
+    });
+    Ok(address)
+}
+
+/// Draws which part of a hundred it is, of the first ones that are given; none if it is of the rest.
+pub fn draw_part<const N: usize>(rng: &mut WyRand, parts: [u32; N]) -> Option<usize> {
+    let drawn = rng.generate_range(0..100u32);
+    let mut sum = 0;
+    parts.iter().position(|part| {
+        sum += part;
+        drawn < sum
+    })
+}
+
 impl Connection {
     pub fn new(io: TcpStream) -> Connection {
         // A connection that is gone already shows it with the next read.
         let _ = io.set_nodelay(true);
-        let peer = io.peer_addr().ok();
-        Connection { io, peer, bytes: BytesMut::new() }
+        Connection { io, peer: None, bytes: BytesMut::new() }
     }
 
     /// The next request; none if the connection ends first, or what comes is none.
--- a/src/control/delivery.rs
+++ b/src/control/delivery.rs
@@ -112,11 +112,12 @@
         // Guards against a run of requests that all wait for the same silent engine.
         self.hosts.full_until[slot] = self.now + self.settings.release;
         task.tried.push(slot);
-        let goes_elsewhere = self.has_other_engine(task, slot, sent);
+        let may_cancel = self.settings.may_cancel;
+        let goes_elsewhere = may_cancel && self.has_other_engine(task, slot, sent);
         // A repeat that arrived long after would be one that engines do not recognise any more.
         let is_repeat = task.may_have_run.is_some();
-        task.want_cancel = self.settings.may_cancel && (goes_elsewhere || is_repeat);
-        task.want_release = task.state.is_some() && !(self.settings.may_cancel && goes_elsewhere);
+        task.want_cancel = goes_elsewhere || may_cancel && is_repeat;
+        task.want_release = task.state.is_some() && !goes_elsewhere;
     }
 
     fn has_other_engine(&mut self, task: &mut Task, silent: Slot, sent: Ms) -> bool {
