--- a/crates/dispatcher/tests/common/mod.rs
+++ b/crates/dispatcher/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Drives a ledger without I/O: a small fleet, clients' and hosts' messages, and what comes out.
 #![allow(dead_code)]
 
+pub mod engines;
+
 use cindercleat::feed::FeedSettings;
 use cindercleat::interface::*;
 use cindercleat::single::SingleSettings;
--- a/crates/dispatcher/tests/silence.rs
+++ b/crates/dispatcher/tests/silence.rs
@@ -3,62 +3,12 @@
 
 mod common;
 
-use cindercleat_dispatcher::ledger::{ConnId, Input, LinkId, Output};
-use cindercleat_dispatcher::ProgramSettings;
+use cindercleat_dispatcher::ledger::{ConnId, Input, Output};
 use cindercleat_protocol::v1::{Answer, Status};
-use cindercleat_protocol::{frame, v1, Body, Frame};
+use cindercleat_protocol::{v1, Body, Frame};
+use common::engines::*;
 use common::*;
 
-/// What is held has this much more than the settings say.
-const HELD_SLACK: f64 = 300.0;
-
-fn bench() -> Bench {
-    let mut bench = Bench::with(ProgramSettings { limits: single_limits(), ..settings() });
-    let names: Vec<String> =
-        ["r", "w"].iter().flat_map(|kind| (1..=4).map(move |at| format!("{kind}{at}"))).collect();
-    let ready: Vec<_> = names.iter().map(|name| (name.as_str(), v1::HostCondition::Ready)).collect();
-    bench.put(Input::Listed(list(v1::ListKind::Full, &ready)));
-    bench
-}
-
-fn asks(bench: &mut Bench, conn: u64, class: &str) -> Vec<Output> {
-    let origin = Some(v1::Origin { id: conn.to_string(), ..v1::Origin::default() });
-    let prompt = bytes::Bytes::from_static(b"{}");
-    let body = Body::Submit(v1::Submit { origin, prompt, session: conn, ..submit(class) });
-    bench.put(Input::Client { conn: ConnId(conn), frame: frame(1, body) })
-}
-
-/// A request whose state is held, and its decode attempt.
-fn decoding(bench: &mut Bench, conn: u64, class: &str) -> Sent {
-    let out = asks(bench, conn, class);
-    let prefill = bench.launches(&out).pop().expect("a prefill goes out");
-    let out = bench.ended(&prefill, Status::ReadDone);
-    bench.launches(&out).pop().expect("a decode attempt goes out")
-}
-
-/// Serves requests until an open connection to every engine rests.
-fn warm_up(bench: &mut Bench) {
-    for conn in 1_000..1_200 {
-        let decode = decoding(bench, conn, "draft");
-        bench.host(&decode, tokens(0));
-        bench.ended(&decode, Status::Fulfilled);
-        bench.pass(50.0);
-    }
-}
-
-/// The links on which releases of a request went out, among outputs.
-fn releases_of(conn: u64, out: &[Output]) -> Vec<LinkId> {
-    let release = |output: &Output| match output {
-        Output::ToHost { link, frame: Frame { body: Some(Body::Release(release)), .. } }
-            if release.origin == conn.to_string() =>
-        {
-            Some(*link)
-        }
-        _ => None,
-    };
-    out.iter().filter_map(release).collect()
-}
-
 /// Lets time pass in small steps until the state of a request gets to an engine that runs, by a decode attempt or by a
 /// release; gives when, and that attempt.
 fn until_state_is_taken(bench: &mut Bench, conn: u64) -> (f64, Option<Sent>) {
@@ -76,17 +26,6 @@
     (bench.now - since, None)
 }
 
-/// Whether an attempt was called off, which ends its connection where one carries a call at a time.
-fn called_off(out: &[Output], sent: &Sent) -> bool {
-    let is_cancel = |output: &Output| match output {
-        Output::ToHost { link, frame: Frame { stream, body: Some(Body::Cancel(_)) } } => {
-            (*link, *stream) == (sent.link, sent.stream)
-        }
-        _ => false,
-    };
-    out.iter().any(is_cancel)
-}
-
 #[test]
 fn an_idempotent_request_whose_decode_attempt_does_not_arrive_is_decoded_elsewhere_in_time() {
     let mut bench = bench();
@@ -114,11 +53,6 @@
     assert!(!called_off(&bench.out, &lost), "the first attempt may still be served");
 }
 
-/// Engines that fall silent together, with nothing heard of them beforehand but their last answers.
-fn silence(bench: &mut Bench, names: &[&str]) {
-    bench.silent.extend(names.iter().map(|name| (*name).to_owned()));
-}
-
 /// Lets an engine that runs go on with a stream of another request meanwhile.
 fn go_on(bench: &mut Bench, busy: &Sent, position: &mut u32) {
     *position += 1;
