--- a/crates/cindercleat-cli/src/soak.rs
+++ b/crates/cindercleat-cli/src/soak.rs
@@ -92,6 +92,8 @@
         plan.troubles.len(),
         if args.no_shim { 0.0 } else { plan.wall_step / 1000.0 }
     );
+    let waits = if plan.decodes_wait { "serve some attempts at a time" } else { "serve all at once" };
+    let _ = writeln!(text, "readings: {}; decode engines {waits}", plan.readings);
     let cases = Invariant::ALL.map(|invariant| {
         format!("{invariant} {}", report.cases.get(&invariant).copied().unwrap_or_default())
     });
--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -3,6 +3,7 @@
 //! It does no I/O and reads no clock. All instants are of one clock, and do not go back.
 
 use crate::passage::Passage;
+use crate::readings::{AttemptOver, Readings, ReleaseScope};
 use crate::Ms;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -214,8 +215,31 @@
             (ended, closed) => ended.or(closed),
         }
     }
+
+    /// When the time of what is held begins to run again: with its end, unless its engine is to notice that and does so
+    /// late.
+    fn stops_waiting_at(&self, over: AttemptOver) -> Option<Ms> {
+        let (over_at, noticed) = (self.over_at()?, self.ended.map(|(at, _)| at));
+        match over {
+            AttemptOver::AtTheClose => Some(over_at),
+            AttemptOver::WhenTheEngineNotices => {
+                let noticed = noticed?;
+                Some(if noticed > over_at + NOTICED_SOON { noticed } else { over_at })
+            }
+        }
+    }
+
+    /// Whether it is a decode attempt that still waits for its state, or uses it.
+    fn waits(&self, over: AttemptOver) -> bool {
+        let closed = self.passage.as_ref().is_some_and(|passage| passage.closed_at().is_some());
+        let noticed = over == AttemptOver::AtTheClose && closed;
+        self.stage == Stage::Decode && self.ended.is_none() && !noticed
+    }
 }
 
+/// An engine that notices within this time that an attempt was closed has done so with the close.
+const NOTICED_SOON: Ms = 100.0;
+
 #[derive(Clone, Debug)]
 struct Request {
     life: Life,
@@ -271,6 +295,7 @@
 #[derive(Debug)]
 pub struct Audit {
     rules: Rules,
+    readings: Readings,
     requests: BTreeMap<RequestId, Request>,
     attempts: Vec<Attempt>,
     engines: BTreeMap<String, EngineRecord>,
@@ -286,9 +311,10 @@
 const READY_IN_TEN: usize = 9;
 
 impl Audit {
-    pub fn new(rules: Rules) -> Self {
+    pub fn new(rules: Rules, readings: Readings) -> Self {
         Audit {
             rules,
+            readings,
             requests: BTreeMap::new(),
             attempts: Vec::new(),
             engines: BTreeMap::new(),
@@ -592,7 +618,18 @@
         }
     }
 
-    /// A decode engine takes the state, or it is released; tells whether there was one.
+    /// A release of a request has come to an engine that runs.
+    pub fn release_came(&mut self, request: &str) {
+        let over = self.readings.over;
+        let waits = |request: &Request| request.attempts.iter().any(|id| self.attempts[id.0].waits(over));
+        let is_awaited = self.readings.release == ReleaseScope::WhatNoAttemptWaitsFor
+            && self.requests.get(request).is_some_and(waits);
+        if !is_awaited {
+            self.state_taken(request);
+        }
+    }
+
+    /// A decode engine takes the state; tells whether there was one.
     pub fn state_taken(&mut self, request: &str) -> bool {
         self.requests.get_mut(request).is_some_and(|request| request.held_at.take().is_some())
     }
@@ -640,7 +677,8 @@
 
     /// Since when no attempt of a request is out; none while one is.
     fn idle_since(&self, request: &Request) -> Option<Ms> {
-        let ends = request.attempts.iter().map(|id| self.attempts[id.0].over_at());
+        let over = self.readings.over;
+        let ends = request.attempts.iter().map(|id| self.attempts[id.0].stops_waiting_at(over));
         ends.collect::<Option<Vec<Ms>>>()?.into_iter().reduce(f64::max)
     }
 
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -3,6 +3,7 @@
 
 use crate::audit::{AttemptEnd, AttemptId, Audit, NewAttempt, Stage};
 use crate::passage::Passages;
+use crate::readings::HungRelease;
 use crate::service::{answer, draw_part, listen, sleep, Clock, Connection, Received};
 use crate::Ms;
 use nanorand::{Rng, WyRand};
@@ -10,7 +11,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 
 const STATES: &str = "/bootstrap/rooms/";
 const TURNED_AWAY: &str = "X-Turned-Away: 1\r\n";
@@ -34,6 +35,8 @@
 #[derive(Default)]
 pub struct Behaviour {
     pub hangs: Cell<bool>,
+    /// While it hangs it does not notice that a process has closed its connection.
+    pub misses_closes: Cell<bool>,
     pub turns_away: Cell<bool>,
     pub close_idle: Notify,
 }
@@ -43,6 +46,9 @@
 pub struct Engine {
     pub id: String,
     stage: Stage,
+    hung_release: HungRelease,
+    /// Decode attempts that it serves at a time.
+    slots: Rc<Semaphore>,
     clock: Clock,
     audit: Rc<RefCell<Audit>>,
     rng: Rc<RefCell<WyRand>>,
@@ -59,10 +65,30 @@
     Spoilt,
 }
 
+/// What an engine is.
+pub struct EngineSettings {
+    pub id: String,
+    pub stage: Stage,
+    /// Decode attempts that it serves at a time; the others wait.
+    pub slots: usize,
+    pub hung_release: HungRelease,
+    pub seed: u64,
+}
+
 impl Engine {
-    pub fn new(id: String, stage: Stage, clock: Clock, audit: Rc<RefCell<Audit>>, seed: u64) -> Engine {
-        let rng = Rc::new(RefCell::new(WyRand::new_seed(seed)));
-        Engine { id, stage, clock, audit, rng, passages: Passages::default(), behaviour: Rc::default() }
+    pub fn new(settings: EngineSettings, clock: Clock, audit: Rc<RefCell<Audit>>) -> Engine {
+        let EngineSettings { id, stage, slots, hung_release, seed } = settings;
+        Engine {
+            id,
+            stage,
+            hung_release,
+            slots: Rc::new(Semaphore::new(slots)),
+            clock,
+            audit,
+            rng: Rc::new(RefCell::new(WyRand::new_seed(seed))),
+            passages: Passages::default(),
+            behaviour: Rc::default(),
+        }
     }
 
     /// Serves on a free port.
@@ -96,8 +122,10 @@
     }
 
     async fn release(&self, connection: &mut Connection, request: &str) -> bool {
-        self.until_not_hanging().await;
-        self.audit.borrow_mut().state_taken(request);
+        if self.hung_release == HungRelease::Unanswered {
+            self.until_not_hanging().await;
+        }
+        self.audit.borrow_mut().release_came(request);
         connection.say("HTTP/1.1 204 No Content\r\n\r\n").await.is_ok()
     }
 
@@ -139,12 +167,10 @@
         let first = if self.stage == Stage::Prefill { PREFILL } else { FIRST_EVENT };
         let spent = self.rng.borrow_mut().generate::<f64>() + 0.5;
         let worked = tokio::select! { biased;
-            () = connection.closed() => false,
-            () = self.spend(first * spent) => true,
+            () = self.notices_close(connection) => None,
+            slot = self.begin(first * spent) => Some(slot),
         };
-        if !worked {
-            return (AttemptEnd::Abandoned, Some(false));
-        }
+        let Some(_slot) = worked else { return (AttemptEnd::Abandoned, Some(false)) };
         match self.stage {
             Stage::Prefill => {
                 self.audit.borrow_mut().state_held(request, &self.id);
@@ -161,6 +187,25 @@
         }
     }
 
+    /// Waits until the process has closed the connection, and the engine notices it.
+    async fn notices_close(&self, connection: &mut Connection) {
+        connection.closed().await;
+        while self.behaviour.hangs.get() && self.behaviour.misses_closes.get() {
+            sleep(BETWEEN_EVENTS).await;
+        }
+    }
+
+    /// Works on an attempt up to what it answers first; a decode attempt waits for a slot, which it keeps to its end.
+    async fn begin(&self, span: Ms) -> Option<SemaphorePermit<'_>> {
+        // The slots are never closed.
+        let slot = match self.stage {
+            Stage::Prefill => None,
+            Stage::Decode => self.slots.acquire().await.ok(),
+        };
+        self.spend(span).await;
+        slot
+    }
+
     /// Works for so long, and not at all while it hangs.
     async fn spend(&self, span: Ms) {
         self.until_not_hanging().await;
@@ -221,7 +266,7 @@
                 return (AttemptEnd::Failed, Some(false));
             }
             let goes_on = tokio::select! { biased;
-                () = connection.closed() => false,
+                () = self.notices_close(connection) => false,
                 () = self.spend(BETWEEN_EVENTS) => true,
             };
             if !goes_on {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod plan;
 mod process;
 mod proxy;
+pub mod readings;
 pub mod run;
 mod service;
 
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,6 +1,7 @@
 //! What a soak is like and which troubles come when, drawn from the seed: two or three overlap at any time.
 
 use crate::audit::Effect;
+use crate::readings::Readings;
 use crate::Ms;
 use nanorand::{Rng, WyRand};
 
@@ -13,9 +14,9 @@
     pub deadline: u32,
 }
 
-/// Which engines fall silent together.
+/// Which engines something befalls together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Silent {
+pub enum Group {
     One {
         engine: usize,
     },
@@ -28,18 +29,40 @@
     Zone {
         zone: usize,
     },
+    /// All of a kind but one.
+    Kind {
+        kind: usize,
+        but: usize,
+    },
+}
+
+/// Which way bytes are lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    BothWays,
+    ToEngines,
+    ToProcesses,
 }
 
 /// How a silence begins and ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Silence {
-    pub who: Silent,
+    pub who: Group,
+    pub loss: Loss,
     /// It begins in the middle of a message.
     pub within_a_message: bool,
     /// What lay there is delivered at its end; else all connections are reset.
     pub delivers: bool,
 }
 
+/// How engines hang: they take connections and calls, and do nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hang {
+    pub who: Group,
+    /// Whether they notice meanwhile that a process has closed its connection.
+    pub notices_closes: bool,
+}
+
 /// What goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Trouble {
@@ -72,10 +95,8 @@
     Replace {
         engine: usize,
     },
-    /// An engine does nothing with what it gets, and says nothing.
-    Hang {
-        engine: usize,
-    },
+    /// Engines do nothing with what they get, and say nothing.
+    Hang(Hang),
     /// An engine's connections are reset.
     Reset {
         engine: usize,
@@ -84,7 +105,7 @@
     Refuse {
         engine: usize,
     },
-    /// Machines of engines vanish: connections stay open, and nothing gets through.
+    /// Machines of engines vanish, or their network fails one way: connections stay open, and nothing gets through.
     Silence(Silence),
     /// An engine turns everything away.
     TurnAway {
@@ -111,12 +132,15 @@
 /// How the platform is set up, and what happens.
 #[derive(Clone, Debug)]
 pub struct Plan {
+    pub readings: Readings,
     pub classes: [Class; 3],
     pub troubles: Vec<Planned>,
     /// Whether lists are asked for, rather than pushed to an agent.
     pub lists_are_asked_for: bool,
     /// Whether hundreds of clients stay connected without a request, and bursts of requests come.
     pub is_crowded: bool,
+    /// Whether decode engines serve only some attempts at a time; the others wait.
+    pub decodes_wait: bool,
     /// Whether system calls of some processes fail at times.
     pub system_calls_fail: bool,
     /// By how much the wall clock of some processes is stepped, and when.
@@ -138,11 +162,15 @@
         engine / self.kinds % self.zones
     }
 
-    pub fn silenced(&self, who: Silent) -> Vec<usize> {
+    /// The members of a group, by their places.
+    pub fn of(&self, who: Group) -> Vec<usize> {
         match who {
-            Silent::One { engine } => vec![engine],
-            Silent::Several { first, count } => (first..first + count).map(|at| at % self.count).collect(),
-            Silent::Zone { zone } => (0..self.count).filter(|engine| self.zone(*engine) == zone).collect(),
+            Group::One { engine } => vec![engine],
+            Group::Several { first, count } => (first..first + count).map(|at| at % self.count).collect(),
+            Group::Zone { zone } => (0..self.count).filter(|engine| self.zone(*engine) == zone).collect(),
+            Group::Kind { kind, but } => {
+                (kind..self.count).step_by(self.kinds).filter(|engine| *engine != but).collect()
+            }
         }
     }
 }
@@ -167,6 +195,9 @@
 /// So many processes are stopped one after another at the most, and so many engines fall silent together.
 const MOST_STOPPED: usize = 4;
 const MOST_SILENT: usize = 4;
+/// In one soak in so many nearly all engines of a kind fail together, so many times.
+const KIND_FAILS_ONE_IN: u32 = 3;
+const KIND_FAILS: usize = 3;
 
 impl Plan {
     pub fn draw(seed: u64, processes: usize, engines: Engines, seconds: f64) -> Plan {
@@ -181,9 +212,15 @@
             let mean = (SHORTEST + LONGEST) / 2.0 / OVERLAP;
             now += -(1.0 - rng.generate::<f64>()).ln() * mean;
         }
+        let classes = draw_classes(&mut rng);
+        if rng.generate_range(0..KIND_FAILS_ONE_IN) == 0 {
+            troubles.extend(draw_kind_failures(&mut rng, engines, end));
+        }
         Plan {
-            classes: draw_classes(&mut rng),
+            readings: Readings::draw(&mut rng),
+            classes,
             troubles,
+            decodes_wait: rng.generate_range(0..2u32) == 0,
             lists_are_asked_for: rng.generate_range(0..2u32) == 1,
             is_crowded: rng.generate_range(0..CROWDED_ONE_IN) == 0,
             system_calls_fail: rng.generate_range(0..2u32) == 1,
@@ -207,10 +244,29 @@
     [class("draft", effects[0]), class("order", effects[1]), class("form", effects[2])]
 }
 
+/// Nearly all engines of a kind hang or are silent together, evenly spread over the soak.
+fn draw_kind_failures(rng: &mut WyRand, engines: Engines, end: Ms) -> Vec<Planned> {
+    let kind = rng.generate_range(0..engines.kinds);
+    let hangs = rng.generate_range(0..2u32) == 0;
+    let between = (end - QUIET_START).max(0.0) / KIND_FAILS as f64;
+    let failure = |nth: usize| {
+        let who = Group::Kind { kind, but: kind + engines.kinds * nth % engines.count };
+        let from = QUIET_START + between * nth as f64;
+        let lasts = SHORTEST + rng.generate::<f64>() * (between.min(LONGEST) - SHORTEST).max(0.0);
+        let trouble = match hangs {
+            true => Trouble::Hang(draw_hang(rng, who)),
+            false => Trouble::Silence(draw_silence(rng, who, Loss::BothWays)),
+        };
+        Planned { from, until: (from + lasts).min(end), trouble }
+    };
+    (0..KIND_FAILS).map(failure).collect()
+}
+
+/// Hangs, silences and losses one way are as frequent as one another.
 fn draw_trouble(rng: &mut WyRand, processes: usize, engines: Engines) -> Trouble {
     let process = rng.generate_range(0..processes);
     let engine = rng.generate_range(0..engines.count);
-    match rng.generate_range(0..28u32) {
+    match rng.generate_range(0..35u32) {
         0..=1 => Trouble::Stop { process },
         2 => Trouble::StopSeveral { first: process, count: rng.generate_range(2..=MOST_STOPPED) },
         3 => Trouble::Kill { process },
@@ -219,24 +275,42 @@
         6 => Trouble::ReloadTwice,
         7 => Trouble::ReloadAndStop { process },
         8..=10 => Trouble::Replace { engine },
-        11 => Trouble::Hang { engine },
-        12..=13 => Trouble::Reset { engine },
-        14 => Trouble::Refuse { engine },
-        15..=21 => Trouble::Silence(draw_silence(rng, engine, engines)),
-        22 => Trouble::TurnAway { engine },
-        23 => Trouble::CloseIdle { engine },
-        24 | 25 => Trouble::DiscoverySilent,
-        26 => Trouble::DiscoveryRefuses,
-        _ => Trouble::DiscoveryResets,
+        11..=12 => Trouble::Reset { engine },
+        13 => Trouble::Refuse { engine },
+        14 => Trouble::TurnAway { engine },
+        15 => Trouble::CloseIdle { engine },
+        16 | 17 => Trouble::DiscoverySilent,
+        18 => Trouble::DiscoveryRefuses,
+        19 => Trouble::DiscoveryResets,
+        20..=24 => {
+            let who = draw_group(rng, engine, engines);
+            Trouble::Hang(draw_hang(rng, who))
+        }
+        25..=29 => {
+            let who = draw_group(rng, engine, engines);
+            Trouble::Silence(draw_silence(rng, who, Loss::BothWays))
+        }
+        _ => {
+            let who = draw_group(rng, engine, engines);
+            let loss = if rng.generate_range(0..2u32) == 0 { Loss::ToEngines } else { Loss::ToProcesses };
+            Trouble::Silence(draw_silence(rng, who, loss))
+        }
     }
 }
 
-fn draw_silence(rng: &mut WyRand, engine: usize, engines: Engines) -> Silence {
-    let who = match rng.generate_range(0..4u32) {
-        0 | 1 => Silent::One { engine },
-        2 => Silent::Several { first: engine, count: rng.generate_range(2..=MOST_SILENT) },
-        _ => Silent::Zone { zone: engines.zone(engine) },
-    };
-    let within_a_message = rng.generate_range(0..4u32) == 0;
-    Silence { who, within_a_message, delivers: rng.generate_range(0..2u32) == 0 }
+fn draw_group(rng: &mut WyRand, engine: usize, engines: Engines) -> Group {
+    match rng.generate_range(0..4u32) {
+        0 | 1 => Group::One { engine },
+        2 => Group::Several { first: engine, count: rng.generate_range(2..=MOST_SILENT) },
+        _ => Group::Zone { zone: engines.zone(engine) },
+    }
+}
+
+fn draw_hang(rng: &mut WyRand, who: Group) -> Hang {
+    Hang { who, notices_closes: rng.generate_range(0..2u32) == 0 }
+}
+
+fn draw_silence(rng: &mut WyRand, who: Group, loss: Loss) -> Silence {
+    let within_a_message = loss == Loss::BothWays && rng.generate_range(0..4u32) == 0;
+    Silence { who, loss, within_a_message, delivers: rng.generate_range(0..2u32) == 0 }
 }
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -24,10 +24,25 @@
     Refuse,
     /// Nothing is passed on, either way, on old ones and new ones.
     Silent,
+    /// Nothing is passed on to the engine, or nothing to the process; the other way works.
+    SilentToEngine,
+    SilentToProcess,
     /// The next bytes of a process are passed on by half; from then on it is silent.
     SilentWithin,
 }
 
+impl Mode {
+    /// Whether nothing goes on this way.
+    fn stops(self, way: Way) -> bool {
+        match self {
+            Mode::Silent => true,
+            Mode::SilentToEngine => way == Way::ToEngine,
+            Mode::SilentToProcess => way == Way::ToProcess,
+            Mode::Pass | Mode::Refuse | Mode::SilentWithin => false,
+        }
+    }
+}
+
 /// Bytes that one turn of passing on takes at most.
 const TURN: usize = 16 << 10;
 /// After a close on one side, the other one's connection stays for so long.
@@ -218,7 +233,7 @@
     loop {
         let changed = shared.changed.notified();
         let mode = shared.mode.get();
-        if mode != Mode::Silent && !lying.bytes.is_empty() {
+        if !mode.stops(way) && !lying.bytes.is_empty() {
             let ends_within = mode == Mode::SilentWithin && way == Way::ToEngine;
             let part = if ends_within { lying.bytes.len() / 2 } else { lying.bytes.len() };
             if ends_within {
@@ -233,7 +248,7 @@
             }
             continue;
         }
-        if let (Some(end), true) = (lying.end, mode != Mode::Silent) {
+        if let (Some(end), true) = (lying.end, !mode.stops(way)) {
             if end == Over::Closed {
                 // The other end sees what came before this as it is.
                 let _ = to.shutdown().await;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,10 +4,11 @@
 use crate::client::Clients;
 use crate::configuration::{self, Place, KINDS, ZONES};
 use crate::discovery::{self, Discovery, Entry};
-use crate::engine::Engine;
-use crate::plan::{Engines, Plan, Planned, Silence, Trouble};
+use crate::engine::{Engine, EngineSettings};
+use crate::plan::{Engines, Hang, Loss, Plan, Planned, Silence, Trouble};
 use crate::process::{Process, Program, Shim};
 use crate::proxy::{self, Proxy};
+use crate::readings::HungRelease;
 use crate::service::{sleep, wall_ms, Clock, Connection};
 use crate::Ms;
 use nanorand::{Rng, WyRand};
@@ -19,6 +20,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 use tokio::task::{spawn_local, LocalSet};
 
 /// Engines of each of the two kinds.
@@ -27,6 +29,9 @@
     Engines { count: KINDS.len() * ENGINES_OF_A_KIND, kinds: KINDS.len(), zones: ZONES.len() };
 /// Requests a second that each process gets in the mean; some get several times that.
 const RATE: f64 = 4.0;
+/// Where decode attempts wait for one another: slots of an engine by the requests that it gets in a second. A stream takes
+/// some 0.2 s in the mean.
+const SLOTS_FOR: f64 = 0.3;
 /// How often the audit looks at what lies, and the runner at processes.
 const LOOK: Ms = 25.0;
 /// A process that is not ready by then never is.
@@ -106,7 +111,7 @@
 struct Soak {
     clock: Clock,
     plan: Plan,
-    seed: u64,
+    platform: Platform,
     audit: Rc<RefCell<Audit>>,
     discovery: Discovery,
     addresses: [SocketAddr; 2],
@@ -134,12 +139,13 @@
         // Engines show that they bear what comes, bursts too.
         let bursts = if plan.is_crowded { BURST as f64 * 1000.0 / BETWEEN_BURSTS } else { 0.0 };
         let rate = (RATE + bursts) * options.processes as f64 / ENGINES_OF_A_KIND as f64;
-        let audit = Rc::new(RefCell::new(Audit::new(configuration::rules(rate))));
+        let audit = Rc::new(RefCell::new(Audit::new(configuration::rules(rate), plan.readings)));
         let discovery = Discovery::new(clock);
         let addresses = [discovery.listen().await?, discovery.listen().await?];
+        let platform = Platform::new(options.seed, &plan, rate);
         let mut engines = Vec::new();
         for at in 0..ENGINES.count {
-            let slot = start_engine(options.seed, at, 0, clock, &audit).await?;
+            let slot = start_engine(&platform, at, 0, clock, &audit).await?;
             audit.borrow_mut().engine_in_service(&slot.entry.id, None);
             discovery.change(slot.entry.clone());
             engines.push(slot);
@@ -151,7 +157,7 @@
         Ok(Soak {
             clock,
             plan,
-            seed: options.seed,
+            platform,
             audit,
             discovery,
             addresses,
@@ -206,7 +212,7 @@
 
     fn finish(&self) -> Outcome {
         let own = self.processes.iter().flat_map(|process| process.borrow().own_violations());
-        let audit = self.audit.replace(Audit::new(configuration::rules(1.0)));
+        let audit = self.audit.replace(Audit::new(configuration::rules(1.0), self.plan.readings));
         Outcome {
             plan: self.plan.clone(),
             report: audit.finish(self.clock.now()),
@@ -279,7 +285,7 @@
 
     /// Lets clients come to a run of a process for as long as it takes new ones.
     async fn run_clients(self: Rc<Self>, life: Life, address: SocketAddr) {
-        let seed = self.seed ^ (life.process as u64) << 32 ^ u64::from(life.start) << 48;
+        let seed = self.platform.seed ^ (life.process as u64) << 32 ^ u64::from(life.start) << 48;
         let mut rng = WyRand::new_seed(seed);
         let clients = Clients::new(life, address, self.clock, self.audit.clone(), self.plan.classes, seed);
         if self.plan.is_crowded {
@@ -349,12 +355,7 @@
                 self.stop_process(process, true).await;
             }
             Trouble::Replace { engine } => self.replace_engine(engine, until).await,
-            Trouble::Hang { engine } => {
-                let behaviour = self.engines.borrow()[engine].engine.behaviour.clone();
-                behaviour.hangs.set(true);
-                sleep(until - self.clock.now()).await;
-                behaviour.hangs.set(false);
-            }
+            Trouble::Hang(hang) => self.hang_engines(hang, until).await,
             Trouble::TurnAway { engine } => {
                 let behaviour = self.engines.borrow()[engine].engine.behaviour.clone();
                 behaviour.turns_away.set(true);
@@ -483,9 +484,14 @@
     /// Machines vanish, and come back with or without what lay there.
     async fn silence_engines(&self, silence: Silence, until: Ms) {
         let since = self.clock.now();
-        let silenced = ENGINES.silenced(silence.who).into_iter().filter(|at| self.become_unreachable(*at));
+        let silenced = ENGINES.of(silence.who).into_iter().filter(|at| self.become_unreachable(*at));
         let silenced: Vec<_> = silenced.map(|at| (at, self.proxy(at))).collect();
-        let mode = if silence.within_a_message { proxy::Mode::SilentWithin } else { proxy::Mode::Silent };
+        let mode = match silence.loss {
+            Loss::BothWays if silence.within_a_message => proxy::Mode::SilentWithin,
+            Loss::BothWays => proxy::Mode::Silent,
+            Loss::ToEngines => proxy::Mode::SilentToEngine,
+            Loss::ToProcesses => proxy::Mode::SilentToProcess,
+        };
         for (_, proxy) in &silenced {
             proxy.set_mode(mode);
         }
@@ -500,6 +506,21 @@
         }
     }
 
+    /// Engines take connections and calls, and do nothing.
+    async fn hang_engines(&self, hang: Hang, until: Ms) {
+        let hung = ENGINES.of(hang.who).into_iter().filter(|at| self.become_unreachable(*at));
+        let hung: Vec<_> = hung.map(|at| (at, self.engines.borrow()[at].engine.behaviour.clone())).collect();
+        for (_, behaviour) in &hung {
+            behaviour.misses_closes.set(!hang.notices_closes);
+            behaviour.hangs.set(true);
+        }
+        sleep(until - self.clock.now()).await;
+        for (at, behaviour) in hung {
+            behaviour.hangs.set(false);
+            self.unreachable.borrow_mut().remove(&at);
+        }
+    }
+
     fn proxy(&self, at: usize) -> Proxy {
         self.engines.borrow()[at].proxy.clone()
     }
@@ -538,7 +559,7 @@
         self.cut_engine(at);
         self.engines.borrow()[at].proxy.set_mode(proxy::Mode::Refuse);
         self.audit.borrow_mut().engine_gone(&entry.id);
-        match start_engine(self.seed, at, generation + 1, self.clock, &self.audit).await {
+        match start_engine(&self.platform, at, generation + 1, self.clock, &self.audit).await {
             Ok(slot) => {
                 self.audit.borrow_mut().engine_in_service(&slot.entry.id, Some(self.clock.now()));
                 self.discovery.change(slot.entry.clone());
@@ -577,9 +598,26 @@
     }
 }
 
+/// What all engines of a soak have in common.
+struct Platform {
+    seed: u64,
+    /// Decode attempts that an engine serves at a time.
+    slots: usize,
+    hung_release: HungRelease,
+}
+
+impl Platform {
+    /// `rate`: requests a second that each engine of a kind gets.
+    fn new(seed: u64, plan: &Plan, rate: f64) -> Platform {
+        let slots =
+            if plan.decodes_wait { (rate * SLOTS_FOR).ceil() as usize + 1 } else { Semaphore::MAX_PERMITS };
+        Platform { seed, slots, hung_release: plan.readings.hung_release }
+    }
+}
+
 /// An engine behind its proxy. Kinds and zones take turns.
 async fn start_engine(
-    seed: u64,
+    platform: &Platform,
     at: usize,
     generation: u32,
     clock: Clock,
@@ -588,8 +626,14 @@
     let kind = at % KINDS.len();
     let stage = if kind == 0 { Stage::Prefill } else { Stage::Decode };
     let id = format!("{}{}-{generation}", KINDS[kind], at / KINDS.len());
-    let engine =
-        Engine::new(id.clone(), stage, clock, audit.clone(), seed ^ (at as u64) << 8 ^ u64::from(generation));
+    let settings = EngineSettings {
+        id: id.clone(),
+        stage,
+        slots: platform.slots,
+        hung_release: platform.hung_release,
+        seed: platform.seed ^ (at as u64) << 8 ^ u64::from(generation),
+    };
+    let engine = Engine::new(settings, clock, audit.clone());
     let proxy = Proxy::start(engine.listen().await?, clock, engine.passages.clone()).await?;
     let place = at / KINDS.len();
     let entry = Entry {
--- a/crates/soak/tests/audit.rs
+++ b/crates/soak/tests/audit.rs
@@ -2,7 +2,8 @@
 
 use cindercleat_soak::audit::*;
 use cindercleat_soak::passage::Passage;
-use cindercleat_soak::plan::{Engines, Plan};
+use cindercleat_soak::plan::{Engines, Plan, Trouble};
+use cindercleat_soak::readings::*;
 use cindercleat_soak::Ms;
 use std::rc::Rc;
 use test_case::test_case;
@@ -27,7 +28,11 @@
 
 /// A soak of one process, with a prefill and a decode engine.
 fn audit() -> Audit {
-    let mut audit = Audit::new(RULES);
+    audit_reading(Readings::PLAIN)
+}
+
+fn audit_reading(readings: Readings) -> Audit {
+    let mut audit = Audit::new(RULES, readings);
     audit.process_ready(50.0);
     audit.engine_in_service("p", None);
     audit.engine_in_service("d", None);
@@ -329,6 +334,64 @@
     }
 }
 
+/// By the reading that a release lets go of what no attempt waits for, one that comes while an attempt is out does nothing.
+#[test_case(ReleaseScope::Everything, false; "everything")]
+#[test_case(ReleaseScope::WhatNoAttemptWaitsFor, true; "what no attempt waits for")]
+fn a_state_whose_release_came_while_an_attempt_waited_is_found(release: ReleaseScope, found: bool) {
+    for sent_again in [false, true] {
+        let mut audit = audit_reading(Readings { release, ..Readings::PLAIN });
+        prefilled(&mut audit, "a", Effect::Idempotent, 0.0);
+        let decode = audit.attempt_begins(new("a", "d", Stage::Decode, 30.0, 900.0));
+        audit.release_came("a");
+        audit.attempt_ends(decode, AttemptEnd::Abandoned, 1_000.0);
+        if sent_again {
+            audit.release_came("a");
+        }
+        audit.answered("a", Answer::Failed, 1_001.0);
+        audit.look(1_840.0);
+        audit.look(1_860.0);
+        let found = found && !sent_again;
+        assert_eq!(violated(audit, 1_900.0), if found { vec![Invariant::StateReleased] } else { vec![] });
+    }
+}
+
+/// An attempt that its process has closed, at an engine that notices it later: what a release does between, and since when
+/// the time of its state runs.
+#[test]
+fn an_attempt_that_its_process_has_closed_is_over_by_the_reading() {
+    for (over, noticed, released, looked, found) in [
+        (AttemptOver::AtTheClose, 2_000.0, Some(110.0), 1_000.0, false),
+        (AttemptOver::AtTheClose, 2_000.0, None, 1_000.0, true),
+        (AttemptOver::WhenTheEngineNotices, 110.0, Some(105.0), 1_000.0, true),
+        (AttemptOver::WhenTheEngineNotices, 110.0, Some(115.0), 1_000.0, false),
+        (AttemptOver::WhenTheEngineNotices, 2_000.0, Some(110.0), 1_999.0, false),
+        (AttemptOver::WhenTheEngineNotices, 2_000.0, Some(110.0), 2_900.0, true),
+        (AttemptOver::WhenTheEngineNotices, 2_000.0, Some(2_010.0), 2_900.0, false),
+    ] {
+        let readings = Readings { release: ReleaseScope::WhatNoAttemptWaitsFor, over, ..Readings::PLAIN };
+        let mut audit = audit_reading(readings);
+        prefilled(&mut audit, "a", Effect::Idempotent, 0.0);
+        audit.client_gone("a", 100.0);
+        let passage = Rc::new(Passage::default());
+        passage.process_closed(100.0);
+        let attempt = NewAttempt { passage: Some(passage), ..new("a", "d", Stage::Decode, 30.0, 900.0) };
+        let decode = audit.attempt_begins(attempt);
+        let mut steps: Vec<(Ms, bool)> = vec![(noticed, false)];
+        steps.extend(released.map(|at| (at, true)));
+        steps.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (at, is_release) in steps.into_iter().filter(|(at, _)| *at < looked) {
+            match is_release {
+                true => audit.release_came("a"),
+                false => audit.attempt_ends(decode, AttemptEnd::Abandoned, at),
+            }
+        }
+        audit.look(looked);
+        let violated = violated(audit, looked);
+        let expected = if found { vec![Invariant::StateReleased] } else { vec![] };
+        assert_eq!(violated, expected, "{over:?}, noticed at {noticed}, released at {released:?}");
+    }
+}
+
 #[test]
 fn an_attempt_for_a_client_that_has_gone_and_a_deadline_that_is_too_long_are_found() {
     for (begun, told, found) in [
@@ -380,7 +443,7 @@
     let mut crashed = audit();
     crashed.process_ended(LIFE, false, "by itself", 10.0);
     assert_eq!(violated(crashed, 20.0), [Invariant::ProcessUp]);
-    assert_eq!(violated(Audit::new(RULES), 20.0), [Invariant::ProcessUp], "nothing was up");
+    assert_eq!(violated(Audit::new(RULES, Readings::PLAIN), 20.0), [Invariant::ProcessUp], "nothing was up");
     let mut slow = audit();
     slow.process_ready(11_000.0);
     assert_eq!(violated(slow, 20_000.0), [Invariant::ProcessUp], "one of two");
@@ -393,6 +456,30 @@
         assert_eq!(plan.troubles, Plan::draw(1_000 * seed, 12, ENGINES, 60.0).troubles);
         let mean: f64 = plan.troubles.iter().map(|t| t.until - t.from).sum::<f64>() / 60_000.0;
         assert!((1.0..4.0).contains(&mean), "{mean:.1} at a time");
+        assert_eq!(plan.readings, Plan::draw(1_000 * seed, 12, ENGINES, 60.0).readings);
         assert!(plan.troubles.iter().all(|t| t.from >= 1_000.0 && t.until <= 57_500.0));
     }
 }
+
+/// Every reading is taken by some soaks, and hangs and silences come as often as one another.
+#[test]
+fn readings_are_drawn_and_engines_hang_as_often_as_they_are_silent() {
+    let plans: Vec<Plan> = (0..200).map(|seed| Plan::draw(1_000 * seed, 12, ENGINES, 60.0)).collect();
+    let everything = plans.iter().filter(|plan| plan.readings.release == ReleaseScope::Everything).count();
+    let at_the_close = plans.iter().filter(|plan| plan.readings.over == AttemptOver::AtTheClose).count();
+    let confirmed = plans.iter().filter(|plan| plan.readings.hung_release == HungRelease::Confirmed).count();
+    let waiting = plans.iter().filter(|plan| plan.decodes_wait).count();
+    for drawn in [everything, at_the_close, confirmed, waiting] {
+        assert!((60..140).contains(&drawn), "{drawn} of 200");
+    }
+    let count = |is: fn(&Trouble) -> bool| {
+        let troubles = plans.iter().flat_map(|plan| &plan.troubles);
+        troubles.filter(|planned| is(&planned.trouble)).count() as f64
+    };
+    let hangs = count(|trouble| matches!(trouble, Trouble::Hang(_)));
+    let silences = count(|trouble| matches!(trouble, Trouble::Silence(_)));
+    assert!(
+        (0.4..0.6).contains(&(hangs / silences)),
+        "{hangs} hangs, {silences} silences, half of them one way"
+    );
+}
