--- a/crates/dispatcher/src/ledger/delivery.rs
+++ b/crates/dispatcher/src/ledger/delivery.rs
@@ -78,17 +78,18 @@
         self.links.send(link, stream, Body::Release(v1::Release { state: None, origin }), out);
     }
 
-    /// How an attempt that is out stands, for the log.
-    pub(super) fn doubt(&self, id: TaskId) -> Option<String> {
+    /// What is doubted of an attempt that is out, and how it stands, for the log.
+    pub(super) fn doubt(&self, id: TaskId) -> Option<(&'static str, String)> {
         let task = self.tasks.get(&id)?;
-        let launch = task.out.as_ref().filter(|launch| launch.is_doubted && !launch.first)?;
-        if self.has_arrived(launch) {
-            return None;
-        }
+        let launch = task.out.as_ref().filter(|launch| !launch.first)?;
+        let doubt = match self.has_arrived(launch) {
+            true => "nothing has come on its attempt's connection",
+            false => "its attempt has not arrived",
+        };
         let link = self.links.get(launch.link)?;
         let since =
             |at: Ms| if at.is_finite() { format!("{:.0} ms ago", self.now - at) } else { "never".to_owned() };
-        Some(format!(
+        let text = format!(
             "id={} launch={} host={} sent {}, on a connection made {} that carried {} calls; its host was last heard {}, \
              and answered a call that was sent {}",
             task.origin(),
@@ -99,6 +100,7 @@
             link.carried(),
             since(self.links.heard_at(&launch.host)),
             since(self.links.ran_at(&launch.host)),
-        ))
+        );
+        Some((doubt, text))
     }
 }
--- a/crates/dispatcher/src/ledger/hosts.rs
+++ b/crates/dispatcher/src/ledger/hosts.rs
@@ -1,8 +1,8 @@
 //! The side of the ledger that faces the model hosts: launches out, read states held, probes, and what hosts
 //! and links have to say of them.
 
+use super::kv_states::{Held, ReleaseCall};
 use super::links::Use;
-use super::releases::Known;
 use super::*;
 use crate::ledger::tasks::Launch;
 use cindercleat::channels::{Do, Refusal, Why};
@@ -17,7 +17,7 @@
         let Some(task) = self.tasks.get_mut(&id) else { return };
         let no = LaunchNo(task.launches);
         task.launches += 1;
-        let (holds_no_state, answered) = (task.state.is_none(), task.answered);
+        let (holds_no_state, answered) = (self.kv_states.on_offer(id).is_none(), task.answered);
         let reads = self.fleet.hosts.get(&host).is_some_and(|row| row.role == Role::Reader);
         let reading = holds_no_state && reads;
         // What must not be ends as never sent.
@@ -29,7 +29,8 @@
         let until = until.unwrap_or(task.ends).min(task.ends);
         let state = state_of(self.settings.run, id, no);
         let window = self.settings.limits.window;
-        let body = body_of(task, reading.then_some(state), &self.fleet, window, until - self.now);
+        let held = self.kv_states.on_offer(id).map(|state| &state.held);
+        let body = body_of(task, held, reading.then_some(state), &self.fleet, window, until - self.now);
         let purpose = Use::Launch(id, no);
         let opened =
             self.links.open(&host, &address, purpose, self.now, &self.settings, (&mut self.timers, out));
@@ -65,6 +66,9 @@
         if self.links.get(link).is_some_and(|link| link.up) {
             task.note_sent(self.now);
         }
+        if !reading {
+            self.kv_states.offer(id, no);
+        }
         self.timers.set(until, Due::Launch(id, no));
         self.links.send(link, stream, body, out);
     }
@@ -81,7 +85,8 @@
         let (no, host, address) = (launch.no, launch.host.clone(), row.line.address.clone());
         let state = launch.reading.then(|| state_of(self.settings.run, id, no));
         let window = self.settings.limits.window;
-        let body = body_of(task, state, &self.fleet, window, launch.until - self.now);
+        let held = self.kv_states.on_offer(id).map(|state| &state.held);
+        let body = body_of(task, held, state, &self.fleet, window, launch.until - self.now);
         let to = (&mut self.timers, &mut *out);
         let purpose = Use::Launch(id, no);
         let opened = self.links.open(&host, &address, purpose, self.now, &self.settings, to);
@@ -102,20 +107,20 @@
             return true;
         }
         // The stream stays taken until the host ends it: what the host still works on takes room there.
-        let read = self.read_out(id);
+        let prefilled = self.prefill_out(id);
         self.make_past(link, stream);
         if !planted::is(Plant::CancelLost) {
             self.links.send(link, stream, Body::Cancel(v1::Cancel {}), out);
         }
-        // The read may have ended at the host before the cancel comes, with nobody left to hear of it.
-        if let Some(held) = read {
-            self.release_state(held, Known::MayBeHeld, out);
+        // The prefill may have ended at the host before the cancel comes, with nobody left to hear of it.
+        if let Some(held) = prefilled {
+            self.release_leftover(id, held, out);
         }
         false
     }
 
-    /// The state that the read which is out for a task leaves, if one is out.
-    fn read_out(&self, id: TaskId) -> Option<Held> {
+    /// The state that the prefill which is out for a task leaves, if one is out.
+    fn prefill_out(&self, id: TaskId) -> Option<Held> {
         let task = self.tasks.get(&id)?;
         let launch = task.out.as_ref().filter(|launch| launch.reading)?;
         let state = state_of(self.settings.run, id, launch.no);
@@ -134,11 +139,9 @@
     pub(super) fn look_at_past(&mut self, id: LinkId, stream: StreamNo, out: &mut Vec<Output>) {
         let Some(link) = self.links.get(id) else { return };
         let unanswered = match link.streams.get(&stream) {
-            Some(Use::Release(..)) if self.settings.limits.single.is_some() => {
-                Some("it does not answer a release")
-            }
+            Some(Use::Release(..)) => Some("it does not answer a release"),
             Some(Use::Sign) => Some("it gives no sign that it runs"),
-            Some(Use::Past | Use::Release(..)) => None,
+            Some(Use::Past | Use::HostRelease(..)) => None,
             _ => return,
         };
         if let Some(reason) = unanswered {
@@ -162,13 +165,12 @@
         self.unconfirmed.remove(&id);
         if outcome == Outcome::ReadDone {
             let state = state_of(self.settings.run, id, launch.no);
-            task.state = Some(Held { host: launch.host.clone(), id: state, origin: task.origin() });
-        } else if outcome == Outcome::Full && detail == 1.0 {
-            task.state = None;
+            let held = Held { host: launch.host.clone(), id: state, origin: task.origin() };
+            self.kv_states.hold(id, held, self.now);
         }
         let latency = self.now - launch.since;
         let last = task.answered;
-        let holds_anew = outcome == Outcome::ReadDone || self.has_arrived(&launch);
+        self.settle_state(id, &launch, outcome);
         let (launch, host) = (launch.no, launch.host);
         self.events.push(Event::Ended(Ended {
             task: id,
@@ -180,9 +182,6 @@
             detail,
             load,
         }));
-        if holds_anew {
-            self.note_held(id);
-        }
         self.forget_past(id);
     }
 
@@ -202,12 +201,12 @@
             _ if streams => self.answer(id, v1::Answer::WrittenOff, 0.0, reason, out),
             _ => {}
         }
-        // A read that broke may have ended at its host, with the word of it lost: its state would lie there.
-        let held = self.read_out(id).filter(|_| matches!(outcome, Outcome::Broken | Outcome::Failed));
-        self.end_launch(id, outcome, 0.0, load);
+        // A prefill that broke may have ended at its host, with the word of it lost: its state would lie there.
+        let held = self.prefill_out(id).filter(|_| matches!(outcome, Outcome::Broken | Outcome::Failed));
         if let Some(held) = held.filter(|_| !planted::is(Plant::BrokenReadKept)) {
-            self.release_state(held, Known::MayBeHeld, out);
+            self.release_leftover(id, held, out);
         }
+        self.end_launch(id, outcome, 0.0, load);
     }
 
     pub(super) fn call_off(&mut self, id: TaskId, no: LaunchNo, out: &mut Vec<Output>) {
@@ -215,8 +214,8 @@
         if !launch.is_some_and(|l| l.no == no && !l.first) {
             return;
         }
-        if let Some(doubt) = self.doubt(id).filter(|_| !self.is_answered(id)) {
-            let text = format!("attempt given up, it has not arrived: {doubt}");
+        if let Some((doubt, text)) = self.doubt(id).filter(|_| !self.is_answered(id)) {
+            let text = format!("attempt given up, {doubt}: {text}");
             out.push(Output::Log { level: Level::Info, text });
         }
         let unsent = self.stop_launch(id, out);
@@ -309,9 +308,10 @@
             }
             let frame = frame(stream.0, body);
             match purpose {
-                Some(Use::Release(pending)) if self.is_withheld(&pending) => {
-                    self.close_stream(id, stream);
-                    self.withhold(&host, pending);
+                Some(Use::Release(call)) => {
+                    if self.release_goes_out(id, stream, &call) {
+                        out.push(Output::ToHost { link: id, frame });
+                    }
                 }
                 // Nor does one whose client has gone meanwhile: nobody waits for it.
                 Some(Use::Launch(task, _)) if !ready || self.is_answered(task) => {
@@ -329,6 +329,19 @@
         }
     }
 
+    /// The connection of a release has come up: it goes out now, unless there is nothing to release any more, or its request
+    /// needs what is held.
+    fn release_goes_out(&mut self, id: LinkId, stream: StreamNo, call: &ReleaseCall) -> bool {
+        let goes_out = self.kv_states.to_release(call.task).is_some_and(|state| !self.is_needed(state));
+        if !goes_out {
+            self.close_stream(id, stream);
+            self.release_unsent(call);
+        } else if let Some(link) = self.links.get_mut(id) {
+            link.streams.insert(stream, Use::Release(ReleaseCall { begun: self.now, ..call.clone() }));
+        }
+        goes_out
+    }
+
     /// A launch that has waited for its connection tells its host what is left now.
     fn tell_time_left(&self, task: TaskId, body: &mut Body) {
         let Some(launch) = self.tasks.get(&task).and_then(|task| task.out.as_ref()) else { return };
@@ -408,7 +421,8 @@
                     let (host, load) = (link.host.clone(), Load::default());
                     self.events.push(Event::Probed { host, outcome, latency: self.now - sent, load });
                 }
-                Use::Release(pending) => self.release_lost(link.host.clone(), pending),
+                Use::Release(call) => self.release_lost(link.host.clone(), &call),
+                Use::HostRelease(release) => self.host_release_lost(link.host.clone(), release),
                 Use::Hold(..) | Use::Sign | Use::Past => {}
             }
         }
@@ -426,6 +440,11 @@
         if !matches!(frame.body, Some(Body::Goodbye(_))) {
             self.links.answered(id, self.now);
             self.note_sign(&host);
+            self.note_engine_ran();
+            if is_work(purpose.as_ref(), frame.body.as_ref()) {
+                self.links.worked(id, self.now);
+                self.note_engine_worked(&host);
+            }
         }
         let name = name_of(frame.body.as_ref());
         let good = match (purpose, frame.body) {
@@ -467,9 +486,13 @@
                 self.close_stream(id, stream);
                 true
             }
-            (Some(Use::Release(pending)), Some(Body::Done(_))) => {
+            (Some(Use::Release(call)), Some(Body::Done(_))) => {
+                self.close_stream(id, stream);
+                self.release_confirmed(&host, &call, out);
+                true
+            }
+            (Some(Use::HostRelease(_)), Some(Body::Done(_))) => {
                 self.close_stream(id, stream);
-                self.release_done(&host, pending);
                 true
             }
             (Some(Use::Sign), Some(Body::Done(_) | Body::Goodbye(_))) => {
@@ -477,9 +500,14 @@
                 true
             }
             // A call that was reset or refused ends alone: what else is on the link goes on.
-            (Some(Use::Release(pending)), Some(Body::Goodbye(_))) => {
+            (Some(Use::Release(call)), Some(Body::Goodbye(_))) => {
                 self.close_stream(id, stream);
-                self.release_lost(host.clone(), pending);
+                self.release_lost(host.clone(), &call);
+                true
+            }
+            (Some(Use::HostRelease(release)), Some(Body::Goodbye(_))) => {
+                self.close_stream(id, stream);
+                self.host_release_lost(host.clone(), release);
                 true
             }
             (Some(Use::Probe { .. }), Some(Body::Goodbye(_))) => {
@@ -512,7 +540,7 @@
     /// or it would stay pinned.
     fn take_late_end(&mut self, host: HostId, ended: &v1::Ended, out: &mut Vec<Output>) {
         if let (v1::Status::ReadDone, Some(state)) = (ended.status(), ended.state) {
-            self.release_state(Held { host, id: state, origin: String::new() }, Known::Held, out);
+            self.release_unless_planted(Held { host, id: state, origin: String::new() }, out);
         }
     }
 
@@ -528,12 +556,14 @@
             v1::Status::Fulfilled if !reading => self.finish_launch(id, Outcome::Fulfilled, "", load, out),
             v1::Status::Full if !first => self.end_launch(id, Outcome::Full, 0.0, load),
             v1::Status::NoState if !reading && !first => {
-                let held = self.tasks.get_mut(&id).and_then(|t| t.state.take());
                 self.end_launch(id, Outcome::Full, 1.0, load);
                 // Guards against a writer that could not reach the reader: the state would lie there for nobody.
-                if let Some(held) = held.filter(|_| !planted::is(Plant::NoStateKept)) {
-                    self.release_state(held, Known::Held, out);
+                if planted::is(Plant::NoStateKept) {
+                    self.kv_states.forget(id);
+                } else {
+                    self.want_release(id, out);
                 }
+                self.forget_past(id);
             }
             v1::Status::Failed => self.finish_launch(id, Outcome::Failed, &ended.reason, load, out),
             _ => {
@@ -565,7 +595,7 @@
             launch.first = true;
             launch.last_gone = self.now;
             task.late = self.now > task.quoted;
-            task.state = None;
+            self.kv_states.taken(id, self.now);
             // No launch can need it any more.
             task.submit.prompt = Default::default();
             let (no, host, latency) = (launch.no, launch.host.clone(), self.now - launch.since);
@@ -619,6 +649,16 @@
     }
 }
 
+/// Whether a message shows that its host works on attempts. A part of it may still answer other calls while the rest hangs.
+fn is_work(purpose: Option<&Use>, body: Option<&Body>) -> bool {
+    let done = |status: v1::Status| matches!(status, v1::Status::ReadDone | v1::Status::Fulfilled);
+    match (purpose, body) {
+        (Some(Use::Launch(..)), Some(Body::Tokens(_))) => true,
+        (Some(Use::Launch(..)), Some(Body::Ended(ended))) => done(ended.status()),
+        _ => false,
+    }
+}
+
 /// The name of the state that a launch makes or takes.
 fn state_of(run: u64, task: TaskId, launch: LaunchNo) -> v1::StateId {
     v1::StateId { run, task: task.0, launch: launch.0 }
@@ -630,10 +670,17 @@
 }
 
 /// What a launch says to its host; `state`: what a read is to leave, none for a write.
-fn body_of(task: &Task, state: Option<v1::StateId>, fleet: &Fleet, window: u32, wait_ms: Ms) -> Body {
+fn body_of(
+    task: &Task,
+    held: Option<&Held>,
+    state: Option<v1::StateId>,
+    fleet: &Fleet,
+    window: u32,
+    wait_ms: Ms,
+) -> Body {
     match state {
         Some(state) => read(&task.submit, state, wait_ms),
-        None => write(task, fleet, window, wait_ms),
+        None => write(task, held, fleet, window, wait_ms),
     }
 }
 
@@ -653,11 +700,11 @@
     })
 }
 
-fn write(task: &Task, fleet: &Fleet, window: u32, wait_ms: Ms) -> Body {
+fn write(task: &Task, held: Option<&Held>, fleet: &Fleet, window: u32, wait_ms: Ms) -> Body {
     let submit = &task.submit;
-    let reader = task.state.as_ref().and_then(|held| fleet.hosts.get(&held.host));
+    let reader = held.and_then(|held| fleet.hosts.get(&held.host));
     Body::Write(v1::Write {
-        state: task.state.as_ref().map(|held| held.id),
+        state: held.map(|held| held.id),
         reader: reader.map(|row| row.line.host.clone()).unwrap_or_default(),
         reader_address: reader.map(|row| row.line.address.clone()).unwrap_or_default(),
         key: submit.key.clone(),
--- /dev/null
+++ b/crates/dispatcher/src/ledger/kv_states.rs
@@ -0,0 +1,288 @@
+//! KV states that engines hold, or may hold, for requests: one record a request, from the end of its prefill until a decode
+//! attempt has taken the state or a release has taken effect.
+//!
+//! Where a release names a request and any engine passes it on, its confirmation alone proves nothing: a release lets go of
+//! every state 'that no attempt waits for' (the platform's wire page), and an attempt that this process has closed waits
+//! until its engine knows of the close. So a record stays until a confirmation counts: [`KvState::is_released_by`].
+
+use super::*;
+
+/// An attempt that was closed without a word of its engine's is over there this part of the release time after the engine has
+/// shown that it works: the close and what follows it go over different connections, and nothing orders them.
+const CLOSE_ARRIVES_PART: f64 = 4.0;
+
+/// A KV state and the engine that holds it.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Held {
+    pub host: HostId,
+    pub id: v1::StateId,
+    /// The request's id as its client gave it, where states are known by it; else empty.
+    pub origin: String,
+}
+
+/// How far a KV state has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Step {
+    /// Its engine holds it, and no attempt is out that may take it.
+    Held,
+    /// A decode attempt is out that may take it.
+    Offered(LaunchNo),
+    /// It is to be released. An attempt may still be out that had not arrived, as far as anybody knew.
+    ReleaseWanted,
+}
+
+/// An attempt that ended here without a word of its engine's: it was closed, or its connection broke.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct UnansweredEnd {
+    pub engine: HostId,
+    pub at: Ms,
+    /// When its engine had shown that it has worked since.
+    known_at: Option<Ms>,
+}
+
+impl UnansweredEnd {
+    /// From when on a release does not overtake it any more, if that is known.
+    fn is_past_at(&self, release_time: Ms) -> Option<Ms> {
+        self.known_at.map(|known| known + release_time / CLOSE_ARRIVES_PART)
+    }
+}
+
+/// A call that asks an engine to release what is held for a request.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct ReleaseCall {
+    pub task: TaskId,
+    pub begun: Ms,
+}
+
+/// What was done to release a state.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct ReleaseProgress {
+    /// Since when it is wanted, and since when nothing holds it up.
+    pub wanted: Ms,
+    pub since: Ms,
+    /// Calls that are under way, and all that there were.
+    pub open_calls: usize,
+    pub calls: u32,
+    /// When the last call began.
+    pub last_begun: Ms,
+    /// When it is looked at next, if nothing happens before.
+    pub next_look: Ms,
+    /// Engines that were asked and have not confirmed it.
+    pub unconfirmed: Vec<HostId>,
+    /// How often it was confirmed, since nothing holds it up, by calls that do not count.
+    pub confirmed: u32,
+    /// Whether one of the calls of this round was confirmed.
+    pub round_confirmed: bool,
+}
+
+impl ReleaseProgress {
+    fn new(now: Ms) -> Self {
+        ReleaseProgress {
+            wanted: now,
+            since: now,
+            open_calls: 0,
+            calls: 0,
+            last_begun: f64::NEG_INFINITY,
+            next_look: f64::NEG_INFINITY,
+            unconfirmed: Vec::new(),
+            confirmed: 0,
+            round_confirmed: false,
+        }
+    }
+}
+
+/// What is known of the KV state of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct KvState {
+    pub held: Held,
+    pub step: Step,
+    /// Since when the time counts within which it has to be taken or released.
+    pub held_since: Ms,
+    pub release: ReleaseProgress,
+    /// Whether a prefill that was cut off may have left one more.
+    has_leftover: bool,
+    unanswered: Vec<UnansweredEnd>,
+}
+
+impl KvState {
+    fn new(held: Held, step: Step, now: Ms) -> Self {
+        let release = ReleaseProgress::new(now);
+        KvState { held, step, held_since: now, release, has_leftover: false, unanswered: Vec::new() }
+    }
+
+    /// Whether an attempt may take it.
+    pub fn is_on_offer(&self) -> bool {
+        self.step != Step::ReleaseWanted
+    }
+
+    /// Whether the confirmation of a call proves that nothing is held any more: it began after every attempt of the request
+    /// was over, where its engine knew it. No attempt of the request is out.
+    pub fn is_released_by(&self, call: &ReleaseCall, release_time: Ms) -> bool {
+        call.begun >= self.release.since && self.counts_from(release_time).is_some_and(|at| call.begun >= at)
+    }
+
+    /// From when on a call counts, if all engines have shown that they work.
+    pub fn counts_from(&self, release_time: Ms) -> Option<Ms> {
+        let past: Option<Vec<Ms>> = self.unanswered.iter().map(|end| end.is_past_at(release_time)).collect();
+        past.map(|past| past.into_iter().fold(f64::NEG_INFINITY, f64::max))
+    }
+
+    /// The engines that have not shown since that they work.
+    pub fn unknowing(&self) -> impl Iterator<Item = &HostId> {
+        self.unanswered.iter().filter(|end| end.known_at.is_none()).map(|end| &end.engine)
+    }
+
+    /// Whether an attempt for it ended without a word of its engine's.
+    pub fn was_in_doubt(&self) -> bool {
+        !self.unanswered.is_empty()
+    }
+}
+
+/// The KV states of all requests.
+#[derive(Debug, Default)]
+pub(super) struct KvStates {
+    states: BTreeMap<TaskId, KvState>,
+    /// Requests with an unanswered end at an engine that has not shown since that it works.
+    awaited: BTreeMap<HostId, BTreeSet<TaskId>>,
+    /// Requests of whose last calls to release a state none was confirmed.
+    pub stuck: BTreeSet<TaskId>,
+    /// Releases to look at once the present input is dealt with.
+    pub due: BTreeSet<TaskId>,
+}
+
+impl KvStates {
+    pub fn get(&self, task: TaskId) -> Option<&KvState> {
+        self.states.get(&task)
+    }
+
+    pub fn get_mut(&mut self, task: TaskId) -> Option<&mut KvState> {
+        self.states.get_mut(&task)
+    }
+
+    /// The state that an attempt of a request may take.
+    pub fn on_offer(&self, task: TaskId) -> Option<&KvState> {
+        self.get(task).filter(|state| state.is_on_offer())
+    }
+
+    /// The state of a request that is to be released.
+    pub fn to_release(&self, task: TaskId) -> Option<&KvState> {
+        self.get(task).filter(|state| !state.is_on_offer())
+    }
+
+    /// States that are to be released.
+    pub fn releasing(&self) -> usize {
+        self.states.values().filter(|state| !state.is_on_offer()).count()
+    }
+
+    /// A prefill has ended: its engine holds the state.
+    pub fn hold(&mut self, task: TaskId, held: Held, now: Ms) {
+        match self.states.get_mut(&task) {
+            // What an earlier prefill may have left is released once this one is taken or released.
+            Some(state) => {
+                (state.held, state.step, state.held_since) = (held, Step::Held, now);
+                state.has_leftover = true;
+            }
+            None => {
+                self.states.insert(task, KvState::new(held, Step::Held, now));
+            }
+        }
+    }
+
+    /// A decode attempt goes out that may take it.
+    pub fn offer(&mut self, task: TaskId, attempt: LaunchNo) {
+        if let Some(state) = self.states.get_mut(&task).filter(|state| state.is_on_offer()) {
+            state.step = Step::Offered(attempt);
+        }
+    }
+
+    /// The decode attempt is over and has not taken it.
+    pub fn take_back(&mut self, task: TaskId, attempt: LaunchNo) {
+        if let Some(state) = self.states.get_mut(&task).filter(|state| state.step == Step::Offered(attempt)) {
+            state.step = Step::Held;
+        }
+    }
+
+    /// A decode attempt has taken it.
+    pub fn taken(&mut self, task: TaskId, now: Ms) {
+        match self.states.get_mut(&task) {
+            Some(state) if state.has_leftover => {
+                state.has_leftover = false;
+                (state.step, state.release) = (Step::ReleaseWanted, ReleaseProgress::new(now));
+                self.due.insert(task);
+            }
+            _ => {
+                self.forget(task);
+            }
+        }
+    }
+
+    /// It is to be released.
+    pub fn want_release(&mut self, task: TaskId, now: Ms) {
+        if let Some(state) = self.states.get_mut(&task).filter(|state| state.is_on_offer()) {
+            state.has_leftover = false;
+            (state.step, state.release) = (Step::ReleaseWanted, ReleaseProgress::new(now));
+            self.due.insert(task);
+        }
+    }
+
+    /// A prefill was cut off, which may have ended just then: what it may have left is to be released.
+    pub fn want_leftover_released(&mut self, task: TaskId, held: Held, now: Ms) {
+        let state = self.states.entry(task).or_insert_with(|| KvState::new(held, Step::ReleaseWanted, now));
+        state.has_leftover |= state.is_on_offer();
+        self.due.insert(task);
+    }
+
+    /// An attempt of a request is over: what is to be released of it can be now. `unanswered`: the attempt's engine, if that
+    /// has not said a word of it.
+    pub fn attempt_over(&mut self, task: TaskId, unanswered: Option<HostId>, now: Ms) {
+        let Some(state) = self.states.get_mut(&task) else { return };
+        if let Some(engine) = unanswered {
+            self.awaited.entry(engine.clone()).or_default().insert(task);
+            state.unanswered.push(UnansweredEnd { engine, at: now, known_at: None });
+        }
+        if !state.is_on_offer() {
+            (state.release.since, state.release.confirmed) = (now, 0);
+            state.release.unconfirmed.clear();
+            self.due.insert(task);
+        }
+    }
+
+    /// An engine has shown that it worked at an instant; gives the requests for which that matters.
+    pub fn engine_worked(&mut self, engine: &HostId, worked: Ms, now: Ms) -> Vec<TaskId> {
+        let Some(waiting) = self.awaited.get_mut(engine) else { return Vec::new() };
+        let mut known = Vec::new();
+        waiting.retain(|task| {
+            let Some(state) = self.states.get_mut(task) else { return false };
+            let ends =
+                state.unanswered.iter_mut().filter(|end| end.engine == *engine && end.known_at.is_none());
+            let (mut some_known, mut some_left) = (false, false);
+            for end in ends {
+                if end.at <= worked {
+                    (end.known_at, some_known) = (Some(now), true);
+                } else {
+                    some_left = true;
+                }
+            }
+            if some_known {
+                known.push(*task);
+            }
+            some_left
+        });
+        if waiting.is_empty() {
+            self.awaited.remove(engine);
+        }
+        known
+    }
+
+    /// Nothing is held for a request any more, or nothing more can be done about it.
+    pub fn forget(&mut self, task: TaskId) -> Option<KvState> {
+        let state = self.states.remove(&task)?;
+        for engine in state.unknowing() {
+            let waiting = self.awaited.get_mut(engine);
+            if waiting.is_some_and(|waiting| waiting.remove(&task) && waiting.is_empty()) {
+                self.awaited.remove(engine);
+            }
+        }
+        Some(state)
+    }
+}
--- a/crates/dispatcher/src/ledger/links.rs
+++ b/crates/dispatcher/src/ledger/links.rs
@@ -1,7 +1,8 @@
 //! Links: connections to model hosts, and what is out on each. Which one a stream takes, when one more is
 //! dialled, asked whether it lives or closed, [`Channels`] decides.
 
-use super::releases::PendingRelease;
+use super::host_releases::HostRelease;
+use super::kv_states::ReleaseCall;
 use super::timers::{Due, Timers};
 use super::{LinkId, Output, StreamNo};
 use crate::settings::ProgramSettings;
@@ -19,7 +20,9 @@
         sent: Ms,
     },
     Hold(TaskId, LaunchNo),
-    Release(PendingRelease),
+    /// Asked to release what is held for a request, at whatever host.
+    Release(ReleaseCall),
+    HostRelease(HostRelease),
     /// Asked for nothing but a sign that its host runs.
     Sign,
     /// Given up here; whatever still comes is old.
@@ -56,6 +59,8 @@
     heard: Ms,
     /// When it is known to have run, by what it sent.
     ran: Ms,
+    /// When it is known to have worked on an attempt, by what it sent of one.
+    worked: Ms,
     /// When it left a question unanswered.
     unanswered: Ms,
 }
@@ -63,7 +68,7 @@
 impl Default for Signs {
     fn default() -> Self {
         let never = f64::NEG_INFINITY;
-        Signs { heard: never, ran: never, unanswered: never }
+        Signs { heard: never, ran: never, worked: never, unanswered: never }
     }
 }
 
@@ -238,6 +243,19 @@
         }
     }
 
+    /// What has come over it is part of an attempt's answer, or the whole.
+    pub fn worked(&mut self, id: LinkId, now: Ms) {
+        let Some(link) = self.all.get(&id) else { return };
+        if let Some(signs) = self.signs.get_mut(&link.host) {
+            signs.worked = signs.worked.max(link.last_call).max(now - RECEIVED_LATE);
+        }
+    }
+
+    /// The latest instant at which a host is known to have worked; long ago if it never was.
+    pub fn worked_at(&self, host: &HostId) -> Ms {
+        self.signs.get(host).map_or(f64::NEG_INFINITY, |signs| signs.worked)
+    }
+
     /// Whether a host is known to have run at an instant or later.
     pub fn has_run_since(&self, host: &HostId, instant: Ms) -> bool {
         self.ran_at(host) >= instant
@@ -306,10 +324,10 @@
         id
     }
 
-    /// Releases that were sent and that no host has answered.
+    /// Releases that were sent to the hosts of their states, and that those have not answered.
     pub fn releasing(&self) -> usize {
         let all = self.all.values().flat_map(|link| link.streams.values());
-        all.filter(|purpose| matches!(purpose, Use::Release(..))).count()
+        all.filter(|purpose| matches!(purpose, Use::HostRelease(..))).count()
     }
 
     /// A link to the host that is up and takes streams; `resting`: one that carries nothing.
--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -10,8 +10,10 @@
 mod clients;
 mod delivery;
 mod fleet;
+mod host_releases;
 mod hosts;
 mod invariants;
+mod kv_states;
 mod links;
 mod record;
 mod releases;
@@ -29,11 +31,12 @@
 use cindercleat_protocol::{frame, name_of, v1, Body, Frame};
 use clients::Callers;
 use fleet::Fleet;
+use host_releases::HostRelease;
 pub use invariants::{Guarded, Invariant};
+use kv_states::KvStates;
 use links::Links;
-use releases::PendingRelease;
 use std::collections::{BTreeMap, BTreeSet};
-use tasks::{Held, Task, Ticket};
+use tasks::{Task, Ticket};
 use timers::{Due, Timers};
 
 /// After streams were moved in a stop: how often those are that have begun since.
@@ -168,10 +171,9 @@
     fleet: Fleet,
     links: Links,
     timers: Timers,
-    /// Releases to send, by the host that is asked next.
-    unreleased: BTreeMap<HostId, Vec<PendingRelease>>,
-    /// Hosts with releases that wait until nothing of their task is out or held.
-    withheld: BTreeSet<HostId>,
+    kv_states: KvStates,
+    /// Releases to send where a state belongs to its host, by that host.
+    unreleased: BTreeMap<HostId, Vec<HostRelease>>,
     /// Requests whose attempt the decisions doubt, and the id of the last request that was over.
     unconfirmed: BTreeSet<TaskId>,
     last_over: Option<String>,
@@ -207,8 +209,8 @@
             fleet: Fleet::default(),
             links: Links::new(seed),
             timers: Timers::default(),
+            kv_states: KvStates::default(),
             unreleased: BTreeMap::new(),
-            withheld: BTreeSet::new(),
             unconfirmed: BTreeSet::new(),
             last_over: None,
             events: Vec::new(),
@@ -250,9 +252,7 @@
             self.take_due(due, out);
             self.settle(out);
         }
-        for host in std::mem::take(&mut self.withheld) {
-            self.flush_releases(&host, out);
-        }
+        self.look_at_due_releases(out);
         // States that are let go are gone when their hosts say so: a stop does not cut that off, but no host that
         // says nothing holds it up for longer than a release may take.
         if let (Some(since), false) = (self.stopping, self.stopped) {
@@ -337,13 +337,18 @@
             links: self.links.len(),
             timers: self.timers.len(),
             hosts: self.fleet.hosts.len(),
-            releases: self.unreleased.values().map(Vec::len).sum::<usize>() + self.links.releasing(),
+            releases: self.releases_open(),
         }
     }
 
+    fn releases_open(&self) -> usize {
+        let queued: usize = self.unreleased.values().map(Vec::len).sum();
+        queued + self.links.releasing() + self.kv_states.releasing()
+    }
+
     /// Whether a state is to be let go of which no host has said yet that it is.
     fn releasing(&self) -> bool {
-        !planted::is(Plant::StopDropsReleases) && self.held().releases > 0
+        !planted::is(Plant::StopDropsReleases) && self.releases_open() > 0
     }
 
     /// Tells the decisions what happened and does what they decide, until nothing more follows. What is done
@@ -414,6 +419,7 @@
             Due::Past(link, stream) => self.look_at_past(link, stream, out),
             Due::Held(task) => self.guard_held(task, out),
             Due::Release(host) => self.flush_releases(&host, out),
+            Due::KvState(task) => self.end_wait(task, out),
             Due::StopNotice => self.end_notice(out),
             Due::StopMoves => {
                 self.move_all(out);
@@ -506,8 +512,6 @@
             answered: false,
             launches: 0,
             out: None,
-            state: None,
-            held_since: self.now,
             sent: false,
             effect: profile.effect,
             first_run: None,
@@ -635,7 +639,8 @@
     }
 
     fn forget_past(&mut self, id: TaskId) {
-        if self.tasks.get(&id).is_some_and(Task::is_past) {
+        let is_past = self.tasks.get(&id).is_some_and(Task::is_past);
+        if is_past && self.kv_states.on_offer(id).is_none() {
             let past = self.tasks.remove(&id);
             if let Some(origin) = past.and_then(|task| task.submit.origin) {
                 self.origins.remove(&origin.id);
--- a/crates/dispatcher/src/ledger/releases.rs
+++ b/crates/dispatcher/src/ledger/releases.rs
@@ -1,224 +1,336 @@
-//! Releases of KV states: what was held at a model host for a request and is not needed any more.
+//! Releases of KV states where any engine passes one on: when a release goes out, and which engines are asked next.
 //!
-//! A release is kept until a host has confirmed it. One that is lost on its way would leave the state pinned, so it is
-//! sent again: to the same host where states belong to one, and to another where any host passes a release on.
+//! Whether a confirmed one counts, the state's record tells (`kv_states.rs`). Until then it is sent again.
 
+use super::kv_states::{Held, KvState, ReleaseCall};
 use super::links::Use;
 use super::*;
 
-/// Where a state belongs to one host, its release is sent again after this part of the release time.
-const RETRY_PART: f64 = 4.0;
-/// Where any host passes a release on: the part of the release time within which a host has to confirm it, and the
-/// part that passes before the next host is asked.
+/// The part of the release time within which an engine has to confirm a release, and the part that passes before the next
+/// round where none has: first, and later.
 const CONFIRM_PART: f64 = 4.0;
-const NEXT_HOST_PART: f64 = 25.0;
+const NEXT_ROUND_PART: f64 = 25.0;
+const SLOW_ROUND_PART: f64 = 4.0;
+/// Where a release was confirmed that does not count: in release times, when it is sent again for the first time, and how often
+/// after that. An engine that hangs may notice the close of its attempt at any time, and the state's time counts from then
+/// on. After some repeats the wait doubles.
+const FIRST_REPEAT: f64 = 0.75;
+const REPEAT: f64 = 1.0;
+const EVEN_REPEATS: u32 = 10;
 /// Where a release waits for an attempt of its request: the part of the release time after which the attempt's engine is
 /// asked for a sign, and the part after which an attempt without one is waited for no longer.
 const ASK_PART: f64 = 4.0;
 const DOUBT_PART: f64 = 2.0;
-/// Each round without an answer asks one host more at once, so many at the most: when nearly all of a fleet are silent,
+/// Each round without an answer asks one engine more at once, so many at the most: when nearly all of a fleet are silent,
 /// one after another would take too long.
 const MOST_AT_ONCE: usize = 4;
-/// For so many release times; what has not got through by then may as well wait.
+/// For so many release times the next round comes soon; then it is likely that hardly any engine can be reached.
 const HURRIED_FOR: f64 = 2.0;
-/// Where the engine of a prefill that was cut off has confirmed nothing itself: the part of the release time after which
-/// it is asked again.
-const REPEAT_PART: f64 = 2.0;
-/// For how many release times a release that nobody confirms is sent again.
-const GIVE_UP_AFTER: f64 = 10.0;
+/// For how many release times a release is sent again that was confirmed and is not known to have taken effect, and one that
+/// nobody has confirmed.
+const GIVE_UP_AFTER: f64 = 20.0;
+const GIVE_UP_UNCONFIRMED_AFTER: f64 = 120.0;
 
-/// What is known of the state that a release is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Known {
-    /// Its engine has said that it holds it.
-    Held,
-    /// A prefill was cut off, which may have ended just then.
-    MayBeHeld,
-}
-
-/// A release that no host has confirmed yet.
-#[derive(Clone, Debug, PartialEq)]
-pub(super) struct PendingRelease {
-    pub held: Held,
-    pub known: Known,
-    /// Since when it is wanted, and since when nothing has held it up.
-    pub wanted: Ms,
-    pub since: Ms,
-    /// The attempt that was out and had not arrived when the release was decided: it does not hold the release up.
-    pub despite: Option<LaunchNo>,
-    /// Hosts that were asked and have not confirmed it.
-    pub unconfirmed: Vec<HostId>,
-    /// Sent beside the one that is kept until it is confirmed: nothing follows if it is lost.
-    pub is_copy: bool,
-}
-
-/// Where a release that is due goes.
-enum Route {
-    Through(HostId),
-    /// All that may be asked have been, and have not answered yet.
-    Later,
-    /// Its engine is gone, or another release of the state is on its way.
-    Nowhere,
-}
+impl Ledger {
+    /// The decisions let the state go that is held for a request.
+    pub(super) fn release(&mut self, id: TaskId, out: &mut Vec<Output>) {
+        if self.kv_states.on_offer(id).is_none() {
+            return;
+        }
+        if let Some((doubt, text)) = self.doubt(id) {
+            let text = format!("state released, {doubt}: {text}");
+            out.push(Output::Log { level: Level::Info, text });
+        }
+        self.want_release(id, out);
+        self.forget_past(id);
+    }
 
-impl PendingRelease {
-    fn new(held: Held, known: Known, since: Ms) -> Self {
-        PendingRelease {
-            held,
-            known,
-            wanted: since,
-            since,
-            despite: None,
-            unconfirmed: Vec::new(),
-            is_copy: false,
+    pub(super) fn want_release(&mut self, id: TaskId, out: &mut Vec<Output>) {
+        if self.settings.limits.single.is_some() {
+            self.kv_states.want_release(id, self.now);
+            self.arm_guard(id);
+        } else if let Some(state) = self.kv_states.forget(id) {
+            self.release_unless_planted(state.held, out);
         }
     }
 
-    fn message(&self) -> Body {
-        let held = &self.held;
-        Body::Release(v1::Release { state: Some(held.id), origin: held.origin.clone() })
+    /// A prefill was cut off: it may have ended at its engine, with nobody left to hear of it.
+    pub(super) fn release_leftover(&mut self, id: TaskId, held: Held, out: &mut Vec<Output>) {
+        if self.settings.limits.single.is_some() {
+            self.kv_states.want_leftover_released(id, held, self.now);
+        } else {
+            self.release_unless_planted(held, out);
+        }
     }
-}
 
-impl Ledger {
-    /// Lets the state held for a task go.
-    pub(super) fn release(&mut self, id: TaskId, out: &mut Vec<Output>) {
-        let doubt = self.doubt(id);
-        let Some(task) = self.tasks.get_mut(&id) else { return };
-        let despite = task.out.as_ref().map(|launch| launch.no);
-        let Some(held) = task.state.take() else { return };
-        if let Some(doubt) = doubt {
-            let text = format!("state released, its attempt has not arrived: {doubt}");
-            out.push(Output::Log { level: Level::Info, text });
+    pub(super) fn release_unless_planted(&mut self, held: Held, out: &mut Vec<Output>) {
+        if !planted::is(Plant::ReleaseForgotten) {
+            self.release_at_host(held, out);
         }
-        let release = PendingRelease { despite, ..PendingRelease::new(held, Known::Held, self.now) };
-        self.send_release(release, out);
-        self.forget_past(id);
     }
 
-    pub(super) fn release_state(&mut self, held: Held, known: Known, out: &mut Vec<Output>) {
-        self.send_release(PendingRelease::new(held, known, self.now), out);
+    /// Looks at the releases that have come up, once the decisions have dealt with what happened: only then it is known
+    /// whether a request goes on.
+    pub(super) fn look_at_due_releases(&mut self, out: &mut Vec<Output>) {
+        for id in std::mem::take(&mut self.kv_states.due) {
+            self.look_at_release(id, out);
+        }
     }
 
-    fn send_release(&mut self, release: PendingRelease, out: &mut Vec<Output>) {
+    /// Begins the next round of calls to release a state, if it is time.
+    pub(super) fn look_at_release(&mut self, id: TaskId, out: &mut Vec<Output>) {
         if planted::is(Plant::ReleaseForgotten) {
+            self.kv_states.forget(id);
+        }
+        let Some(state) = self.kv_states.to_release(id) else { return };
+        if state.release.open_calls > 0 {
             return;
         }
-        let host = release.held.host.clone();
-        self.add_release(host.clone(), release);
-        if self.settings.limits.single.is_some() {
-            // Only what the decisions make of this tells whether its task goes on: see `is_withheld`.
-            self.withheld.insert(host);
-        } else {
-            self.flush_releases(&host, out);
+        if self.is_needed(state) {
+            return self.wait_for_attempt(id, out);
+        }
+        let lasts = if state.release.confirmed > 0 { GIVE_UP_AFTER } else { GIVE_UP_UNCONFIRMED_AFTER };
+        if self.now - state.release.since > lasts * self.settings.policy.release {
+            return self.give_up_release(id, out);
+        }
+        let mut unconfirmed = state.release.unconfirmed.clone();
+        let engines = self.engines_to_ask(state, &mut unconfirmed);
+        if let Some(state) = self.kv_states.get_mut(id) {
+            state.release.unconfirmed = unconfirmed;
+            state.release.round_confirmed = false;
         }
+        for engine in engines {
+            self.begin_release(id, engine, out);
+        }
+        self.plan_next_round(id);
     }
 
-    fn add_release(&mut self, host: HostId, pending: PendingRelease) {
-        self.unreleased.entry(host).or_default().push(pending);
+    fn give_up_release(&mut self, id: TaskId, out: &mut Vec<Output>) {
+        let Some(state) = self.kv_states.forget(id) else { return };
+        let unknowing: Vec<&str> = state.unknowing().map(|host| host.0.as_ref()).collect();
+        let text = format!(
+            "state not released again: id={} after {} calls, {} confirmed; engines that have not worked since: {unknowing:?}",
+            state.held.origin, state.release.calls, state.release.confirmed
+        );
+        let level = if state.release.confirmed > 0 { Level::Info } else { Level::Warn };
+        out.push(Output::Log { level, text });
     }
 
-    /// A release was not confirmed by the host that was asked: it is sent again.
-    pub(super) fn release_lost(&mut self, asked: HostId, mut pending: PendingRelease) {
-        let release_time = self.settings.policy.release;
-        if self.settings.limits.single.is_none() {
-            self.add_release(asked.clone(), pending);
-            return self.timers.set(self.now + release_time / RETRY_PART, Due::Release(asked));
+    fn begin_release(&mut self, id: TaskId, engine: HostId, out: &mut Vec<Output>) {
+        let Some(row) = self.fleet.hosts.get(&engine) else { return };
+        let Some(state) = self.kv_states.get_mut(id) else { return };
+        let (now, address) = (self.now, row.line.address.clone());
+        (state.release.last_begun, state.release.calls) = (now, state.release.calls + 1);
+        let body =
+            Body::Release(v1::Release { state: Some(state.held.id), origin: state.held.origin.clone() });
+        let purpose = Use::Release(ReleaseCall { task: id, begun: now });
+        let to = (&mut self.timers, &mut *out);
+        match self.links.open(&engine, &address, purpose, now, &self.settings, to) {
+            Ok((link, stream)) => {
+                state.release.open_calls += 1;
+                let until = now + self.settings.policy.release / CONFIRM_PART;
+                self.timers.set(until, Due::Past(link, stream));
+                self.links.send(link, stream, body, out);
+            }
+            Err(_) => state.release.unconfirmed.push(engine),
+        }
+    }
+
+    /// A call to release a state has not gone out.
+    pub(super) fn release_unsent(&mut self, call: &ReleaseCall) {
+        if let Some(state) = self.kv_states.get_mut(call.task) {
+            state.release.open_calls = state.release.open_calls.saturating_sub(1);
+            self.kv_states.due.insert(call.task);
         }
-        if pending.is_copy {
+    }
+
+    /// A call to release a state was not confirmed by the engine that was asked.
+    pub(super) fn release_lost(&mut self, asked: HostId, call: &ReleaseCall) {
+        let Some(state) = self.kv_states.get_mut(call.task) else { return };
+        state.release.open_calls = state.release.open_calls.saturating_sub(1);
+        state.release.unconfirmed.push(asked);
+        self.plan_next_round(call.task);
+    }
+
+    /// An engine has confirmed a release: the state's record is over, if that counts.
+    pub(super) fn release_confirmed(&mut self, asked: &HostId, call: &ReleaseCall, out: &mut Vec<Output>) {
+        let release_time = self.settings.policy.release;
+        let Some(state) = self.kv_states.get_mut(call.task) else { return };
+        state.release.open_calls = state.release.open_calls.saturating_sub(1);
+        state.release.unconfirmed.clear();
+        state.release.round_confirmed = true;
+        if state.is_on_offer() {
             return;
         }
-        pending.unconfirmed.push(asked.clone());
-        let again = self.now + release_time / NEXT_HOST_PART;
-        let next = self.next_host_for(&mut pending).unwrap_or(asked);
-        for copy in self.copies_of(&mut pending, &next) {
-            self.timers.set(again, Due::Release(copy));
+        state.release.confirmed += 1;
+        let counts = state.is_released_by(call, release_time);
+        if !counts || self.attempt_of(call.task).is_some() {
+            return self.plan_next_round(call.task);
+        }
+        let Some(state) = self.kv_states.forget(call.task) else { return };
+        let level = if state.was_in_doubt() { Level::Info } else { Level::Debug };
+        let text = format!(
+            "state released: id={} by way of {}, call {}, {:.0} ms after its last attempt ended",
+            state.held.origin,
+            asked.0,
+            state.release.calls,
+            self.now - state.release.since
+        );
+        out.push(Output::Log { level, text });
+    }
+
+    /// Sets the time of the next round, once no call of this one is under way.
+    fn plan_next_round(&mut self, id: TaskId) {
+        let release_time = self.settings.policy.release;
+        let Some(state) = self.kv_states.to_release(id).filter(|state| state.release.open_calls == 0) else {
+            return;
+        };
+        let release = &state.release;
+        let is_hurried = self.now - release.since < HURRIED_FOR * release_time;
+        let wait = match release.round_confirmed {
+            // The end of the attempt brings it up again.
+            true if self.attempt_of(id).is_some() => return,
+            true => {
+                let counts_in = state.counts_from(release_time).map(|at| (at - self.now).max(0.0));
+                let usual = repeat_after(release.confirmed) * release_time;
+                counts_in.map_or(usual, |counts_in| counts_in.min(usual))
+            }
+            false if is_hurried => release_time / NEXT_ROUND_PART,
+            false => release_time / SLOW_ROUND_PART,
+        };
+        if !release.round_confirmed {
+            self.kv_states.stuck.insert(id);
         }
-        self.add_release(next.clone(), pending);
-        self.timers.set(again, Due::Release(next));
+        self.look_again(id, self.now + wait);
     }
 
-    /// Has a release go to some hosts more beside the next one, the more of them the more have not answered; gives which.
-    fn copies_of(&mut self, pending: &mut PendingRelease, next: &HostId) -> Vec<HostId> {
-        let is_hurried = self.now - pending.since < HURRIED_FOR * self.settings.policy.release;
-        let most = if is_hurried { pending.unconfirmed.len().min(MOST_AT_ONCE - 1) } else { 0 };
-        let mut copies = Vec::new();
-        let mut asked = PendingRelease { is_copy: true, ..pending.clone() };
-        asked.unconfirmed.push(next.clone());
-        while copies.len() < most {
-            let known = asked.unconfirmed.len();
-            let Some(host) = self.next_host_for(&mut asked).filter(|_| asked.unconfirmed.len() == known)
-            else {
-                break;
-            };
-            asked.unconfirmed.push(host.clone());
-            pending.unconfirmed.push(host.clone());
-            self.add_release(host.clone(), asked.clone());
-            copies.push(host);
+    /// An engine has shown that it runs: it passes on the releases that nobody has confirmed.
+    pub(super) fn note_engine_ran(&mut self) {
+        let mut stuck = std::mem::take(&mut self.kv_states.stuck);
+        self.kv_states.due.append(&mut stuck);
+    }
+
+    /// Has a release looked at at an instant, and not before.
+    fn look_again(&mut self, id: TaskId, at: Ms) {
+        let Some(state) = self.kv_states.get_mut(id) else { return };
+        state.release.next_look = at;
+        self.timers.set(at, Due::KvState(id));
+    }
+
+    /// The time has come at which a release was to be looked at, unless it was put off meanwhile.
+    pub(super) fn end_wait(&mut self, id: TaskId, out: &mut Vec<Output>) {
+        let is_due = self.kv_states.to_release(id).is_some_and(|state| state.release.next_look <= self.now);
+        if is_due {
+            self.look_at_release(id, out);
         }
-        copies
     }
 
-    /// A host has confirmed a release. Where any host passes one on, that of a prefill that was cut off is not done before
-    /// its own engine says so. Guards against an engine that is silent and ends the prefill afterwards: its state would lie
-    /// there.
-    pub(super) fn release_done(&mut self, asked: &HostId, mut pending: PendingRelease) {
-        let engine = pending.held.host.clone();
-        let may_come = pending.known == Known::MayBeHeld
-            && !pending.is_copy
-            && *asked != engine
-            && self.fleet.condition(&engine) != Condition::Gone
-            && self.settings.limits.single.is_some();
-        if may_come {
-            pending.unconfirmed.clear();
-            self.add_release(engine.clone(), pending);
-            let again = self.now + self.settings.policy.release / REPEAT_PART;
-            self.timers.set(again, Due::Release(engine));
+    /// An engine has worked since attempts there ended without its word: it knows of their ends now, or will in a moment.
+    pub(super) fn note_engine_worked(&mut self, engine: &HostId) {
+        let worked = self.links.worked_at(engine);
+        for id in self.kv_states.engine_worked(engine, worked, self.now) {
+            let state = self.kv_states.to_release(id).filter(|state| state.release.confirmed > 1);
+            let next = state.map_or(f64::INFINITY, |state| state.release.next_look);
+            if let Some(at) = state.and_then(|state| state.counts_from(self.settings.policy.release)) {
+                self.look_again(id, at.max(self.now).min(next));
+            }
         }
     }
 
-    /// Where a release goes that is due at a host: there, unless nothing was heard of that one lately and something was
-    /// of another, or it is gone. Guards against a release that overtakes the end of a prefill that was cut off: by way
-    /// of a nearer host it could come before the state is there.
-    fn host_for(&self, host: &HostId, pending: &mut PendingRelease) -> Option<HostId> {
-        let is_here = self.fleet.condition(host) != Condition::Gone;
-        let follows_cut = pending.known == Known::MayBeHeld && pending.unconfirmed.is_empty();
-        if is_here && (follows_cut || self.was_heard_lately(host)) {
-            return Some(host.clone());
+    /// The attempt that is out for a request.
+    fn attempt_of(&self, id: TaskId) -> Option<&tasks::Launch> {
+        let origin = &self.kv_states.get(id)?.held.origin;
+        let task = self.origins.get(origin).and_then(|id| self.tasks.get(id));
+        task.and_then(|task| task.out.as_ref())
+    }
+
+    /// Whether a release would end what its request still needs, as it does not tell a prefill's state from the next one's.
+    /// A decode attempt that is out for a state which the decisions have released needs nothing, and a prefill that has not
+    /// arrived neither.
+    pub(super) fn is_needed(&self, state: &KvState) -> bool {
+        let Some(id) = self.origins.get(&state.held.origin) else { return false };
+        let needs = |launch: &tasks::Launch| {
+            let may_arrive = self.now < self.doubted_from(state, launch) + self.doubt_lasts();
+            launch.first || launch.reading && (may_arrive || self.has_arrived(launch))
+        };
+        let is_on_offer = self.kv_states.on_offer(*id).is_some();
+        is_on_offer || self.tasks.get(id).and_then(|task| task.out.as_ref()).is_some_and(needs)
+    }
+
+    /// How long a release waits for a prefill that may not have arrived.
+    fn doubt_lasts(&self) -> Ms {
+        self.settings.policy.release / DOUBT_PART
+    }
+
+    /// Since when. A release that has gone out before waits for each prefill anew.
+    fn doubted_from(&self, state: &KvState, launch: &tasks::Launch) -> Ms {
+        let wanted = state.release.wanted;
+        if state.release.calls > 0 {
+            wanted.max(launch.since)
+        } else {
+            wanted
         }
-        let other = self.next_host_for(pending);
-        match other {
-            Some(other) if !is_here || self.was_heard_lately(&other) => Some(other),
-            _ => Some(host.clone()).filter(|_| is_here),
+    }
+
+    /// A release waits for an attempt of its request. One that may not have arrived: its engine is asked for a sign, and
+    /// without one the release goes out in time.
+    fn wait_for_attempt(&mut self, id: TaskId, out: &mut Vec<Output>) {
+        let Some(state) = self.kv_states.get_mut(id) else { return };
+        state.release.since = self.now;
+        let mut again = self.now + self.settings.policy.release / DOUBT_PART;
+        let Some(state) = self.kv_states.get(id) else { return };
+        let Some(of) = self.origins.get(&state.held.origin).copied() else { return };
+        let launch = self.tasks.get(&of).and_then(|task| task.out.as_ref());
+        if let Some(launch) = launch.filter(|launch| !launch.first && !self.has_arrived(launch)) {
+            let from = self.doubted_from(state, launch);
+            let asks_at = from + self.settings.policy.release / ASK_PART;
+            again = if self.now < asks_at { asks_at } else { from + self.doubt_lasts() };
+            let (no, is_doubted) = (launch.no, launch.is_doubted);
+            if self.now >= asks_at && !is_doubted {
+                self.confirm(of, no, out);
+            }
         }
+        self.look_again(id, again.max(self.now));
     }
 
-    /// The same, past hosts that are silent and have been asked.
-    fn route_for(&self, host: &HostId, pending: &mut PendingRelease) -> Route {
-        let via = if pending.is_copy { Some(host.clone()) } else { self.host_for(host, pending) };
-        match via {
-            None => Route::Nowhere,
-            Some(via) if !self.links.is_asked_in_vain(&via) => Route::Through(via),
-            Some(_) if pending.is_copy => Route::Nowhere,
-            Some(_) => self.next_host_for(pending).map_or(Route::Later, Route::Through),
+    /// The engines that the next round asks: the one that holds the state, or that most likely runs; one more for each that has
+    /// not answered.
+    fn engines_to_ask(&self, state: &KvState, unconfirmed: &mut Vec<HostId>) -> Vec<HostId> {
+        let more = unconfirmed.len().min(MOST_AT_ONCE - 1);
+        let mut asked: Vec<HostId> = self.holder_to_ask(state, unconfirmed).into_iter().collect();
+        while asked.len() < 1 + more {
+            let Some(next) = self.next_engine(unconfirmed, &asked) else { break };
+            asked.push(next);
         }
+        asked
+    }
+
+    /// The engine that holds the state, if it has not been asked, and was heard lately or was to prefill it just now. Guards
+    /// against a release that overtakes the end of a prefill that was cut off: by way of a nearer engine it could come before
+    /// the state is there.
+    fn holder_to_ask(&self, state: &KvState, unconfirmed: &[HostId]) -> Option<HostId> {
+        let host = &state.held.host;
+        let may_ask = self.fleet.condition(host) != Condition::Gone && !self.links.is_asked_in_vain(host);
+        let was_cut = state.release.confirmed == 0 && state.unknowing().any(|engine| engine == host);
+        let fits = may_ask && (was_cut || self.was_heard_lately(host)) && !unconfirmed.contains(host);
+        fits.then(|| host.clone())
     }
 
     fn was_heard_lately(&self, host: &HostId) -> bool {
         self.links.heard_at(host) >= self.now - self.settings.policy.release / CONFIRM_PART
     }
 
-    /// The host that most likely runs, of those that have not been asked: none that has left a question unanswered since it
+    /// The engine that most likely runs, of those that have not been asked: none that has left a question unanswered since it
     /// was heard, if there is another; one that was heard lately and has a connection at rest, one that was heard lately,
     /// or the one that was heard last. Once all were asked it begins anew. Guards against a part of the fleet that falls
-    /// silent at once: its connections at rest stay up, while those of the hosts that work are busy.
-    fn next_host_for(&self, pending: &mut PendingRelease) -> Option<HostId> {
+    /// silent at once: its connections at rest stay up, while those of the engines that work are busy.
+    fn next_engine(&self, unconfirmed: &mut Vec<HostId>, taken: &[HostId]) -> Option<HostId> {
         let ready = |(_, row): &(&HostId, &fleet::HostRow)| row.condition == Condition::Ready;
         let hosts: Vec<&HostId> = self.fleet.hosts.iter().filter(ready).map(|(host, _)| host).collect();
-        if hosts.iter().all(|host| pending.unconfirmed.contains(host)) {
+        if hosts.iter().all(|host| unconfirmed.contains(host)) {
             // The last one asked is not asked again at once, if there is another.
-            let asked = pending.unconfirmed.len();
-            pending.unconfirmed.drain(..asked.saturating_sub(1));
+            let asked = unconfirmed.len();
+            unconfirmed.drain(..asked.saturating_sub(1));
         }
         let rank = |host: &HostId| {
             let fresh = self.was_heard_lately(host);
@@ -229,128 +341,31 @@
             let (a, b) = (rank(a), rank(b));
             (a.0, a.1, a.2).cmp(&(b.0, b.1, b.2)).then(a.3.total_cmp(&b.3))
         };
-        // Guards against a storm: all requests that a process has open at a silent host would ask it again and again.
-        let unasked = hosts.into_iter().filter(|host| !pending.unconfirmed.contains(host));
+        // Guards against a storm: all requests that a process has open at a silent engine would ask it again and again.
+        let unasked = hosts.into_iter().filter(|host| !unconfirmed.contains(host) && !taken.contains(host));
         let unasked = unasked.filter(|host| !self.links.is_asked_in_vain(host));
         unasked.max_by(order).cloned()
     }
 
-    /// Whether letting a state go would end what its task still needs: where states go by their task's id, a
-    /// release does not tell a launch's from the next one's. An attempt that has not arrived needs nothing.
-    pub(super) fn is_withheld(&self, pending: &PendingRelease) -> bool {
-        let task = self.origins.get(&pending.held.origin).and_then(|id| self.tasks.get(id));
-        task.is_some_and(|task| {
-            let doubted_for = self.now - pending.wanted;
-            let needs = |launch: &tasks::Launch| {
-                let may_arrive = doubted_for < self.settings.policy.release / DOUBT_PART;
-                Some(launch.no) != pending.despite && (may_arrive || self.has_arrived(launch))
-            };
-            task.state.is_some() || task.out.as_ref().is_some_and(needs)
-        })
-    }
-
-    /// A release waits for an attempt that may not have arrived: its engine is asked for a sign, and without one the release
-    /// goes out in time.
-    fn doubt_attempt(&mut self, pending: &PendingRelease, out: &mut Vec<Output>) {
-        let Some(id) = self.origins.get(&pending.held.origin).copied() else { return };
-        let Some(launch) = self.tasks.get(&id).and_then(|task| task.out.as_ref()) else { return };
-        let until = pending.wanted + self.settings.policy.release / DOUBT_PART;
-        if launch.is_doubted || launch.first || self.now >= until || self.has_arrived(launch) {
-            return;
-        }
-        let asks_at = pending.wanted + self.settings.policy.release / ASK_PART;
-        let (no, host) = (launch.no, pending.held.host.clone());
-        if self.now >= asks_at {
-            self.confirm(id, no, out);
-            self.timers.set(until, Due::Release(host));
-        } else if self.now == pending.wanted {
-            self.timers.set(asks_at, Due::Release(host));
-        }
-    }
-
-    /// A release that was to go out on a connection that has just come up waits until its task needs nothing more.
-    pub(super) fn withhold(&mut self, host: &HostId, pending: PendingRelease) {
-        self.add_release(host.clone(), pending);
-        self.withheld.insert(host.clone());
-    }
-
-    /// Lets go what is to be let go at a host, over any link that is up; else one is had. What is wanted is
-    /// kept until the host says that it is done: a release lost on its way would leave a state pinned. A process
-    /// that is gone holds nothing, and a host that cannot be reached for long has its own time limit.
-    pub(super) fn flush_releases(&mut self, host: &HostId, out: &mut Vec<Output>) {
-        if self.settings.limits.single.is_some() {
-            return self.flush_singly(host, out);
-        }
-        let Some(states) = self.unreleased.get_mut(host) else { return };
-        let oldest = self.now - GIVE_UP_AFTER * self.settings.policy.release;
-        states.retain(|pending| pending.since >= oldest);
-        let row = self.fleet.hosts.get(host).filter(|row| row.condition != Condition::Gone);
-        match (self.links.up(host, false), row) {
-            (Some(link), _) => {
-                for pending in self.unreleased.remove(host).unwrap_or_default() {
-                    let body = pending.message();
-                    let purpose = Use::Release(pending);
-                    let stream = self.links.open_on(link, purpose, self.now, &mut self.timers);
-                    let Some(stream) = stream else { continue };
-                    self.timers.set(self.now + self.settings.limits.stall_limit, Due::Past(link, stream));
-                    self.links.send(link, stream, body, out);
-                }
-            }
-            (None, Some(row)) if !states.is_empty() => {
-                let address = row.line.address.clone();
-                let to = (&mut self.timers, out);
-                if !self.links.want(host, &address, self.now, &self.settings, to) {
-                    let again = Due::Release(host.clone());
-                    self.timers.set(self.now + self.settings.policy.release / RETRY_PART, again);
-                }
-            }
-            (None, _) => {
-                self.unreleased.remove(host);
-            }
-        }
-    }
-
-    /// As `flush_releases`, where each release takes a connection, and any host passes it on.
-    fn flush_singly(&mut self, host: &HostId, out: &mut Vec<Output>) {
-        let release_time = self.settings.policy.release;
-        let oldest = self.now - GIVE_UP_AFTER * release_time;
-        for mut pending in self.unreleased.remove(host).unwrap_or_default() {
-            if self.is_withheld(&pending) {
-                pending.since = self.now;
-                self.doubt_attempt(&pending, out);
-                self.withhold(host, pending);
-                continue;
-            }
-            if pending.since < oldest {
-                continue;
-            }
-            let via = match self.route_for(host, &mut pending) {
-                Route::Through(via) => via,
-                Route::Later => {
-                    self.add_release(host.clone(), pending);
-                    self.timers.set(self.now + release_time / NEXT_HOST_PART, Due::Release(host.clone()));
-                    continue;
-                }
-                Route::Nowhere => continue,
-            };
-            let address = self.fleet.hosts.get(&via).map(|row| row.line.address.clone()).unwrap_or_default();
-            let (body, purpose) = (pending.message(), Use::Release(pending.clone()));
-            let to = (&mut self.timers, &mut *out);
-            match self.links.open(&via, &address, purpose, self.now, &self.settings, to) {
-                Ok((link, stream)) => {
-                    self.timers.set(self.now + release_time / CONFIRM_PART, Due::Past(link, stream));
-                    self.links.send(link, stream, body, out);
-                }
-                Err(_) => self.release_lost(via, pending),
-            }
+    /// An attempt of a request is over: what is held for it may be taken back, and what is to be released can be.
+    pub(super) fn settle_state(&mut self, id: TaskId, ended: &tasks::Launch, outcome: Outcome) {
+        let is_unanswered = matches!(outcome, Outcome::CalledOff | Outcome::TimedOut | Outcome::Broken);
+        let was_sent = ended.sent.is_some() && self.settings.limits.single.is_some();
+        let unanswered = (is_unanswered && was_sent).then(|| ended.host.clone());
+        let holds_anew = outcome == Outcome::ReadDone || self.has_arrived(ended);
+        if let Some(state) = self.kv_states.get_mut(id).filter(|state| state.is_on_offer() && holds_anew) {
+            state.held_since = self.now;
         }
+        self.kv_states.take_back(id, ended.no);
+        self.kv_states.attempt_over(id, unanswered, self.now);
+        self.arm_guard(id);
     }
+}
 
-    /// The connection over which releases were to go is over: they go over another one.
-    pub(super) fn retry_releases(&mut self, host: &HostId) {
-        if self.unreleased.contains_key(host) {
-            let again = self.now + self.settings.policy.release / RETRY_PART;
-            self.timers.set(again, Due::Release(host.clone()));
-        }
+/// In release times: when a release is sent again that was confirmed so often, and does not count.
+fn repeat_after(confirmed: u32) -> f64 {
+    match confirmed {
+        0 | 1 => FIRST_REPEAT,
+        many => REPEAT * 2.0_f64.powi(many.saturating_sub(EVEN_REPEATS).min(8) as i32),
     }
 }
--- a/crates/dispatcher/src/ledger/tasks.rs
+++ b/crates/dispatcher/src/ledger/tasks.rs
@@ -22,10 +22,6 @@
     /// How many launches there were; the next one's number.
     pub launches: u32,
     pub out: Option<Launch>,
-    /// Where the read state waits.
-    pub state: Option<Held>,
-    /// Since when the time of that counts.
-    pub held_since: Ms,
     /// Whether any launch of it went to a host's socket.
     pub sent: bool,
     pub effect: Effect,
@@ -33,15 +29,6 @@
     pub first_run: Option<FirstRun>,
 }
 
-/// A read state held at a reader.
-#[derive(Clone, Debug, PartialEq)]
-pub(super) struct Held {
-    pub host: HostId,
-    pub id: v1::StateId,
-    /// The task's id as its client gave it, where states are known by it; else empty.
-    pub origin: String,
-}
-
 /// The launch of a task that is out.
 #[derive(Debug)]
 pub(super) struct Launch {
@@ -78,9 +65,9 @@
         }
     }
 
-    /// Nothing of it is out, held or owed.
+    /// Nothing of it is out or owed.
     pub fn is_past(&self) -> bool {
-        self.answered && self.out.is_none() && self.state.is_none()
+        self.answered && self.out.is_none()
     }
 
     /// The id that its client gave it, where it did.
--- a/crates/dispatcher/src/ledger/timers.rs
+++ b/crates/dispatcher/src/ledger/timers.rs
@@ -26,6 +26,8 @@
     Held(TaskId),
     /// States there whose release was lost are let go again.
     Release(HostId),
+    /// The release of this request's state is looked at.
+    KvState(TaskId),
     /// What comes from now on is not taken any more.
     StopNotice,
     /// Streams are to go on elsewhere.
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -173,7 +173,7 @@
         let Some(_slot) = worked else { return (AttemptEnd::Abandoned, Some(false)) };
         match self.stage {
             Stage::Prefill => {
-                self.audit.borrow_mut().state_held(request, &self.id);
+                self.audit.borrow_mut().state_held(request, &self.id, self.clock.now());
                 let said = connection.say(&answer("202 Accepted", "", "{\"cached_tokens\":0}")).await;
                 (AttemptEnd::Served, Some(said.is_ok()))
             }
--- a/src/control/delivery.rs
+++ b/src/control/delivery.rs
@@ -5,6 +5,8 @@
 //! within which the KV state has to be taken or released goes on. An engine that shows nothing in time is asked for a
 //! sign; without one the attempt is given up and another engine takes the state, or the state is released.
 //!
+//! A release that goes out while an attempt may wait is not the last word: the caller sends it again once that is over.
+//!
 //! Only where the caller can tell of deliveries ([`Control::track_deliveries`]); elsewhere what is sent counts as out.
 
 use super::{Control, Out, Slot, Task, RETRY_SHARE};
@@ -18,6 +20,9 @@
 /// engine. That one is asked at once, and has so much time to be confirmed.
 const GIVE_UP_AT: f64 = 0.5;
 const SECOND_WAIT: f64 = 0.2;
+/// Where the engine runs and nothing has come on the attempt's own connection by this share, the state is released in case
+/// that connection alone is silent. It leaves the time for some engines to be asked that do not answer.
+const RELEASE_AT: f64 = 0.8;
 /// An attempt at another engine begins no later than by this share: its own wait, and then a release, still fit in.
 const LAST_ATTEMPT_AT: f64 = 0.6;
 
@@ -28,9 +33,12 @@
 /// What is known of an attempt's way to its engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) enum Delivery {
-    /// The engine has shown since the send that it runs, or nobody tells of that.
+    /// The attempt was answered, as far as anybody tells of that, or nothing more is to be done about its way.
     #[default]
     Confirmed,
+    /// The engine has shown since the send that it runs, on some connection: the attempt is in its queue, or its own
+    /// connection alone is silent. When the state is released in case it is the latter.
+    EngineRuns { release_at: Ms },
     /// Nothing was heard since: when the engine is asked next, and when the attempt is given up.
     Unconfirmed { ask_at: Ms, give_up_at: Ms },
     /// No sign came in time: the attempt counts as not arrived, though it may yet arrive.
@@ -42,6 +50,7 @@
     pub(super) fn next_at(&self) -> Option<Ms> {
         match self {
             Delivery::Unconfirmed { ask_at, give_up_at } => Some(ask_at.min(*give_up_at)),
+            Delivery::EngineRuns { release_at } => Some(*release_at),
             Delivery::Confirmed | Delivery::GivenUp => None,
         }
     }
@@ -54,7 +63,9 @@
             Outcome::Unreachable | Outcome::Void => false,
             // Each is an answer of the engine's.
             Outcome::Fulfilled | Outcome::Failed | Outcome::Full | Outcome::ReadDone => true,
-            Outcome::TimedOut | Outcome::Broken | Outcome::CalledOff => self.delivery == Delivery::Confirmed,
+            Outcome::TimedOut | Outcome::Broken | Outcome::CalledOff => {
+                matches!(self.delivery, Delivery::Confirmed | Delivery::EngineRuns { .. })
+            }
         }
     }
 }
@@ -82,7 +93,8 @@
         let Some(task) = self.tasks.get_mut(&id) else { return };
         let Some(out) = task.out.as_mut().filter(|out| out.launch == launch) else { return };
         if matches!(out.delivery, Delivery::Unconfirmed { .. }) {
-            out.delivery = Delivery::Confirmed;
+            let release_at = (task.idle_since + RELEASE_AT * self.settings.release).max(self.now);
+            out.delivery = Delivery::EngineRuns { release_at };
             self.queue.awake.insert(id);
         }
     }
@@ -90,6 +102,9 @@
     /// Plans for an attempt that is out: asks its engine for a sign, or gives it up where none came in time.
     pub(super) fn plan_delivery(&mut self, task: &mut Task) {
         let Some(out) = task.out.as_mut() else { return };
+        if let Delivery::EngineRuns { release_at } = out.delivery {
+            return self.plan_unanswered(task, release_at);
+        }
         let Delivery::Unconfirmed { ask_at, give_up_at } = &mut out.delivery else { return };
         if self.now >= *give_up_at {
             return self.plan_undelivered(task);
@@ -102,6 +117,19 @@
         self.wake_at(next);
     }
 
+    /// An attempt of which nothing has come, at an engine that runs. By the platform's wire page a release lets go of what no
+    /// attempt waits for, so it takes nothing from one that is in the queue; by the other page it does, and that one finds
+    /// no state and is turned away, which proves that it has not run.
+    fn plan_unanswered(&mut self, task: &mut Task, release_at: Ms) {
+        if self.now < release_at {
+            return self.wake_at(release_at);
+        }
+        if let Some(out) = task.out.as_mut() {
+            out.delivery = Delivery::Confirmed;
+        }
+        task.want_release = task.state.is_some();
+    }
+
     /// An attempt that has not arrived: another engine takes its state, if the request may run there and one is to be
     /// had in time; else the state is released, and the attempt, should it arrive after all, finds none.
     fn plan_undelivered(&mut self, task: &mut Task) {
