--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -21,6 +21,8 @@
 const BETWEEN_EVENTS: Ms = 20.0;
 const EVENTS: std::ops::Range<usize> = 2..12;
 const EVENTS_OF_LONG: std::ops::Range<usize> = 40..80;
+/// The same where it is slower than clients wait.
+const SLOW: Ms = 3_500.0;
 /// Between two pieces of what is written in pieces.
 const BETWEEN_PIECES: Ms = 4.0;
 /// Of a hundred streams, how many break within their first event, break later, and cannot be read; and how many come in
@@ -38,6 +40,8 @@
     /// While it hangs it does not notice that a process has closed its connection.
     pub misses_closes: Cell<bool>,
     pub turns_away: Cell<bool>,
+    /// It takes longer for the first event than clients wait.
+    pub is_slow: Cell<bool>,
     pub close_idle: Notify,
 }
 
@@ -202,7 +206,7 @@
             Stage::Prefill => None,
             Stage::Decode => self.slots.acquire().await.ok(),
         };
-        self.spend(span).await;
+        self.spend(if self.behaviour.is_slow.get() { SLOW } else { span }).await;
         slot
     }
 
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -107,6 +107,16 @@
     },
     /// Machines of engines vanish, or their network fails one way: connections stay open, and nothing gets through.
     Silence(Silence),
+    /// Some connections to an engine fall silent, each alone, while it goes on with the others. At the end what lay there is
+    /// delivered, or all connections are reset.
+    SilenceSome {
+        engine: usize,
+        delivers: bool,
+    },
+    /// An engine takes longer for the first event than clients wait.
+    Slow {
+        engine: usize,
+    },
     /// An engine turns everything away.
     TurnAway {
         engine: usize,
@@ -266,7 +276,7 @@
 fn draw_trouble(rng: &mut WyRand, processes: usize, engines: Engines) -> Trouble {
     let process = rng.generate_range(0..processes);
     let engine = rng.generate_range(0..engines.count);
-    match rng.generate_range(0..35u32) {
+    match rng.generate_range(0..40u32) {
         0..=1 => Trouble::Stop { process },
         2 => Trouble::StopSeveral { first: process, count: rng.generate_range(2..=MOST_STOPPED) },
         3 => Trouble::Kill { process },
@@ -290,6 +300,8 @@
             let who = draw_group(rng, engine, engines);
             Trouble::Silence(draw_silence(rng, who, Loss::BothWays))
         }
+        30..=32 => Trouble::SilenceSome { engine, delivers: rng.generate_range(0..2u32) == 0 },
+        33..=34 => Trouble::Slow { engine },
         _ => {
             let who = draw_group(rng, engine, engines);
             let loss = if rng.generate_range(0..2u32) == 0 { Loss::ToEngines } else { Loss::ToProcesses };
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -43,6 +43,8 @@
     }
 }
 
+/// Spreads connections evenly over a hundred places; prime to it.
+const SPREAD: u32 = 37;
 /// Bytes that one turn of passing on takes at most.
 const TURN: usize = 16 << 10;
 /// After a close on one side, the other one's connection stays for so long.
@@ -55,7 +57,11 @@
     clock: Clock,
     passages: Passages,
     mode: Cell<Mode>,
+    /// Of a hundred connections, how many are silent whatever the mode is.
+    silent_alone: Cell<u32>,
     changed: Notify,
+    /// How many connections there were.
+    drawn: Cell<u32>,
     /// How often all connections were reset: those that are open see the number change.
     cuts: Cell<u64>,
 }
@@ -79,6 +85,8 @@
             clock,
             passages,
             mode: Cell::new(Mode::Pass),
+            silent_alone: Cell::new(0),
+            drawn: Cell::new(0),
             changed: Notify::new(),
             cuts: Cell::new(0),
         });
@@ -91,6 +99,12 @@
         self.shared.set_mode(mode);
     }
 
+    /// Lets so many of a hundred connections be silent, each alone.
+    pub fn silence_some(&self, percent: u32) {
+        self.shared.silent_alone.set(percent);
+        self.shared.changed.notify_waiters();
+    }
+
     /// Resets all connections.
     pub fn cut(&self) {
         self.shared.cuts.set(self.shared.cuts.get() + 1);
@@ -104,6 +118,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Where a new connection stands among a hundred.
+    fn draw(&self) -> u32 {
+        self.drawn.set(self.drawn.get().wrapping_add(1));
+        self.drawn.get().wrapping_mul(SPREAD) % 100
+    }
+
     async fn until_cut(&self, cuts: u64) {
         loop {
             let changed = self.changed.notified();
@@ -150,7 +170,8 @@
 async fn pass(from: TcpStream, shared: Rc<Shared>) {
     let cuts = shared.cuts.get();
     let passage = Rc::new(Passage::default());
-    let (mut forth, mut back) = (Lying::default(), Lying::default());
+    let draw = shared.draw();
+    let (mut forth, mut back) = (Lying::of(draw), Lying::of(draw));
     let (mut from_read, mut from_write) = from.into_split();
     // At once, also for a machine that has vanished: when it is back, all that lies there would want a connection in the
     // same instant, more than its listener queues, and some would stay silent alone.
@@ -184,11 +205,22 @@
 /// What has come on one way of a connection and has not gone on.
 #[derive(Default)]
 struct Lying {
+    /// Where its connection stands among a hundred.
+    draw: u32,
     bytes: Vec<u8>,
     end: Option<Over>,
 }
 
 impl Lying {
+    fn of(draw: u32) -> Lying {
+        Lying { draw, ..Lying::default() }
+    }
+
+    /// Whether nothing goes on this way of its connection.
+    fn is_stopped(&self, way: Way, shared: &Shared) -> bool {
+        shared.mode.get().stops(way) || self.draw < shared.silent_alone.get()
+    }
+
     /// Takes in what comes next.
     async fn take(&mut self, from: &mut OwnedReadHalf, way: Way, shared: &Shared, passage: &Passage) {
         let mut bytes = vec![0; TURN];
@@ -233,7 +265,8 @@
     loop {
         let changed = shared.changed.notified();
         let mode = shared.mode.get();
-        if !mode.stops(way) && !lying.bytes.is_empty() {
+        let is_stopped = lying.is_stopped(way, shared);
+        if !is_stopped && !lying.bytes.is_empty() {
             let ends_within = mode == Mode::SilentWithin && way == Way::ToEngine;
             let part = if ends_within { lying.bytes.len() / 2 } else { lying.bytes.len() };
             if ends_within {
@@ -248,7 +281,7 @@
             }
             continue;
         }
-        if let (Some(end), true) = (lying.end, !mode.stops(way)) {
+        if let (Some(end), true) = (lying.end, !is_stopped) {
             if end == Over::Closed {
                 // The other end sees what came before this as it is.
                 let _ = to.shutdown().await;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -43,6 +43,8 @@
 const STOP_NOTICED: Ms = 300.0;
 const STOP_KILLS: Ms = 700.0;
 const LONGEST_COUNTED: Ms = 3_000.0;
+/// Of a hundred connections to an engine, how many fall silent where each does alone.
+const SILENT_OF_A_HUNDRED: u32 = 40;
 /// Between the stops of several processes, and between a reload and a stop behind it.
 const BETWEEN_STOPS: Ms = 250.0;
 const BEHIND_A_RELOAD: Ms = 5.0;
@@ -362,6 +364,13 @@
                 sleep(until - self.clock.now()).await;
                 behaviour.turns_away.set(false);
             }
+            Trouble::SilenceSome { engine, delivers } => self.silence_some(engine, delivers, until).await,
+            Trouble::Slow { engine } => {
+                let behaviour = self.engines.borrow()[engine].engine.behaviour.clone();
+                behaviour.is_slow.set(true);
+                sleep(until - self.clock.now()).await;
+                behaviour.is_slow.set(false);
+            }
             Trouble::CloseIdle { engine } => {
                 self.engines.borrow()[engine].engine.behaviour.close_idle.notify_waiters();
             }
@@ -506,6 +515,17 @@
         }
     }
 
+    /// Some connections to an engine fall silent, each alone.
+    async fn silence_some(&self, at: usize, delivers: bool, until: Ms) {
+        let proxy = self.proxy(at);
+        proxy.silence_some(SILENT_OF_A_HUNDRED);
+        sleep(until - self.clock.now()).await;
+        if !delivers && self.is_behind(at, &proxy) {
+            self.cut_engine(at);
+        }
+        proxy.silence_some(0);
+    }
+
     /// Engines take connections and calls, and do nothing.
     async fn hang_engines(&self, hang: Hang, until: Ms) {
         let hung = ENGINES.of(hang.who).into_iter().filter(|at| self.become_unreachable(*at));
--- a/crates/soak/tests/audit.rs
+++ b/crates/soak/tests/audit.rs
@@ -121,6 +121,33 @@
     assert_eq!(violated(audit, 100.0), if found { vec![Invariant::Answered] } else { vec![] });
 }
 
+/// A stream that its process ends while its engine goes on writing, into a network that lets nothing through, or not.
+#[test]
+fn a_stream_that_is_cut_is_found_unless_nothing_of_it_has_come_through_for_long() {
+    for (silent_from, cut_at, found) in
+        [(None, 4_200.0, true), (Some(100.0), 4_200.0, false), (Some(100.0), 2_000.0, true)]
+    {
+        let mut audit = audit();
+        prefilled(&mut audit, "a", Effect::Idempotent, 0.0);
+        let passage = Rc::new(Passage::default());
+        let attempt =
+            NewAttempt { passage: Some(passage.clone()), ..new("a", "d", Stage::Decode, 21.0, 900.0) };
+        let decode = audit.attempt_begins(attempt);
+        audit.state_taken("a");
+        let mut number = 0;
+        for at in (30..4_200).step_by(20).map(f64::from).take_while(|at| *at < cut_at) {
+            audit.event_written(decode, at);
+            if silent_from.is_none_or(|from| at < from) {
+                passage.answer_passed(at);
+                audit.event_came("a", number, at);
+                number += 1;
+            }
+        }
+        audit.answered("a", Answer::Broken(number), cut_at);
+        assert_eq!(violated(audit, cut_at), if found { vec![Invariant::Answered] } else { vec![] });
+    }
+}
+
 #[test]
 fn an_answer_that_is_late_or_never_comes_is_found() {
     let mut audit = audit();
