--- a/crates/faults/tests/seeds.rs
+++ b/crates/faults/tests/seeds.rs
@@ -55,3 +55,10 @@
     each(&SHAPES[1], 60, false);
     each(&SHAPES[2], 40, false);
 }
+
+/// A machine that dies in the very instant in which the end of a stream is due there says nothing any more.
+#[test]
+fn a_machine_says_nothing_from_the_instant_in_which_it_dies() {
+    let played = play(&day(771_300_134, &SHAPES[0])).expect("it plays");
+    assert_eq!(played.breaches, []);
+}
