--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -444,7 +444,11 @@
         self.inner.transcript.add(self.now(), &self.inner.me, &conn.peer, conn.id, what);
     }
 
+    /// Guards against a process that speaks in the instant in which it is gone, as its tasks are woken once more.
     fn say(&self, conn: &Conn, stream: u64, body: Body) {
+        if !self.runs() {
+            return;
+        }
         let frame = frame(stream, body);
         self.record(conn, Way::Out, &frame);
         conn.out.send(frame);
@@ -459,6 +463,9 @@
 
     /// Ends a launch by a reset; what that says stands in the transcript as an end.
     fn reset(&self, conn: &Conn, stream: u64, code: u32) {
+        if !self.runs() {
+            return;
+        }
         let status = if code == REFUSED { v1::Status::Full } else { v1::Status::Failed };
         let reason = format!("reset {code}");
         let ended = v1::Ended { status: status.into(), reason, ..v1::Ended::default() };
