A release in doubt leaves the state on offer; a stop waits for no repeats

The decisions forgot a state once its release was sent in doubt, so an attempt that broke after that was followed by another prefill, or none. Now the attempt keeps the offer and only the ledger sends the release.

--- a/crates/dispatcher/src/ledger/invariants.rs
+++ b/crates/dispatcher/src/ledger/invariants.rs
@@ -108,7 +108,7 @@
     pub(super) fn guard_held(&mut self, id: TaskId, out: &mut Vec<Output>) {
         let Some(state) = self.kv_states.get(id) else { return };
         let launch = self.tasks.get(&id).and_then(|task| task.out.as_ref());
-        if launch.is_some_and(|launch| !state.is_on_offer() || self.has_arrived(launch)) {
+        if launch.is_some_and(|launch| state.is_to_release() || self.has_arrived(launch)) {
             return self.arm_guard(id);
         }
         let is_on_offer = state.is_on_offer();
--- a/crates/dispatcher/src/ledger/kv_states.rs
+++ b/crates/dispatcher/src/ledger/kv_states.rs
@@ -27,6 +27,9 @@
     Held,
     /// A decode attempt is out that may take it.
     Offered(LaunchNo),
+    /// The same, and nothing has come of the attempt: its connection alone may be silent. It is to be released, which does
+    /// nothing if the attempt waits for it.
+    OfferedInDoubt(LaunchNo),
     /// It is to be released. An attempt may still be out that had not arrived, as far as anybody knew.
     ReleaseWanted,
 }
@@ -115,6 +118,11 @@
         self.step != Step::ReleaseWanted
     }
 
+    /// Whether it is to be released.
+    pub fn is_to_release(&self) -> bool {
+        matches!(self.step, Step::ReleaseWanted | Step::OfferedInDoubt(_))
+    }
+
     /// Whether the confirmation of a call proves that nothing is held any more: it began after every attempt of the request
     /// was over, where its engine knew it. No attempt of the request is out.
     pub fn is_released_by(&self, call: &ReleaseCall, release_time: Ms) -> bool {
@@ -159,6 +167,12 @@
         self.states.get_mut(&task)
     }
 
+    /// States that are to be released, of which no engine has confirmed it since their last attempt ended.
+    pub fn unconfirmed(&self) -> usize {
+        let is_unconfirmed = |state: &&KvState| state.is_to_release() && state.release.confirmed == 0;
+        self.states.values().filter(is_unconfirmed).count()
+    }
+
     /// The state that an attempt of a request may take.
     pub fn on_offer(&self, task: TaskId) -> Option<&KvState> {
         self.get(task).filter(|state| state.is_on_offer())
@@ -166,12 +180,12 @@
 
     /// The state of a request that is to be released.
     pub fn to_release(&self, task: TaskId) -> Option<&KvState> {
-        self.get(task).filter(|state| !state.is_on_offer())
+        self.get(task).filter(|state| state.is_to_release())
     }
 
     /// States that are to be released.
     pub fn releasing(&self) -> usize {
-        self.states.values().filter(|state| !state.is_on_offer()).count()
+        self.states.values().filter(|state| state.is_to_release()).count()
     }
 
     /// A prefill has ended: its engine holds the state.
@@ -197,7 +211,8 @@
 
     /// The decode attempt is over and has not taken it.
     pub fn take_back(&mut self, task: TaskId, attempt: LaunchNo) {
-        if let Some(state) = self.states.get_mut(&task).filter(|state| state.step == Step::Offered(attempt)) {
+        let steps = [Step::Offered(attempt), Step::OfferedInDoubt(attempt)];
+        if let Some(state) = self.states.get_mut(&task).filter(|state| steps.contains(&state.step)) {
             state.step = Step::Held;
         }
     }
@@ -216,6 +231,15 @@
         }
     }
 
+    /// It is to be released, unless the attempt that is out waits for it.
+    pub fn doubt(&mut self, task: TaskId, now: Ms) {
+        let Some(state) = self.states.get_mut(&task) else { return };
+        if let Step::Offered(attempt) = state.step {
+            (state.step, state.release) = (Step::OfferedInDoubt(attempt), ReleaseProgress::new(now));
+            self.due.insert(task);
+        }
+    }
+
     /// It is to be released.
     pub fn want_release(&mut self, task: TaskId, now: Ms) {
         if let Some(state) = self.states.get_mut(&task).filter(|state| state.is_on_offer()) {
--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -337,18 +337,21 @@
             links: self.links.len(),
             timers: self.timers.len(),
             hosts: self.fleet.hosts.len(),
-            releases: self.releases_open(),
+            releases: self.host_releases() + self.kv_states.releasing(),
         }
     }
 
-    fn releases_open(&self) -> usize {
+    /// Releases where a state belongs to its host, which that has not confirmed.
+    fn host_releases(&self) -> usize {
         let queued: usize = self.unreleased.values().map(Vec::len).sum();
-        queued + self.links.releasing() + self.kv_states.releasing()
+        queued + self.links.releasing()
     }
 
-    /// Whether a state is to be let go of which no host has said yet that it is.
+    /// Whether a state is to be let go of which no host has said yet that it is. A stop does not wait for releases to be
+    /// repeated: what a process leaves that has ended is freed by the platform.
     fn releasing(&self) -> bool {
-        !planted::is(Plant::StopDropsReleases) && self.releases_open() > 0
+        let open = self.host_releases() + self.kv_states.unconfirmed();
+        !planted::is(Plant::StopDropsReleases) && open > 0
     }
 
     /// Tells the decisions what happened and does what they decide, until nothing more follows. What is done
@@ -391,6 +394,7 @@
                 self.answer(task, answer, 0.0, "no answer in time", out)
             }
             Action::Release { task } => self.release(task, out),
+            Action::ReleaseInDoubt { task } => self.release_in_doubt(task, out),
             Action::Confirm { task, launch } => self.confirm(task, launch, out),
             Action::HoldAhead { task, host } => self.hold_ahead(task, &host, out),
             Action::Move { task } => self.move_away(task, out),
--- a/crates/dispatcher/src/ledger/releases.rs
+++ b/crates/dispatcher/src/ledger/releases.rs
@@ -45,6 +45,16 @@
         self.forget_past(id);
     }
 
+    /// The decisions doubt that the attempt which is out has arrived, though its engine runs: what is held is let go, unless that
+    /// attempt waits for it.
+    pub(super) fn release_in_doubt(&mut self, id: TaskId, out: &mut Vec<Output>) {
+        if let Some((doubt, text)) = self.doubt(id) {
+            let text = format!("release sent, {doubt}: {text}");
+            out.push(Output::Log { level: Level::Info, text });
+        }
+        self.kv_states.doubt(id, self.now);
+    }
+
     pub(super) fn want_release(&mut self, id: TaskId, out: &mut Vec<Output>) {
         if self.settings.limits.single.is_some() {
             self.kv_states.want_release(id, self.now);
@@ -159,7 +169,7 @@
         state.release.open_calls = state.release.open_calls.saturating_sub(1);
         state.release.unconfirmed.clear();
         state.release.round_confirmed = true;
-        if state.is_on_offer() {
+        if !state.is_to_release() {
             return;
         }
         state.release.confirmed += 1;
@@ -253,7 +263,7 @@
             let may_arrive = self.now < self.doubted_from(state, launch) + self.doubt_lasts();
             launch.first || launch.reading && (may_arrive || self.has_arrived(launch))
         };
-        let is_on_offer = self.kv_states.on_offer(*id).is_some();
+        let is_on_offer = self.kv_states.on_offer(*id).is_some_and(|state| !state.is_to_release());
         is_on_offer || self.tasks.get(id).and_then(|task| task.out.as_ref()).is_some_and(needs)
     }
 
--- a/crates/dispatcher/src/ledger/story.rs
+++ b/crates/dispatcher/src/ledger/story.rs
@@ -83,6 +83,7 @@
             Action::Bounce { task, .. } => format!("{} bounced", self.called(*task)),
             Action::WriteOff { task } => format!("{} written off", self.called(*task)),
             Action::Release { task } => format!("{} released", self.called(*task)),
+            Action::ReleaseInDoubt { task } => format!("{} released in doubt", self.called(*task)),
             Action::Confirm { task, launch } => {
                 format!("{} launch={} in doubt", self.called(*task), launch.0)
             }
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -310,7 +310,7 @@
         }
         Action::WriteOff { task } => writeln!(out, "finish_error\t{i}\t{}", task.0),
         // Asked for only where deliveries are tracked.
-        Action::Confirm { .. } => Ok(()),
+        Action::Confirm { .. } | Action::ReleaseInDoubt { .. } => Ok(()),
         Action::Release { task } => writeln!(out, "let_go\t{i}\t{}", task.0),
         Action::HoldAhead { task, host } => writeln!(out, "earmark\t{i}\t{}\t{}", task.0, host.0),
         Action::Move { task } => writeln!(out, "transfer\t{i}\t{}", task.0),
--- a/src/control.rs
+++ b/src/control.rs
@@ -160,6 +160,7 @@
     want_cancel: bool,
     want_release: bool,
     want_confirm: bool,
+    want_release_in_doubt: bool,
 }
 
 pub struct Control {
@@ -418,7 +419,7 @@
 
     fn plan(&mut self, task: &mut Task) {
         (task.want, task.want_cancel, task.look_at) = (Want::Rest, false, self.now);
-        task.want_confirm = false;
+        (task.want_confirm, task.want_release_in_doubt) = (false, false);
         if task.over {
             task.want_cancel = task.out.as_ref().is_some_and(|o| !o.streaming);
             task.want_release = task.out.is_none() && task.state.is_some();
@@ -734,6 +735,9 @@
         if let Some(out) = task.out.as_ref().filter(|_| task.want_confirm) {
             actions.push(Action::Confirm { task: id, launch: out.launch });
         }
+        if task.want_release_in_doubt {
+            actions.push(Action::ReleaseInDoubt { task: id });
+        }
         if task.want_release {
             actions.push(Action::Release { task: id });
             task.state = None;
--- a/src/control/delivery.rs
+++ b/src/control/delivery.rs
@@ -127,7 +127,7 @@
         if let Some(out) = task.out.as_mut() {
             out.delivery = Delivery::Confirmed;
         }
-        task.want_release = task.state.is_some();
+        task.want_release_in_doubt = task.state.is_some();
     }
 
     /// An attempt that has not arrived: another engine takes its state, if the request may run there and one is to be
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -287,6 +287,10 @@
         task: TaskId,
         launch: LaunchNo,
     },
+    /// Lets go of what is held for a task, unless its attempt that is out waits for it.
+    ReleaseInDoubt {
+        task: TaskId,
+    },
     HoldAhead {
         task: TaskId,
         host: HostId,
