Read again: one look-up of a state's open request; readiness counts requests alone; one head for stories of streams

Behaviour is as it was: fares() asked for all that is held to get the number of requests; is_needed, wait_for_attempt and attempt_of each looked the request up.

--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -273,7 +273,7 @@
     pub fn fares(&self) -> (bool, f64) {
         let ready = self.fleet.is_known() && self.stopping.is_none();
         let most = self.settings.limits.most_tasks.max(1);
-        (ready, self.held().tasks as f64 / most as f64)
+        (ready, self.tasks.len() as f64 / most as f64)
     }
 
     /// The version of the newest list.
--- a/crates/dispatcher/src/ledger/releases.rs
+++ b/crates/dispatcher/src/ledger/releases.rs
@@ -174,7 +174,7 @@
         }
         state.release.confirmed += 1;
         let counts = state.is_released_by(call, release_time);
-        if !counts || self.attempt_of(call.task).is_some() {
+        if !counts || self.is_attempted(call.task) {
             return self.plan_next_round(call.task);
         }
         let Some(state) = self.kv_states.forget(call.task) else { return };
@@ -199,7 +199,7 @@
         let is_hurried = self.now - release.since < HURRIED_FOR * release_time;
         let wait = match release.round_confirmed {
             // The end of the attempt brings it up again.
-            true if self.attempt_of(id).is_some() => return,
+            true if self.is_attempted(id) => return,
             true => {
                 let counts_in = state.counts_from(release_time).map(|at| (at - self.now).max(0.0));
                 let usual = repeat_after(release.confirmed) * release_time;
@@ -247,24 +247,29 @@
         }
     }
 
-    /// The attempt that is out for a request.
-    fn attempt_of(&self, id: TaskId) -> Option<&tasks::Launch> {
-        let origin = &self.kv_states.get(id)?.held.origin;
-        let task = self.origins.get(origin).and_then(|id| self.tasks.get(id));
-        task.and_then(|task| task.out.as_ref())
+    /// The open request that goes by the id for which a state is held, and its attempt that is out.
+    fn open_request(&self, state: &KvState) -> Option<(TaskId, Option<&tasks::Launch>)> {
+        let id = *self.origins.get(&state.held.origin)?;
+        Some((id, self.tasks.get(&id).and_then(|task| task.out.as_ref())))
+    }
+
+    /// Whether an attempt of a request is out.
+    fn is_attempted(&self, id: TaskId) -> bool {
+        let request = self.kv_states.get(id).and_then(|state| self.open_request(state));
+        request.is_some_and(|(_, launch)| launch.is_some())
     }
 
     /// Whether a release would end what its request still needs, as it does not tell a prefill's state from the next one's.
     /// A decode attempt that is out for a state which the decisions have released needs nothing, and a prefill that has not
     /// arrived neither.
     pub(super) fn is_needed(&self, state: &KvState) -> bool {
-        let Some(id) = self.origins.get(&state.held.origin) else { return false };
+        let Some((id, launch)) = self.open_request(state) else { return false };
         let needs = |launch: &tasks::Launch| {
             let may_arrive = self.now < self.doubted_from(state, launch) + self.doubt_lasts();
             launch.first || launch.reading && (may_arrive || self.has_arrived(launch))
         };
-        let is_on_offer = self.kv_states.on_offer(*id).is_some_and(|state| !state.is_to_release());
-        is_on_offer || self.tasks.get(id).and_then(|task| task.out.as_ref()).is_some_and(needs)
+        let is_on_offer = self.kv_states.on_offer(id).is_some_and(|state| !state.is_to_release());
+        is_on_offer || launch.is_some_and(needs)
     }
 
     /// How long a release waits for a prefill that may not have arrived.
@@ -289,8 +294,7 @@
         state.release.since = self.now;
         let mut again = self.now + self.settings.policy.release / DOUBT_PART;
         let Some(state) = self.kv_states.get(id) else { return };
-        let Some(of) = self.origins.get(&state.held.origin).copied() else { return };
-        let launch = self.tasks.get(&of).and_then(|task| task.out.as_ref());
+        let Some((of, launch)) = self.open_request(state) else { return };
         if let Some(launch) = launch.filter(|launch| !launch.first && !self.has_arrived(launch)) {
             let from = self.doubted_from(state, launch);
             let asks_at = from + self.settings.policy.release / ASK_PART;
--- a/crates/standin/tests/audit.rs
+++ b/crates/standin/tests/audit.rs
@@ -276,15 +276,24 @@
     assert_eq!(story.found(), []);
 }
 
+/// A request whose decode attempt has come to its engine.
+fn decoded() -> Story {
+    let mut story = Story::default();
+    let submit = v1::Submit { key: "k2".to_owned(), patience_ms: 5000.0, ..v1::Submit::default() };
+    story.frame(10.0, CLIENT, Way::Out, 2, Body::Submit(submit));
+    let attempt = v1::Write { key: "k2".to_owned(), ..v1::Write::default() };
+    story.frame(20.0, WRITER, Way::In, 4, Body::Write(attempt));
+    story
+}
+
+fn tokens(position: u32) -> Body {
+    Body::Tokens(v1::Tokens { position, count: 1, ..v1::Tokens::default() })
+}
+
 #[test]
 fn an_event_that_is_held_back_is_found() {
     for (at, found) in [(400.0, vec![]), (500.0, vec![Rule::EventLate])] {
-        let mut story = Story::default();
-        let submit = v1::Submit { key: "k2".to_owned(), patience_ms: 5000.0, ..v1::Submit::default() };
-        story.frame(10.0, CLIENT, Way::Out, 2, Body::Submit(submit));
-        let attempt = v1::Write { key: "k2".to_owned(), ..v1::Write::default() };
-        story.frame(20.0, WRITER, Way::In, 4, Body::Write(attempt));
-        let tokens = |position| Body::Tokens(v1::Tokens { position, count: 1, ..v1::Tokens::default() });
+        let mut story = decoded();
         for (position, written, came) in [(0, 30.0, 31.0), (1, 60.0, at)] {
             story.frame(written, WRITER, Way::Out, 4, tokens(position));
             story.frame(came, CLIENT, Way::In, 2, tokens(position));
@@ -302,12 +311,7 @@
         (500.0, 960.0, "d", vec![Rule::EventLate]),
         (950.0, 960.0, "another", vec![Rule::EventLate]),
     ] {
-        let mut story = Story::default();
-        let submit = v1::Submit { key: "k2".to_owned(), patience_ms: 5000.0, ..v1::Submit::default() };
-        story.frame(10.0, CLIENT, Way::Out, 2, Body::Submit(submit));
-        let attempt = v1::Write { key: "k2".to_owned(), ..v1::Write::default() };
-        story.frame(20.0, WRITER, Way::In, 4, Body::Write(attempt));
-        let tokens = |position| Body::Tokens(v1::Tokens { position, count: 1, ..v1::Tokens::default() });
+        let mut story = decoded();
         story.frame(30.0, WRITER, Way::Out, 4, tokens(0));
         story.frame(31.0, CLIENT, Way::In, 2, tokens(0));
         story.note(50.0, (of, 0), Note::Asleep);
