A second answer of an engine is never the answer to the next request

Cause: an answer over HTTP/1.1 does not name its request. The pool put a connection that had become idle less than 2% of the connect timeout ago (5 ms) last, but still used it, and the session took the first bytes after a request for its answer. A preference is no bound. After a hold-up there is a second way: the second answer lies in the socket, but the runtime has not looked at it when the next request is written.

A request then goes to another idle connection or a new one; at the limit of connections a new one replaces one that rests. Multiplexed connections, whose messages name their stream, have a delay of 0. Before a request is written, the session lets the runtime look at the socket once; bytes, or an end, that came without a request end the connection, and the call is reported as never sent, so it goes out on another one. Why it works: bytes that come within the delay end the connection while it rests, and no request is on it.

What remains: an answer later than the delay cannot be told from the next one by anything that the protocol carries.

Related paths: health checks, releases and liveness checks are placed by the same pool, so they are covered; the choice of a release's engine looks for a reusable connection. Discovery's connection always has a call open, and its lists carry versions; not changed.

For operators: a warning names the engine that sent data without a request.

--- a/crates/cindercleat-cli/src/node.rs
+++ b/crates/cindercleat-cli/src/node.rs
@@ -151,6 +151,7 @@
         http1: Some(Http1Limits {
             client_timeouts: allowed.client_timeouts,
             max_engine_connections: allowed.max_engine_connections,
+            engine_reuse_delay: allowed.engine_reuse_delay,
         }),
         discovery: allowed.discovery,
     };
--- a/crates/cindercleat-cli/src/send.rs
+++ b/crates/cindercleat-cli/src/send.rs
@@ -207,7 +207,9 @@
                         }
                     }
                     Event::GoingAway => reading.open.set(false),
-                    Event::MessagesWritten { .. } | Event::MessageBegun => {}
+                    Event::MessagesWritten { .. }
+                    | Event::MessageBegun
+                    | Event::UnsolicitedData => {}
                 }
             }
             reading.open.set(false);
--- a/crates/dispatcher/src/driver/clients.rs
+++ b/crates/dispatcher/src/driver/clients.rs
@@ -132,7 +132,7 @@
             }
             Event::Frame(frame) => self.handle_input(Input::Client { conn, frame }),
             Event::MessageBegun => self.handle_input(Input::ClientRequestBegun { conn }),
-            Event::GoingAway => {}
+            Event::GoingAway | Event::UnsolicitedData => {}
             Event::MessagesWritten { stream, messages } => {
                 let stream = StreamId(stream);
                 self.handle_input(Input::MessagesForwarded {
--- a/crates/dispatcher/src/driver/engine_connections.rs
+++ b/crates/dispatcher/src/driver/engine_connections.rs
@@ -105,6 +105,13 @@
             match event {
                 Event::Frame(frame) => self.handle_input(Input::Engine { connection, frame }),
                 Event::GoingAway => self.handle_input(Input::ConnectionDraining { connection }),
+                Event::UnsolicitedData => {
+                    tracing::warn!(
+                        engine = %engine.0,
+                        connection = connection.0,
+                        "engine sent data without a request, such as a second answer; closing the connection"
+                    );
+                }
                 Event::MessagesWritten { .. } | Event::MessageBegun => {}
             }
         }
--- a/crates/dispatcher/src/settings.rs
+++ b/crates/dispatcher/src/settings.rs
@@ -88,6 +88,9 @@
     pub client_timeouts: Http1Settings,
     /// The maximum number of connections to all engines in total.
     pub max_engine_connections: usize,
+    /// An engine connection carries no other call for this long after the end of one, because an answer does not name
+    /// its call.
+    pub engine_reuse_delay: Ms,
 }
 
 impl ProgramSettings {
@@ -103,6 +106,7 @@
             ping_timeout: limits.ping_timeout,
             initial_backoff: limits.initial_connect_backoff,
             max_backoff: limits.max_connect_backoff,
+            reuse_delay: limits.http1.map_or(0.0, |http1| http1.engine_reuse_delay),
         }
     }
 
--- a/crates/dispatcher/src/state/connections.rs
+++ b/crates/dispatcher/src/state/connections.rs
@@ -163,6 +163,10 @@
                 }
                 Ok(self.dial(engine, address, now, effects))
             }
+            Placement::Replacement(idle) => {
+                self.evict(EngineConnectionId(idle.0), now, effects.1);
+                Ok(self.dial(engine, address, now, effects))
+            }
             Placement::Unavailable(error) => Err(error),
         }
     }
@@ -178,15 +182,20 @@
             .min_by(|a, b| a.1.last_received_at.total_cmp(&b.1.last_received_at))
             .map(|(id, _)| *id);
         if let Some(id) = longest_idle {
-            out.push(Output::CloseConnection {
-                connection: id,
-                reason: "evicted to make room for another connection".to_owned(),
-            });
-            self.remove(id, now);
+            self.evict(id, now, out);
         }
         longest_idle.is_some()
     }
 
+    /// Closes an idle connection to make room for another one.
+    fn evict(&mut self, id: EngineConnectionId, now: Ms, out: &mut Vec<Output>) {
+        out.push(Output::CloseConnection {
+            connection: id,
+            reason: "evicted to make room for another connection".to_owned(),
+        });
+        self.remove(id, now);
+    }
+
     /// Sets the timer for the next action on an engine's connections. If an earlier timer is set, this does
     /// nothing, because the next timer is set when the earlier one fires.
     pub fn schedule_timer(&mut self, engine: &EngineId, timers: &mut Timers) {
@@ -445,24 +454,27 @@
             .count()
     }
 
-    /// An established connection to the engine that accepts new streams, if there is one. With `idle_only`, only a
-    /// connection without open streams is returned.
-    pub fn accepting_connection(
-        &self,
-        engine: &EngineId,
-        idle_only: bool,
-    ) -> Option<EngineConnectionId> {
+    /// An established connection to the engine that accepts new streams, if there is one.
+    pub fn accepting_connection(&self, engine: &EngineId) -> Option<EngineConnectionId> {
         let pool = self.pools.get(engine)?;
         let ids = self.by_engine.get(engine)?;
-        let is_eligible = |connection: &EngineConnection| {
-            connection.is_established && (!idle_only || connection.streams.is_empty())
-        };
         let accepts = |id: &EngineConnectionId| {
-            pool.accepts_streams(ConnectionId(id.0)) && self.all.get(id).is_some_and(is_eligible)
+            pool.accepts_streams(ConnectionId(id.0))
+                && self
+                    .all
+                    .get(id)
+                    .is_some_and(|connection| connection.is_established)
         };
         ids.iter().copied().find(accepts)
     }
 
+    /// Whether an established connection to the engine has no open stream and can carry one now.
+    pub fn has_reusable_idle_connection(&self, engine: &EngineId, now: Ms) -> bool {
+        self.pools
+            .get(engine)
+            .is_some_and(|pool| pool.has_reusable_idle_connection(now))
+    }
+
     /// Dials the engine unless a connection accepts streams or is being dialled. Returns whether there is a
     /// connection now.
     pub fn ensure_connection(
--- a/crates/dispatcher/src/state/release_targets.rs
+++ b/crates/dispatcher/src/state/release_targets.rs
@@ -97,8 +97,7 @@
             let has_idle_connection = responded_recently
                 && self
                     .connections
-                    .accepting_connection(engine, true)
-                    .is_some();
+                    .has_reusable_idle_connection(engine, self.now);
             (
                 !self.connections.is_suspected(engine),
                 responded_recently,
--- a/crates/dispatcher/tests/common/mod.rs
+++ b/crates/dispatcher/tests/common/mod.rs
@@ -128,6 +128,7 @@
         http1: Some(Http1Limits {
             client_timeouts,
             max_engine_connections: 50,
+            engine_reuse_delay: 100.0,
         }),
         ..limits()
     }
--- a/crates/dispatcher/tests/single.rs
+++ b/crates/dispatcher/tests/single.rs
@@ -145,6 +145,8 @@
     let decode = start_decode(&mut harness, 1, "a", "proof");
     harness.send_from_engine(&decode, tokens(0));
     harness.end_attempt(&decode, Status::Succeeded);
+    let http1 = single_limits().http1.expect("HTTP/1 limits");
+    harness.advance(http1.engine_reuse_delay);
     // The next decode attempt at the same engine uses the idle connection, which the engine has closed.
     let next = loop {
         let n = harness.out.len() as u64;
--- a/crates/fleet/src/driver.rs
+++ b/crates/fleet/src/driver.rs
@@ -490,7 +490,7 @@
                     self.handle_input(Input::AnswerReceived { request_id, answer });
                 }
                 Event::GoingAway => break,
-                Event::MessagesWritten { .. } | Event::MessageBegun => {}
+                Event::MessagesWritten { .. } | Event::MessageBegun | Event::UnsolicitedData => {}
             }
         }
         let mut peers = self.state.peers.borrow_mut();
--- a/crates/http1/src/engine_client.rs
+++ b/crates/http1/src/engine_client.rs
@@ -87,6 +87,10 @@
             let Some((call, head, body)) = self.encode_call(frame) else {
                 continue;
             };
+            if self.has_unsolicited_data().await {
+                self.report_not_sent(stream, "the engine sent data without a request");
+                break;
+            }
             if !self.run_call(stream, call, &head, &body).await {
                 break;
             }
@@ -99,19 +103,25 @@
                 Some(Body::Prefill(_) | Body::Decode(_) | Body::HealthCheck(_) | Body::Release(_))
             );
             if starts_call && !self.shared.closing.get() {
-                let goodbye = v1::Goodbye {
-                    reason: "the connection had ended".to_owned(),
-                    never_ran: true,
-                };
-                self.shared.send_frame(frame.stream, Body::Goodbye(goodbye));
+                self.report_not_sent(frame.stream, "the connection had ended");
             }
         }
         self.shared.end();
     }
 
+    /// Ends a call of which no byte was written, so that it can be sent again on another connection.
+    fn report_not_sent(&self, stream: u64, reason: &str) {
+        let goodbye = v1::Goodbye {
+            reason: reason.to_owned(),
+            never_ran: true,
+        };
+        self.shared.send_frame(stream, Body::Goodbye(goodbye));
+    }
+
     /// Waits for the next frame; `None` once the connection ends. Bytes that arrive outside a call end the connection.
     async fn next_call(&mut self) -> Option<Frame> {
         if !self.bytes.is_empty() {
+            self.shared.send_event(Event::UnsolicitedData);
             return None;
         }
         // An idle connection frees its buffer, to save memory.
@@ -119,11 +129,37 @@
         let mut byte = [0];
         tokio::select! { biased;
             () = self.shared.wait_closing() => None,
-            _ = self.io.read(&mut byte) => None,
+            read = self.io.read(&mut byte) => {
+                self.report_unsolicited(read);
+                None
+            }
             frame = self.outgoing.recv() => frame,
         }
     }
 
+    /// Whether the engine has sent bytes, or the connection has ended, before the request of a call is written. Those
+    /// bytes cannot be the call's answer.
+    async fn has_unsolicited_data(&mut self) -> bool {
+        // Lets the runtime look at the sockets once. After a hold-up of the process, bytes may lie in the socket that
+        // the runtime has not noticed yet.
+        tokio::task::yield_now().await;
+        let mut byte = [0];
+        tokio::select! { biased;
+            read = self.io.read(&mut byte) => {
+                self.report_unsolicited(read);
+                true
+            }
+            () = std::future::ready(()) => false,
+        }
+    }
+
+    /// Reports the result of a read outside a call if it has returned data.
+    fn report_unsolicited(&self, read: std::io::Result<usize>) {
+        if read.is_ok_and(|bytes| bytes > 0) {
+            self.shared.send_event(Event::UnsolicitedData);
+        }
+    }
+
     /// The call that a frame starts, with the head and body of its HTTP request; `None` for a frame that starts no
     /// call.
     fn encode_call(&self, frame: Frame) -> Option<(Call, Vec<u8>, Bytes)> {
--- a/crates/protocol/src/session.rs
+++ b/crates/protocol/src/session.rs
@@ -44,6 +44,9 @@
     },
     /// The peer accepts no new calls on this connection; open calls continue.
     GoingAway,
+    /// The peer sent data that belongs to no open call, and the session ends. Only HTTP/1.1 sessions with an engine send
+    /// this event.
+    UnsolicitedData,
 }
 
 /// An established session: the peer's identity, the received events, and the handle that sends frames.
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -257,7 +257,9 @@
                         receiving.closed.set(true);
                         continue;
                     }
-                    Event::MessagesWritten { .. } | Event::MessageBegun => continue,
+                    Event::MessagesWritten { .. }
+                    | Event::MessageBegun
+                    | Event::UnsolicitedData => continue,
                 };
                 port.record(&receiving, Way::In, &frame);
                 let stream = frame.stream;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -511,7 +511,7 @@
             while let Some(event) = events.recv().await {
                 let frame = match event {
                     Event::Frame(frame) => frame,
-                    Event::GoingAway | Event::MessageBegun => continue,
+                    Event::GoingAway | Event::MessageBegun | Event::UnsolicitedData => continue,
                     Event::MessagesWritten { stream, messages } => {
                         if let Some(left) = receiving.credit.borrow_mut().get_mut(&stream) {
                             *left += messages;
--- a/src/connection_pool.rs
+++ b/src/connection_pool.rs
@@ -33,16 +33,15 @@
     pub initial_backoff: Ms,
     /// The upper limit of the doubled backoff; jitter is applied afterwards and may exceed it.
     pub max_backoff: Ms,
+    /// After a connection's last stream has ended, it carries no other one for this long. 0 if each message names its
+    /// stream. Otherwise bytes that the engine sends after the end of one answer would count as the next answer.
+    pub reuse_delay: Ms,
 }
 
 /// A further connection is opened ahead of need when the free streams of all connections are fewer than this fraction
 /// of one connection's streams.
 const MIN_FREE_STREAMS_FRACTION: f64 = 0.2;
 
-/// Among equally full connections, one that has been idle for less than this fraction of the connect timeout is chosen
-/// last: an engine that closes each connection after its answer may be about to close it.
-const SETTLE_TIME_FRACTION: f64 = 0.02;
-
 /// Lower limit of the random factor on the backoff; the upper limit is this plus 1.
 const MIN_BACKOFF_JITTER: f64 = 0.5;
 
@@ -57,6 +56,9 @@
     /// No existing connection can carry the stream. The caller opens a new one for it and reports that by
     /// [`ConnectionPool::connecting`].
     NewConnection,
+    /// No existing connection can carry the stream, and no further one is allowed. The caller closes this one, which is
+    /// idle but not reusable yet, reports that by [`ConnectionPool::closed`], and opens a new one in its place.
+    Replacement(ConnectionId),
     /// The stream cannot be opened now; nothing was sent.
     Unavailable(PlacementError),
 }
@@ -110,6 +112,8 @@
     streams: usize,
     max_streams: usize,
     idle_since: Ms,
+    /// When the last of the connection's streams so far has ended; negative infinity if none has.
+    last_stream_ended_at: Ms,
     last_received_at: Ms,
     /// When the unanswered ping was sent; `None` if there is none.
     pinged_at: Option<Ms>,
@@ -143,19 +147,12 @@
     ///
     /// The established connection with the most open streams is preferred if it accepts another one, so that the others
     /// become idle and are closed. Among equally full ones, the connection that became idle last is preferred, because
-    /// the engine may be about to close one that has been idle for long; a connection that became idle only just now
-    /// comes last. If no established connection accepts the stream, it goes to one that is connecting, else to a new
-    /// connection if another one is allowed.
+    /// the engine may be about to close one that has been idle for long. A connection without streams is not chosen
+    /// before [`PoolSettings::reuse_delay`] has passed since its last stream. If no established connection accepts the
+    /// stream, it goes to one that is connecting, else to a new connection if another one is allowed, else to a new one
+    /// that replaces a connection that is idle but not reusable yet.
     pub fn place(&self, now: Ms) -> Placement {
-        let settled_since = now - SETTLE_TIME_FRACTION * self.settings.connect_timeout;
-        let rank = |connection: &Connection| {
-            let is_settled = connection.idle_since <= settled_since;
-            (
-                connection.phase == Phase::Up,
-                connection.streams,
-                is_settled,
-            )
-        };
+        let rank = |connection: &Connection| (connection.phase == Phase::Up, connection.streams);
         let preference = |a: &(&ConnectionId, &Connection), b: &(&ConnectionId, &Connection)| {
             let by_idle_since = a.1.idle_since.total_cmp(&b.1.idle_since);
             rank(a.1)
@@ -163,24 +160,43 @@
                 .then(by_idle_since)
                 .then(b.0.cmp(a.0))
         };
-        let with_free_stream = self
-            .connections
-            .iter()
-            .filter(|(_, connection)| connection.has_free_stream());
-        match with_free_stream.max_by(preference) {
+        let usable = self.connections.iter().filter(|(_, connection)| {
+            connection.has_free_stream() && connection.is_reusable(&self.settings, now)
+        });
+        match usable.max_by(preference) {
             Some((id, _)) => Placement::Existing(*id),
-            None if self.is_at_max_connections() => {
-                Placement::Unavailable(PlacementError::PoolExhausted)
-            }
             // Guards against an engine that is down: without the backoff, each request for this engine would start
             // another connect.
-            None if now < self.next_connect_at => {
+            None if !self.is_at_max_connections() && now < self.next_connect_at => {
                 Placement::Unavailable(PlacementError::BackingOff)
             }
-            None => Placement::NewConnection,
+            None if !self.is_at_max_connections() => Placement::NewConnection,
+            None => self
+                .longest_idle_connection()
+                .filter(|_| now >= self.next_connect_at)
+                .map_or(
+                    Placement::Unavailable(PlacementError::PoolExhausted),
+                    Placement::Replacement,
+                ),
         }
     }
 
+    /// Whether an established connection without streams can carry one at `now`.
+    pub fn has_reusable_idle_connection(&self, now: Ms) -> bool {
+        self.connections
+            .values()
+            .any(|connection| connection.is_idle() && connection.is_reusable(&self.settings, now))
+    }
+
+    /// The established connection that has had no streams for the longest time.
+    fn longest_idle_connection(&self) -> Option<ConnectionId> {
+        self.connections
+            .iter()
+            .filter(|(_, connection)| connection.is_idle())
+            .min_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since))
+            .map(|(id, _)| *id)
+    }
+
     /// Records that the caller has started to open a connection.
     pub fn connecting(&mut self, id: ConnectionId, now: Ms) {
         let connection = Connection {
@@ -188,6 +204,7 @@
             streams: 0,
             max_streams: self.settings.max_streams_per_connection.max(1),
             idle_since: now,
+            last_stream_ended_at: f64::NEG_INFINITY,
             last_received_at: now,
             pinged_at: None,
         };
@@ -263,7 +280,7 @@
     pub fn stream_ended(&mut self, id: ConnectionId, now: Ms) {
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.streams = connection.streams.saturating_sub(1);
-            connection.idle_since = now;
+            (connection.idle_since, connection.last_stream_ended_at) = (now, now);
         }
     }
 
@@ -353,6 +370,17 @@
         self.accepts_streams() && self.streams < self.max_streams
     }
 
+    fn is_idle(&self) -> bool {
+        self.phase == Phase::Up && self.streams == 0
+    }
+
+    /// Whether a further answer to an earlier stream can no longer be taken for the answer to the next one. Guards
+    /// against an engine that sends a second answer some milliseconds after the first: on a connection whose messages do
+    /// not name their stream, another client would receive it.
+    fn is_reusable(&self, settings: &PoolSettings, now: Ms) -> bool {
+        self.streams > 0 || now - self.last_stream_ended_at >= settings.reuse_delay
+    }
+
     /// The next command for the connection if no event changes it, and when it is due.
     fn next_command(&self, id: ConnectionId, settings: &PoolSettings) -> (Ms, PoolCommand) {
         let close = |reason| PoolCommand::Close(id, reason);
--- a/src/resource_limits.rs
+++ b/src/resource_limits.rs
@@ -43,6 +43,8 @@
     /// A connection to an engine is closed after it has been idle for this long; infinite if engines never close idle
     /// connections.
     pub engine_idle_timeout: Ms,
+    /// A connection to an engine carries no other request for this long after an answer.
+    pub engine_reuse_delay: Ms,
     /// Maximum size in bytes of the body of one request.
     pub max_body_bytes: usize,
     /// Maximum size in bytes of the bodies of all open requests together.
@@ -97,6 +99,10 @@
 /// the engine closes it, because a request written to a connection that the engine is closing is lost.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.4;
 
+/// A connection to an engine rests for this long after an answer. An answer over HTTP/1.1 does not name its request, and
+/// the platform's engines may send a second one some milliseconds after the first.
+const ENGINE_REUSE_DELAY_MS: Ms = 100.0;
+
 /// The platform requires that a connection without a complete request is closed within three seconds of the accept,
 /// also in the middle of a request. It also requires that idle connections of well-behaved clients are kept.
 const CLIENT_TIMEOUTS: Http1Settings = Http1Settings {
@@ -181,6 +187,7 @@
             engine_idle_timeout: process
                 .engine_idle_timeout
                 .map_or(f64::INFINITY, |idle| IDLE_TIMEOUT_FRACTION * idle),
+            engine_reuse_delay: ENGINE_REUSE_DELAY_MS,
             max_body_bytes: MAX_BODY_BYTES,
             max_total_body_bytes: (process.memory_bytes / BODIES_MEMORY_DIVISOR) as usize,
             max_chunk_bytes: MAX_BODY_BYTES,
