Requests that wait behind an open one no longer end its connection

Cause: while a request is open, what comes behind it is read, as unread input hides the end of the connection. When more than one further request at its largest was buffered (272 KB), or all bodies together went over their bound, the session ended, with the open request unanswered. A bound on memory was kept by dropping accepted work.

Change: at the bounds the rest stays in the socket until the open request is answered, so TCP holds the client back. Pipelined input of all connections may use half of the bound on all bodies, so that it does not crowd out other clients. Bytes that are read after a pause count as arrived when it began, until the socket has been empty: an engine is never told more time than the client has left.

On the same path: a request whose head ended a read did not count as begun. It had no read time-out, and a drain closed its connection in the middle of it. It counts as begun now; its wait is taken at its first byte.

--- a/crates/http1/src/arrivals.rs
+++ b/crates/http1/src/arrivals.rs
@@ -14,16 +14,32 @@
     chunks: VecDeque<(usize, Instant)>,
     /// The number of unparsed bytes of all chunks.
     unparsed: usize,
+    /// When reading was stopped although more input may have arrived; `None` once all input has been read.
+    unread_since: Option<Instant>,
 }
 
 impl Arrivals {
-    /// Records that `bytes` bytes arrived now.
+    /// Records that input is left unread from now on. It may arrive at once, so bytes that are read later count as
+    /// arrived now, until all of them are read.
+    pub fn stop_reading(&mut self) {
+        self.unread_since.get_or_insert_with(Instant::now);
+    }
+
+    /// Records that all input that has arrived so far was read.
+    pub fn all_read(&mut self) {
+        self.unread_since = None;
+    }
+
+    /// Records that `bytes` bytes were read, which arrived now unless reading was stopped.
     pub fn received(&mut self, bytes: usize) {
         self.unparsed += bytes;
         let is_full = self.chunks.len() >= MAX_CHUNKS;
         match self.chunks.back_mut().filter(|_| is_full) {
             Some(last) => last.0 += bytes,
-            None => self.chunks.push_back((bytes, Instant::now())),
+            None => {
+                let arrived_at = self.unread_since.unwrap_or_else(Instant::now);
+                self.chunks.push_back((bytes, arrived_at));
+            }
         }
     }
 
--- a/crates/http1/src/engine_client.rs
+++ b/crates/http1/src/engine_client.rs
@@ -6,15 +6,13 @@
 
 use crate::event_stream::FirstEventScanner;
 use crate::framing::{FramingError, Length, ResponseHead, ResponsePart, ResponseReader};
-use crate::{session, wire_names, Bounds, Session, Shared};
+use crate::{session, socket, wire_names, Bounds, Session, Shared};
 use bytes::{Bytes, BytesMut};
 use cindercleat_protocol::session::{ByteStream, Event, Setup};
 use cindercleat_protocol::{v1, Body, Frame};
 use serde::Deserialize;
-use std::any::Any;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
@@ -249,7 +247,7 @@
                     };
                     self.shared.send_frame(stream, Body::Goodbye(goodbye));
                 }
-                _ => discard_unsent(&self.io),
+                _ => socket::discard_unsent(&self.io),
             }
             return false;
         }
@@ -259,7 +257,7 @@
             Ok(keep_alive) => keep_alive,
             Err(CallStop::ClosedLocally) => {
                 if !self.response_begun {
-                    discard_unsent(&self.io);
+                    socket::discard_unsent(&self.io);
                 }
                 false
             }
@@ -474,16 +472,6 @@
     }
 }
 
-/// Makes closing the connection send a reset. Otherwise, if the engine's machine is unreachable, the system keeps
-/// retransmitting a cancelled request after a normal close, and delivers it when the machine returns. In-memory
-/// connections have no unsent data and are left unchanged.
-fn discard_unsent<S: ByteStream>(io: &S) {
-    if let Some(stream) = (io as &dyn Any).downcast_ref::<TcpStream>() {
-        // Setting the option fails only if the connection is gone, and then there is nothing to discard.
-        let _ = stream.set_zero_linger();
-    }
-}
-
 /// Whether the response is a stream of events to forward.
 fn is_stream(head: &ResponseHead, call: &Call) -> bool {
     head.start_line == 200 && head.length == Length::Chunked && matches!(call, Call::Decode { .. })
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod framing;
 mod list;
 mod server;
+mod socket;
 pub mod wire_names;
 
 pub use list::{parse as parse_list, Malformed};
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -2,16 +2,19 @@
 
 use crate::arrivals::Arrivals;
 use crate::framing::{self, BodyPart, FramingError, Length, Request};
-use crate::{session, wire_names, Http1, Session, Shared};
-use bytes::{Bytes, BytesMut};
+use crate::{session, socket, wire_names, Http1, Session, Shared};
+use bytes::{BufMut, Bytes, BytesMut};
 use cindercleat_protocol::session::{ByteStream, Event};
 use cindercleat_protocol::{v1, Body, Frame};
 use std::cell::Cell;
+use std::future::{poll_fn, Future};
+use std::io;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::mpsc;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, unconstrained};
 
 /// The buffer space, in bytes, that is reserved for one read within a request; other reads reserve a fraction of it.
 const MAX_READ_BYTES: usize = 8 << 10;
@@ -26,6 +29,11 @@
 const MIN_TIME_TO_DEADLINE_MS: f64 = 0.001;
 /// The size, in bytes, at which collected token messages are written without collecting more.
 const MAX_WRITE_BYTES: usize = 32 << 10;
+/// Pipelined input of all connections may use `Bounds::max_total_body_bytes` divided by this. The rest is left for
+/// requests whose connection has no open one.
+const PIPELINED_BYTES_DIVISOR: usize = 2;
+/// How often a connection whose input is not read is checked for a close by the client.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
 pub(crate) fn start<S: ByteStream>(io: S, wire: Http1) -> Session {
     let peer = v1::Hello {
@@ -93,6 +101,16 @@
     Refusal { status, reason }
 }
 
+/// What is known of a request that is being received.
+#[derive(Default)]
+struct Progress {
+    /// Whether any part of the request was parsed.
+    head_parsed: bool,
+    /// Set once `Event::MessageBegun` was sent: how long the first byte of the request had waited by then, in
+    /// milliseconds.
+    waited_ms: Option<f64>,
+}
+
 /// A request that was read completely.
 enum Received {
     Submit(Box<v1::Submit>),
@@ -138,13 +156,16 @@
                 Err(stop) => return stop,
             };
             self.stream += 1;
-            let body = match received {
-                Received::Submit(submit) => Body::Submit(*submit),
-                Received::Ready => Body::Ping(v1::Ping {}),
+            let (body, body_bytes) = match received {
+                Received::Submit(submit) => {
+                    let body_bytes = submit.prompt.len();
+                    (Body::Submit(*submit), body_bytes)
+                }
+                Received::Ready => (Body::Ping(v1::Ping {}), 0),
             };
             self.shared.send_frame(self.stream, body);
-            let ended = self.write_response(keep_alive).await;
-            self.buffered.set(0);
+            let ended = self.write_response(keep_alive, body_bytes).await;
+            self.count_buffered(0);
             if let Some(stop) = ended {
                 return stop;
             }
@@ -181,16 +202,16 @@
         // Pipelined bytes have waited since they arrived behind the previous request. The dispatcher itself measures
         // only the time after `Event::MessageBegun`.
         self.arrivals.retain_last(self.bytes.len());
-        let waited_ms = self.arrivals.oldest_wait_ms();
-        let mut begin_reported = false;
+        let mut progress = Progress::default();
         let head = loop {
             if let Some(head) = framing::parse_request(&mut self.bytes)
                 .map_err(|error| Stop::Refused(refusal_for(error)))?
             {
                 break head;
             }
-            self.read_more(&mut begin_reported).await?;
+            self.read_more(&mut progress).await?;
         };
+        progress.head_parsed = true;
         let max_body = self.wire.bounds.max_body_bytes;
         let too_long = || {
             Stop::Refused(refusal(
@@ -217,7 +238,7 @@
                         return Err(too_long());
                     }
                     body.extend_from_slice(&data);
-                    self.buffered.set(body.len());
+                    self.count_buffered(body.len());
                     // Limits the memory that the bodies of all connections use together.
                     if self.buffered.total.get() > self.wire.bounds.max_total_body_bytes {
                         return Err(Stop::Refused(refusal(
@@ -227,7 +248,7 @@
                     }
                 }
                 Some(BodyPart::End) => break,
-                None => self.read_more(&mut begin_reported).await?,
+                None => self.read_more(&mut progress).await?,
             }
         }
         let received = match route {
@@ -235,6 +256,9 @@
             Route::Submit => {
                 let mut submit = parse_submit(&head, body.freeze()).map_err(Stop::Refused)?;
                 if submit.time_to_deadline_ms > 0.0 {
+                    let waited_ms = progress
+                        .waited_ms
+                        .unwrap_or_else(|| self.arrivals.oldest_wait_ms());
                     submit.time_to_deadline_ms =
                         (submit.time_to_deadline_ms - waited_ms).max(MIN_TIME_TO_DEADLINE_MS);
                 }
@@ -244,15 +268,15 @@
         Ok((received, head.keep_alive))
     }
 
-    /// Reads more input of a request. `begin_reported` tells whether `Event::MessageBegun` was sent for the request.
-    async fn read_more(&mut self, begin_reported: &mut bool) -> Result<(), Stop> {
-        let has_begun = !self.bytes.is_empty() || self.buffered.bytes > 0;
-        if has_begun && !*begin_reported {
-            *begin_reported = true;
+    /// Reads more input of a request, and reports its begin if a part of it has arrived.
+    async fn read_more(&mut self, progress: &mut Progress) -> Result<(), Stop> {
+        let has_begun = progress.head_parsed || !self.bytes.is_empty();
+        if has_begun && progress.waited_ms.is_none() {
+            progress.waited_ms = Some(self.arrivals.oldest_wait_ms());
             self.shared.send_event(Event::MessageBegun);
         }
-        let is_idle = !*begin_reported;
-        if self.bytes.is_empty() && is_idle {
+        let is_idle = !has_begun;
+        if is_idle {
             // An idle connection frees its buffer, to save memory.
             self.bytes = BytesMut::new();
         }
@@ -267,12 +291,9 @@
                     Stop::Refused(refusal(wire_names::STATUS_TIMEOUT, "the request did not come in time"))
                 })
             }
-            read = self.io.read_buf(&mut self.bytes) => match read {
+            read = read_input(&mut self.io, &mut self.bytes, usize::MAX, &mut self.arrivals) => match read {
                 Ok(0) | Err(_) => Err(Stop::Closed),
-                Ok(bytes) => {
-                    self.arrivals.received(bytes);
-                    Ok(())
-                }
+                Ok(_) => Ok(()),
             },
             () = self.shared.wait_leaving(), if is_idle => Err(Stop::Closed),
         }
@@ -298,28 +319,37 @@
         true
     }
 
-    /// Writes the response to the current request; returns the reason if no other request may follow.
-    async fn write_response(&mut self, keep_alive: bool) -> Option<Stop> {
-        let (mut stream_begun, request_bytes) = (false, self.buffered.bytes);
+    /// Writes the response to the current request, whose body has this length; returns the reason if no other request may
+    /// follow.
+    async fn write_response(&mut self, keep_alive: bool, body_bytes: usize) -> Option<Stop> {
+        let mut stream_begun = false;
         let mut text = Vec::new();
         loop {
-            self.bytes.reserve(MAX_READ_BYTES / 16);
+            // Pipelined input is read as it arrives, because unread input would hide that the client has closed the
+            // connection. At the bounds the rest stays in the socket until the current request is answered: closing
+            // the connection instead would leave that request without an answer.
+            self.count_buffered(body_bytes);
+            let max_read = self.max_pipelined_read();
+            let reads = max_read > 0;
+            if reads {
+                self.bytes.reserve(MAX_READ_BYTES / 16);
+            } else {
+                self.arrivals.stop_reading();
+            }
             let frame = tokio::select! { biased;
                 frame = self.outgoing.recv() => frame,
                 () = self.shared.wait_closing() => return Some(Stop::Closed),
-                read = self.io.read_buf(&mut self.bytes) => match read {
+                read = read_input(&mut self.io, &mut self.bytes, max_read, &mut self.arrivals), if reads => match read {
                     // The client closed the connection. The session ends, which cancels the current request.
                     Ok(0) | Err(_) => return Some(Stop::Closed),
-                    // Pipelined input is read as it arrives, because unread input would hide that the client has
-                    // closed the connection. The buffer for pipelined input is limited to one more request.
-                    Ok(bytes) => {
-                        self.arrivals.received(bytes);
-                        if self.exceeds_pipeline_bounds(request_bytes) {
-                            return Some(Stop::Closed);
-                        }
-                        continue;
-                    }
+                    Ok(_) => continue,
                 },
+                () = tokio::time::sleep(CLOSE_CHECK_INTERVAL), if !reads => {
+                    if socket::is_closed_by_peer(&self.io).await {
+                        return Some(Stop::Closed);
+                    }
+                    continue;
+                }
             };
             let Some(mut frame) = frame else {
                 return Some(Stop::Closed);
@@ -381,14 +411,25 @@
         }
     }
 
-    /// Whether the pipelined input after the current request is longer than one request may be, or the requests of
-    /// all clients together exceed `Bounds::max_total_body_bytes`. `request_bytes` is the length of the current request's body.
-    fn exceeds_pipeline_bounds(&mut self, request_bytes: usize) -> bool {
+    /// Counts the bytes that this connection holds: `body_bytes` of the current request's body, and the input behind it
+    /// that is longer than one read.
+    fn count_buffered(&mut self, body_bytes: usize) {
+        let pipelined = self.bytes.len().saturating_sub(MAX_READ_BYTES);
+        self.buffered.set(body_bytes + pipelined);
+    }
+
+    /// The number of bytes that may be read behind the current request now. At most one more request at its largest is
+    /// buffered; what of it is counted has to fit in the share of pipelined input.
+    fn max_pipelined_read(&self) -> usize {
         let bounds = self.wire.bounds;
-        self.buffered
-            .set(request_bytes + self.bytes.len().saturating_sub(MAX_READ_BYTES));
-        self.bytes.len() > bounds.max_body_bytes + framing::MAX_HEAD_BYTES
-            || self.buffered.total.get() > bounds.max_total_body_bytes
+        let max_pipelined = bounds.max_body_bytes + framing::MAX_HEAD_BYTES;
+        let max_total = bounds.max_total_body_bytes / PIPELINED_BYTES_DIVISOR;
+        let uncounted = MAX_READ_BYTES.saturating_sub(self.bytes.len());
+        let countable = max_total.saturating_sub(self.buffered.total.get());
+        max_pipelined
+            .saturating_sub(self.bytes.len())
+            .min(uncounted + countable)
+            .min(MAX_READ_BYTES)
     }
 
     /// Whether the connection stays open after the current request; `keep_alive` is false if the client or the
@@ -457,6 +498,31 @@
     }
 }
 
+/// Reads up to `max_bytes` bytes of input and records when they arrived; returns their number, 0 at the end of the input.
+///
+/// # Errors
+/// The connection is broken.
+async fn read_input<S: ByteStream>(
+    io: &mut S,
+    bytes: &mut BytesMut,
+    max_bytes: usize,
+    arrivals: &mut Arrivals,
+) -> io::Result<usize> {
+    let mut buffer = bytes.limit(max_bytes);
+    // `unconstrained`, because tokio otherwise also answers `Pending` when the task has run for long.
+    let mut read = pin!(unconstrained(io.read_buf(&mut buffer)));
+    let count = poll_fn(|context| {
+        let read = read.as_mut().poll(context);
+        if read.is_pending() {
+            arrivals.all_read();
+        }
+        read
+    })
+    .await?;
+    arrivals.received(count);
+    Ok(count)
+}
+
 /// A complete plain-text response; `extra_headers` holds additional header lines.
 fn plain_response(status: &str, reason: &str, extra_headers: &str, keep_alive: bool) -> Vec<u8> {
     let close = if keep_alive {
