A request read as its time to arrive ends is answered, not dropped

Cause: whether a request is complete is known to its session first; the state machine is told some scheduler turns later. When the read time-out, or an eviction for another client, fell between, the state machine had the connection closed on its older view. The session, which had the whole request and waited for the answer, ended; the request, still in the channel, was sent to an engine and then called off as if its client had left.

Evidence, before this commit on the unchanged code: client_connection_ends.rs a_request_that_arrives_in_parts puts the last byte 0 to 39 scheduler turns before the time-out, and before the eviction; each fails, with a connection that ends without an answer. Both pass with it.

Change: the command is 'refuse the partial request' (Outbox::refuse_partial_request, Output::RefusePartialRequest) in place of 'close'. The session carries it out only while the request is incomplete, and after a read of what has arrived; otherwise it has no effect. Why it works: the decision is made where the fact is known. A request that arrives in full also ends the close in Http1Connection, so its connection has its time-outs again and can be evicted. After a 408 for time the session reads on for the usual moment, so that last bytes that come just then do not reset the connection before the client has read it; a connection that makes room ends at once, as before.

Related paths: an idle connection is drained and reads before it obeys; the other closes end requests that the state machine knows.

The log line 'closing client connection ... request not received in time' is now 'refusing a partly received request, unless the rest has arrived by now', with its cause.

--- a/crates/dispatcher/src/driver/outputs.rs
+++ b/crates/dispatcher/src/driver/outputs.rs
@@ -21,6 +21,16 @@
                     out.go_away();
                 }
             }
+            Output::RefusePartialRequest { conn, cause } => {
+                tracing::warn!(
+                    conn = conn.0,
+                    ?cause,
+                    "refusing a partly received request, unless the rest has arrived by now"
+                );
+                if let Some(out) = self.shared.clients.borrow().get(&conn) {
+                    out.refuse_partial_request(cause);
+                }
+            }
             Output::CloseClient { conn, reason } => {
                 tracing::warn!(conn = conn.0, reason, "closing client connection");
                 if let Some(out) = self.shared.clients.borrow().get(&conn) {
--- a/crates/dispatcher/src/state/clients.rs
+++ b/crates/dispatcher/src/state/clients.rs
@@ -8,6 +8,7 @@
 use cindercleat::client_connection::multiplexed::{
     ClientCommand, CloseReason, MultiplexedConnection, MultiplexedSettings,
 };
+use cindercleat_protocol::session::RefusalCause;
 
 /// The state of one client connection, from which its pings and its close are decided.
 #[derive(Debug)]
@@ -163,13 +164,17 @@
         out: &mut Vec<Output>,
     ) {
         match reason {
-            // An idle connection is drained instead of closed, so that a request that is sent at the same moment is
-            // still answered.
+            // The session may have read the rest of a request that is not reported here yet. So an idle connection is
+            // drained and a partial request refused; neither has an effect on a request that has arrived.
             http1::CloseReason::Idle => out.push(Output::DrainClient { conn }),
-            http1::CloseReason::SlowRequest => {
-                let reason = "request not received in time".to_owned();
-                out.push(Output::CloseClient { conn, reason });
-            }
+            http1::CloseReason::SlowRequest => out.push(Output::RefusePartialRequest {
+                conn,
+                cause: RefusalCause::TimedOut,
+            }),
+            http1::CloseReason::Evicted => out.push(Output::RefusePartialRequest {
+                conn,
+                cause: RefusalCause::MakeRoom,
+            }),
         }
     }
 
--- a/crates/dispatcher/src/state/io.rs
+++ b/crates/dispatcher/src/state/io.rs
@@ -1,6 +1,7 @@
 //! The inputs and outputs of a dispatcher, and the ids of connections and streams in them.
 
 use cindercleat::interface::{DispatcherId, EngineId};
+use cindercleat_protocol::session::RefusalCause;
 use cindercleat_protocol::{v1, Frame};
 
 /// The id of a client connection. The driver assigns it and never reuses it.
@@ -114,6 +115,14 @@
         /// The connection to drain.
         conn: ClientConnectionId,
     },
+    /// Refuse the request of which only a part has arrived, and close the client connection. Has no effect if the
+    /// request has arrived completely by now; it follows as [`Input::Client`].
+    RefusePartialRequest {
+        /// The connection whose request is refused.
+        conn: ClientConnectionId,
+        /// Why the request is refused.
+        cause: RefusalCause,
+    },
     /// Close a client connection after the messages that were already sent on it.
     CloseClient {
         /// The connection to close.
--- a/crates/dispatcher/tests/client_connection_ends.rs
+++ b/crates/dispatcher/tests/client_connection_ends.rs
@@ -11,6 +11,7 @@
 #[path = "common/request_stages.rs"]
 mod request_stages;
 
+use cindercleat_dispatcher::Limits;
 use loopback::*;
 use request_stages::*;
 use tokio::io::AsyncWriteExt;
@@ -241,3 +242,103 @@
         }
     }
 }
+
+mod a_request_that_arrives_in_parts {
+    use super::*;
+
+    /// What makes the dispatcher give up waiting for the rest of a request.
+    #[derive(Clone, Copy, Debug)]
+    enum Trigger {
+        ReadTimeout,
+        Eviction,
+    }
+
+    /// The number of scheduler turns of the other tasks between the last byte of the request and the trigger. The
+    /// session reads the byte within these turns, and the state machine is told of the request only some turns later.
+    const MAX_TURNS: usize = 40;
+
+    /// What came of the request.
+    #[derive(Debug, PartialEq)]
+    enum Outcome {
+        /// It was answered with a failure, and no engine has received it.
+        Refused,
+        /// It was sent to the engines, and its answer has arrived.
+        Served,
+    }
+
+    /// Serves the attempts of one request.
+    async fn serve_at_engines(net: &Loopback) {
+        net.serve_prefill().await;
+        let (mut decode, _) = net.engine("w1").accept_request().await;
+        decode
+            .send(&format!("{STREAM_HEAD}{EVENT}{LAST_CHUNK}"))
+            .await;
+    }
+
+    async fn outcome_of(net: &Loopback, client: &mut Conn) -> Outcome {
+        let head = tokio::select! { biased;
+            head = client.read_until("\r\n\r\n") => head,
+            () = serve_at_engines(net) => client.read_until("\r\n\r\n").await,
+        };
+        if head.starts_with("HTTP/1.1 200 ") {
+            assert!(client.read_until(LAST_CHUNK).await.ends_with(LAST_CHUNK));
+            return Outcome::Served;
+        }
+        assert!(
+            head.starts_with("HTTP/1.1 408 "),
+            "the connection was closed without an answer: {head:?}"
+        );
+        assert!(!net.engine("r1").has_pending_connection());
+        Outcome::Refused
+    }
+
+    /// Guards against lost requests: the last byte of a request arrives as the dispatcher gives up waiting for it, on a
+    /// read timeout or to make room for another client. A request that was read must be answered on its connection.
+    #[test]
+    fn is_answered_if_its_last_byte_arrives_as_it_is_given_up() {
+        for trigger in [Trigger::ReadTimeout, Trigger::Eviction] {
+            let outcomes = std::cell::RefCell::new(Vec::new());
+            for turns in 0..MAX_TURNS {
+                let outcomes = &outcomes;
+                let limits = Limits {
+                    max_client_connections: 1,
+                    ..limits()
+                };
+                run_with(limits, &["r1", "w1"], |net| async move {
+                    let mut client = net.connect().await;
+                    let text = request_text("a", "proof");
+                    let (first_part, last_part) = text.split_at(text.len() - 1);
+                    client.send(first_part).await;
+                    for _ in 0..100 {
+                        tokio::task::yield_now().await;
+                    }
+                    net.advance(1_999.0);
+                    tokio::task::yield_now().await;
+                    client
+                        .io
+                        .try_write(last_part.as_bytes())
+                        .expect("socket buffer has room");
+                    for _ in 0..turns {
+                        tokio::task::yield_now().await;
+                    }
+                    let other = match trigger {
+                        Trigger::ReadTimeout => {
+                            net.advance(1.0);
+                            None
+                        }
+                        Trigger::Eviction => Some(net.connect().await),
+                    };
+                    let outcome = outcome_of(&net, &mut client).await;
+                    drop(other);
+                    net.wait_until_no_request_open().await;
+                    outcomes.borrow_mut().push(outcome);
+                });
+            }
+            let outcomes = outcomes.into_inner();
+            assert!(
+                outcomes.contains(&Outcome::Served),
+                "{trigger:?}: {outcomes:?}"
+            );
+        }
+    }
+}
--- a/crates/grpc/src/lib.rs
+++ b/crates/grpc/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use cindercleat_protocol::session::{Event, Setup};
 
-use cindercleat_protocol::session::{self, ByteStream, Outbox, Wire};
+use cindercleat_protocol::session::{self, ByteStream, Outbox, RefusalCause, Wire};
 use cindercleat_protocol::{frame, v1, Body, Frame};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -73,6 +73,9 @@
         Out::go_away(self);
     }
 
+    /// Does nothing: a request is one message, which arrives as a whole.
+    fn refuse_partial_request(&self, _: RefusalCause) {}
+
     fn close(&self) {
         Out::close(self);
     }
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use list::{parse as parse_list, Malformed};
 
-use cindercleat_protocol::session::{self, ByteStream, Event, Outbox, Setup, Wire};
+use cindercleat_protocol::session::{self, ByteStream, Event, Outbox, RefusalCause, Setup, Wire};
 use cindercleat_protocol::{v1, Body, Frame};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -102,9 +102,11 @@
     closing: Cell<bool>,
     /// `Outbox::go_away` was called.
     leaving: Cell<bool>,
+    /// Why the request that is being received was refused; `None` if it was not.
+    refusal: Cell<Option<RefusalCause>>,
     /// The session's task has ended.
     is_closed: Cell<bool>,
-    /// Signals a change of `closing`, `leaving` or `is_closed`.
+    /// Signals a change of `closing`, `leaving`, `refusal` or `is_closed`.
     changed: Notify,
     /// Sends the session's events; `None` once the session's task has ended.
     events: RefCell<Option<mpsc::UnboundedSender<Event>>>,
@@ -128,6 +130,12 @@
         }
     }
 
+    async fn wait_refusal(&self) {
+        while self.refusal.get().is_none() {
+            self.changed.notified().await;
+        }
+    }
+
     async fn wait_leaving(&self) {
         while !self.leaving.get() && !self.closing.get() {
             self.changed.notified().await;
@@ -158,6 +166,11 @@
         self.shared.changed.notify_waiters();
     }
 
+    fn refuse_partial_request(&self, cause: RefusalCause) {
+        self.shared.refusal.set(Some(cause));
+        self.shared.changed.notify_waiters();
+    }
+
     fn close(&self) {
         self.shared.closing.set(true);
         self.shared.changed.notify_waiters();
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -4,7 +4,7 @@
 use crate::framing::{self, BodyPart, FramingError, Length, Request};
 use crate::{session, socket, wire_names, Http1, Session, Shared};
 use bytes::{BufMut, Bytes, BytesMut};
-use cindercleat_protocol::session::{ByteStream, Event};
+use cindercleat_protocol::session::{ByteStream, Event, RefusalCause};
 use cindercleat_protocol::{v1, Body, Frame};
 use std::cell::Cell;
 use std::future::{poll_fn, Future};
@@ -111,6 +111,13 @@
     waited_ms: Option<f64>,
 }
 
+const fn request_timeout() -> Refusal {
+    refusal(
+        wire_names::STATUS_TIMEOUT,
+        "the request did not come in time",
+    )
+}
+
 /// A request that was read completely.
 enum Received {
     Submit(Box<v1::Submit>),
@@ -172,8 +179,8 @@
         }
     }
 
-    /// Reads and discards input until the client closes the connection, the dispatcher closes it (on shutdown, or to
-    /// make room for another connection), or a bound is reached.
+    /// Reads and discards input until the client closes the connection, the dispatcher closes it on shutdown, or a bound
+    /// is reached. If the connection makes room for another one, only what has arrived by now is discarded.
     ///
     /// Closing a socket with unread input resets the connection, and the reset would discard a response that the client
     /// has not read yet.
@@ -181,6 +188,7 @@
         let (mut remaining, mut discarded) =
             (self.wire.bounds.max_drained_bytes, [0; MAX_READ_BYTES / 8]);
         let leaving = self.shared.leaving.get();
+        let makes_room = self.shared.refusal.get() == Some(RefusalCause::MakeRoom);
         let deadline = tokio::time::sleep(Duration::from_millis(u64::from(
             self.wire.bounds.drain_timeout_ms,
         )));
@@ -191,6 +199,7 @@
                     Ok(0) | Err(_) => return,
                     Ok(bytes) => remaining = remaining.saturating_sub(bytes),
                 },
+                () = std::future::ready(()), if makes_room => return,
                 () = &mut deadline => return,
                 () = self.shared.wait_leaving(), if !leaving => return,
             }
@@ -202,6 +211,8 @@
         // Pipelined bytes have waited since they arrived behind the previous request. The dispatcher itself measures
         // only the time after `Event::MessageBegun`.
         self.arrivals.retain_last(self.bytes.len());
+        // A refusal that came after the last byte of the previous request has no effect.
+        self.shared.refusal.set(None);
         let mut progress = Progress::default();
         let head = loop {
             if let Some(head) = framing::parse_request(&mut self.bytes)
@@ -288,13 +299,15 @@
         tokio::select! { biased;
             () = self.shared.wait_closing() => {
                 Err(if is_idle { Stop::Closed } else {
-                    Stop::Refused(refusal(wire_names::STATUS_TIMEOUT, "the request did not come in time"))
+                    Stop::Refused(request_timeout())
                 })
             }
             read = read_input(&mut self.io, &mut self.bytes, usize::MAX, &mut self.arrivals) => match read {
                 Ok(0) | Err(_) => Err(Stop::Closed),
                 Ok(_) => Ok(()),
             },
+            // After the read, so that a request whose last bytes have arrived is not refused.
+            () = self.shared.wait_refusal(), if !is_idle => Err(Stop::Refused(request_timeout())),
             () = self.shared.wait_leaving(), if is_idle => Err(Stop::Closed),
         }
     }
--- a/crates/protocol/src/session.rs
+++ b/crates/protocol/src/session.rs
@@ -62,6 +62,15 @@
     pub out: O,
 }
 
+/// Why a request is refused of which only a part has arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// The rest did not arrive in time.
+    TimedOut,
+    /// Another connection needs the place of this one.
+    MakeRoom,
+}
+
 /// The sending side of a session; all clones send on the same connection.
 pub trait Outbox: Clone + 'static {
     /// Queues a frame; drops a frame whose call has ended. Returns whether the connection was open; if it was not,
@@ -72,6 +81,11 @@
     /// may call this.
     fn go_away(&self);
 
+    /// Refuses the request of which only a part has arrived, and closes the connection. The caller knows of a request
+    /// only some time after its bytes were read. So this has no effect on a request that has arrived completely by now:
+    /// it is answered, and the connection continues. Only HTTP/1.1 sessions with a client receive requests in parts.
+    fn refuse_partial_request(&self, cause: RefusalCause);
+
     /// Closes the connection at once; open calls are aborted.
     fn close(&self);
 
--- a/src/client_connection/http1.rs
+++ b/src/client_connection/http1.rs
@@ -39,6 +39,8 @@
     Idle,
     /// A request was received in part, and the rest did not arrive in time.
     SlowRequest,
+    /// A request was received in part, and another connection needs the place of this one.
+    Evicted,
 }
 
 /// What one client's connection waits for, and since when.
@@ -50,7 +52,7 @@
     phase_since: Ms,
     /// When the connection was accepted; `None` once its first request has arrived in full.
     accepted_at: Option<Ms>,
-    /// Whether the caller was already told to close the connection.
+    /// Whether the caller was already told to close the connection. Unset by a request that was received nevertheless.
     close_requested: bool,
 }
 
@@ -70,7 +72,8 @@
         (self.phase, self.phase_since) = (Some(Phase::ReadingRequest), now);
     }
 
-    /// Records that a request was received in full. Returns the milliseconds since its first part was received.
+    /// Records that a request was received in full. Returns the milliseconds since its first part was received. If a
+    /// close was requested before, the request has arrived first, and the connection continues.
     pub fn request_received(&mut self, now: Ms) -> Ms {
         let read_time = if self.phase == Some(Phase::ReadingRequest) {
             now - self.phase_since
@@ -78,6 +81,7 @@
             0.0
         };
         (self.phase, self.phase_since, self.accepted_at) = (None, now, None);
+        self.close_requested = false;
         read_time.max(0.0)
     }
 
@@ -122,7 +126,7 @@
     pub fn evict(&mut self) -> CloseReason {
         self.close_requested = true;
         if self.phase == Some(Phase::ReadingRequest) {
-            CloseReason::SlowRequest
+            CloseReason::Evicted
         } else {
             CloseReason::Idle
         }
--- a/tests/client_connection_http1.rs
+++ b/tests/client_connection_http1.rs
@@ -107,6 +107,22 @@
         Some(1),
         "an evicted connection must not be chosen again"
     );
+    assert_eq!(reading(0.0).evict(), CloseReason::Evicted);
+}
+
+/// A request has arrived in full before the connection was closed. The connection then continues: it has its timeouts
+/// again and can be evicted.
+#[test]
+fn a_request_that_arrives_before_the_close_ends_the_close() {
+    let mut connection = Http1Connection::new(0.0);
+    connection.request_begun(10.0);
+    assert!(connection.due_close(&SETTINGS, 210.0).is_some());
+    assert_eq!(connection.next_due_at(&SETTINGS), None);
+    assert_eq!(connection.request_received(211.0), 201.0);
+    assert_eq!(connection.next_due_at(&SETTINGS), None);
+    connection.response_sent(220.0);
+    assert_eq!(connection.next_due_at(&SETTINGS), Some(1220.0));
+    assert_eq!(connection_to_evict([(7, connection)].into_iter()), Some(7));
 }
 
 /// A client that stops in the middle of its first request must be disconnected within three seconds of the accept,
