Only an attempt waits for the delay after an attempt

Change: the pool is told what a stream carries. No client receives anything of their answers, also if a second answer to an attempt is taken for one; and their answers are neither a stream nor the result of a prefill, so none passes for an attempt's success.

--- a/crates/dispatcher/src/settings.rs
+++ b/crates/dispatcher/src/settings.rs
@@ -88,8 +88,8 @@
     pub client_timeouts: Http1Settings,
     /// The maximum number of connections to all engines in total.
     pub max_engine_connections: usize,
-    /// An engine connection carries no other call for this long after the end of one, because an answer does not name
-    /// its call.
+    /// An engine connection carries no other attempt for this long after the end of one, because an answer does not
+    /// name its attempt.
     pub engine_reuse_delay: Ms,
 }
 
--- a/crates/dispatcher/src/state/connections.rs
+++ b/crates/dispatcher/src/state/connections.rs
@@ -6,7 +6,7 @@
 use super::{EngineConnectionId, Output, StreamId};
 use crate::settings::ProgramSettings;
 use cindercleat::connection_pool::{
-    ConnectionId, ConnectionPool, Placement, PlacementError, PoolCommand,
+    ConnectionId, ConnectionPool, Placement, PlacementError, PoolCommand, StreamKind,
 };
 use cindercleat::control::MAX_MESSAGE_DELAY;
 use cindercleat::interface::{EngineId, Ms};
@@ -115,7 +115,8 @@
         settings: &ProgramSettings,
         (timers, out): (&mut Timers, &mut Vec<Output>),
     ) -> Result<(EngineConnectionId, StreamId), PlacementError> {
-        let chosen = self.place_stream(engine, address, now, settings, (timers, out))?;
+        let kind = purpose.kind();
+        let chosen = self.place_stream(engine, address, kind, now, settings, (timers, out))?;
         let stream = self
             .open_stream_on(chosen, purpose, now, timers)
             .ok_or(PlacementError::PoolExhausted)?;
@@ -133,6 +134,7 @@
         &mut self,
         engine: &EngineId,
         address: &str,
+        kind: StreamKind,
         now: Ms,
         settings: &ProgramSettings,
         effects: (&mut Timers, &mut Vec<Output>),
@@ -150,7 +152,7 @@
         at_old_address
             .iter()
             .for_each(|id| pool.mark_draining(ConnectionId(id.0)));
-        match pool.place(now) {
+        match pool.place(kind, now) {
             Placement::Existing(id) => Ok(EngineConnectionId(id.0)),
             Placement::NewConnection => {
                 let max_connections = settings
@@ -454,27 +456,24 @@
             .count()
     }
 
-    /// An established connection to the engine that accepts new streams, if there is one.
-    pub fn accepting_connection(&self, engine: &EngineId) -> Option<EngineConnectionId> {
+    /// An established connection to the engine that accepts new streams, if there is one. With `idle_only`, only a
+    /// connection without open streams is returned.
+    pub fn accepting_connection(
+        &self,
+        engine: &EngineId,
+        idle_only: bool,
+    ) -> Option<EngineConnectionId> {
         let pool = self.pools.get(engine)?;
         let ids = self.by_engine.get(engine)?;
+        let is_eligible = |connection: &EngineConnection| {
+            connection.is_established && (!idle_only || connection.streams.is_empty())
+        };
         let accepts = |id: &EngineConnectionId| {
-            pool.accepts_streams(ConnectionId(id.0))
-                && self
-                    .all
-                    .get(id)
-                    .is_some_and(|connection| connection.is_established)
+            pool.accepts_streams(ConnectionId(id.0)) && self.all.get(id).is_some_and(is_eligible)
         };
         ids.iter().copied().find(accepts)
     }
 
-    /// Whether an established connection to the engine has no open stream and can carry one now.
-    pub fn has_reusable_idle_connection(&self, engine: &EngineId, now: Ms) -> bool {
-        self.pools
-            .get(engine)
-            .is_some_and(|pool| pool.has_reusable_idle_connection(now))
-    }
-
     /// Dials the engine unless a connection accepts streams or is being dialled. Returns whether there is a
     /// connection now.
     pub fn ensure_connection(
@@ -492,7 +491,7 @@
             .any(|id| pool.is_some_and(|pool| pool.accepts_streams(ConnectionId(id.0))));
         exists
             || self
-                .place_stream(engine, address, now, settings, effects)
+                .place_stream(engine, address, StreamKind::Control, now, settings, effects)
                 .is_ok()
     }
 
@@ -544,7 +543,7 @@
         let purpose = connection.streams.remove(&stream)?;
         let engine = connection.engine.clone();
         if let Some(pool) = self.pools.get_mut(&engine) {
-            pool.stream_ended(ConnectionId(id.0), now);
+            pool.stream_ended(ConnectionId(id.0), purpose.kind(), now);
         }
         self.schedule_timer(&engine, timers);
         Some(purpose)
--- a/crates/dispatcher/src/state/engine_releases.rs
+++ b/crates/dispatcher/src/state/engine_releases.rs
@@ -57,7 +57,7 @@
             .engines
             .get(engine)
             .filter(|entry| entry.status != EndpointStatus::Gone);
-        match (self.connections.accepting_connection(engine), entry) {
+        match (self.connections.accepting_connection(engine, false), entry) {
             (Some(connection), _) => {
                 let releases = self.pending_engine_releases.remove(engine);
                 for release in releases.unwrap_or_default() {
--- a/crates/dispatcher/src/state/release_targets.rs
+++ b/crates/dispatcher/src/state/release_targets.rs
@@ -97,7 +97,8 @@
             let has_idle_connection = responded_recently
                 && self
                     .connections
-                    .has_reusable_idle_connection(engine, self.now);
+                    .accepting_connection(engine, true)
+                    .is_some();
             (
                 !self.connections.is_suspected(engine),
                 responded_recently,
--- a/crates/dispatcher/src/state/stream_purpose.rs
+++ b/crates/dispatcher/src/state/stream_purpose.rs
@@ -1,6 +1,7 @@
 //! The calls that streams on connections to engines carry, as recorded by the dispatcher.
 
 use super::kv_states::{HeldState, ReleaseCall};
+use cindercleat::connection_pool::StreamKind;
 use cindercleat::interface::{AttemptId, Ms, RequestId};
 
 /// The kind of call that a stream on an engine connection carries, with the data that is needed when the call ends.
@@ -27,6 +28,21 @@
     Abandoned,
 }
 
+impl StreamPurpose {
+    /// What the stream carries, from which its connection is chosen.
+    pub fn kind(&self) -> StreamKind {
+        match self {
+            StreamPurpose::Attempt(..)
+            | StreamPurpose::Reservation(..)
+            | StreamPurpose::Abandoned => StreamKind::Attempt,
+            StreamPurpose::HealthCheck { .. }
+            | StreamPurpose::Release(_)
+            | StreamPurpose::EngineRelease(_)
+            | StreamPurpose::LivenessCheck => StreamKind::Control,
+        }
+    }
+}
+
 /// A release over a multiplexed connection that the engine has not confirmed.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) struct EngineRelease {
--- a/src/connection_pool.rs
+++ b/src/connection_pool.rs
@@ -33,8 +33,8 @@
     pub initial_backoff: Ms,
     /// The upper limit of the doubled backoff; jitter is applied afterwards and may exceed it.
     pub max_backoff: Ms,
-    /// After a connection's last stream has ended, it carries no other one for this long. 0 if each message names its
-    /// stream. Otherwise bytes that the engine sends after the end of one answer would count as the next answer.
+    /// After an attempt has ended on a connection, the connection carries no other attempt for this long. 0 if each message
+    /// names its stream. Otherwise bytes that the engine sends after the end of one answer would count as the next answer.
     pub reuse_delay: Ms,
 }
 
@@ -42,12 +42,26 @@
 /// of one connection's streams.
 const MIN_FREE_STREAMS_FRACTION: f64 = 0.2;
 
+/// Among equally full connections, one that has been idle for less than this fraction of the connect timeout is chosen
+/// last: an engine that closes each connection after its answer may be about to close it.
+const SETTLE_TIME_FRACTION: f64 = 0.02;
+
 /// Lower limit of the random factor on the backoff; the upper limit is this plus 1.
 const MIN_BACKOFF_JITTER: f64 = 0.5;
 
 /// After this many doublings, further failures leave the backoff unchanged, which keeps the power of two finite.
 const MAX_BACKOFF_DOUBLINGS: u32 = 30;
 
+/// What a stream carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamKind {
+    /// An attempt. Its answer goes to a client, or decides what happens to the client's request.
+    Attempt,
+    /// A call of the dispatcher itself, such as a health check or a release. No client receives anything of its answer, also
+    /// if a second answer to an attempt is taken for it. Nor can its answer be taken for the success of an attempt.
+    Control,
+}
+
 /// Which connection carries a new stream, if any.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Placement {
@@ -112,8 +126,8 @@
     streams: usize,
     max_streams: usize,
     idle_since: Ms,
-    /// When the last of the connection's streams so far has ended; negative infinity if none has.
-    last_stream_ended_at: Ms,
+    /// When the last attempt on the connection has ended; negative infinity if none has.
+    last_attempt_ended_at: Ms,
     last_received_at: Ms,
     /// When the unanswered ping was sent; `None` if there is none.
     pinged_at: Option<Ms>,
@@ -143,16 +157,25 @@
         }
     }
 
-    /// Chooses the connection for the next stream.
+    /// Chooses the connection for the next stream, which carries a call of this kind.
     ///
     /// The established connection with the most open streams is preferred if it accepts another one, so that the others
     /// become idle and are closed. Among equally full ones, the connection that became idle last is preferred, because
-    /// the engine may be about to close one that has been idle for long. A connection without streams is not chosen
-    /// before [`PoolSettings::reuse_delay`] has passed since its last stream. If no established connection accepts the
-    /// stream, it goes to one that is connecting, else to a new connection if another one is allowed, else to a new one
-    /// that replaces a connection that is idle but not reusable yet.
-    pub fn place(&self, now: Ms) -> Placement {
-        let rank = |connection: &Connection| (connection.phase == Phase::Up, connection.streams);
+    /// the engine may be about to close one that has been idle for long; a connection that became idle only just now
+    /// comes last. An attempt is not placed on an idle connection before [`PoolSettings::reuse_delay`] has passed since
+    /// the last attempt on it. If no established connection accepts the stream, it goes to one that is connecting, else
+    /// to a new connection if another one is allowed, else to a new one that replaces an idle connection that is not
+    /// reusable yet.
+    pub fn place(&self, kind: StreamKind, now: Ms) -> Placement {
+        let settled_since = now - SETTLE_TIME_FRACTION * self.settings.connect_timeout;
+        let rank = |connection: &Connection| {
+            let is_settled = connection.idle_since <= settled_since;
+            (
+                connection.phase == Phase::Up,
+                connection.streams,
+                is_settled,
+            )
+        };
         let preference = |a: &(&ConnectionId, &Connection), b: &(&ConnectionId, &Connection)| {
             let by_idle_since = a.1.idle_since.total_cmp(&b.1.idle_since);
             rank(a.1)
@@ -161,33 +184,24 @@
                 .then(b.0.cmp(a.0))
         };
         let usable = self.connections.iter().filter(|(_, connection)| {
-            connection.has_free_stream() && connection.is_reusable(&self.settings, now)
+            connection.has_free_stream()
+                && (kind == StreamKind::Control || connection.is_reusable(&self.settings, now))
         });
         match usable.max_by(preference) {
             Some((id, _)) => Placement::Existing(*id),
+            None if self.is_at_max_connections() => self.longest_idle_connection().map_or(
+                Placement::Unavailable(PlacementError::PoolExhausted),
+                Placement::Replacement,
+            ),
             // Guards against an engine that is down: without the backoff, each request for this engine would start
             // another connect.
-            None if !self.is_at_max_connections() && now < self.next_connect_at => {
+            None if now < self.next_connect_at => {
                 Placement::Unavailable(PlacementError::BackingOff)
             }
-            None if !self.is_at_max_connections() => Placement::NewConnection,
-            None => self
-                .longest_idle_connection()
-                .filter(|_| now >= self.next_connect_at)
-                .map_or(
-                    Placement::Unavailable(PlacementError::PoolExhausted),
-                    Placement::Replacement,
-                ),
+            None => Placement::NewConnection,
         }
     }
 
-    /// Whether an established connection without streams can carry one at `now`.
-    pub fn has_reusable_idle_connection(&self, now: Ms) -> bool {
-        self.connections
-            .values()
-            .any(|connection| connection.is_idle() && connection.is_reusable(&self.settings, now))
-    }
-
     /// The established connection that has had no streams for the longest time.
     fn longest_idle_connection(&self) -> Option<ConnectionId> {
         self.connections
@@ -204,7 +218,7 @@
             streams: 0,
             max_streams: self.settings.max_streams_per_connection.max(1),
             idle_since: now,
-            last_stream_ended_at: f64::NEG_INFINITY,
+            last_attempt_ended_at: f64::NEG_INFINITY,
             last_received_at: now,
             pinged_at: None,
         };
@@ -276,11 +290,14 @@
         }
     }
 
-    /// Records that a stream on the connection has ended. An unknown connection is ignored.
-    pub fn stream_ended(&mut self, id: ConnectionId, now: Ms) {
+    /// Records that a stream of this kind on the connection has ended. An unknown connection is ignored.
+    pub fn stream_ended(&mut self, id: ConnectionId, kind: StreamKind, now: Ms) {
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.streams = connection.streams.saturating_sub(1);
-            (connection.idle_since, connection.last_stream_ended_at) = (now, now);
+            connection.idle_since = now;
+            if kind == StreamKind::Attempt {
+                connection.last_attempt_ended_at = now;
+            }
         }
     }
 
@@ -374,11 +391,11 @@
         self.phase == Phase::Up && self.streams == 0
     }
 
-    /// Whether a further answer to an earlier stream can no longer be taken for the answer to the next one. Guards
-    /// against an engine that sends a second answer some milliseconds after the first: on a connection whose messages do
-    /// not name their stream, another client would receive it.
+    /// Whether a second answer to the last attempt can no longer be taken for the answer to the next one. Guards against
+    /// an engine that sends a second answer some milliseconds after the first: on a connection whose messages do not name
+    /// their stream, another client would receive it.
     fn is_reusable(&self, settings: &PoolSettings, now: Ms) -> bool {
-        self.streams > 0 || now - self.last_stream_ended_at >= settings.reuse_delay
+        self.streams > 0 || now - self.last_attempt_ended_at >= settings.reuse_delay
     }
 
     /// The next command for the connection if no event changes it, and when it is due.
--- a/src/resource_limits.rs
+++ b/src/resource_limits.rs
@@ -43,7 +43,7 @@
     /// A connection to an engine is closed after it has been idle for this long; infinite if engines never close idle
     /// connections.
     pub engine_idle_timeout: Ms,
-    /// A connection to an engine carries no other request for this long after an answer.
+    /// A connection to an engine carries no other attempt for this long after an attempt.
     pub engine_reuse_delay: Ms,
     /// Maximum size in bytes of the body of one request.
     pub max_body_bytes: usize,
@@ -99,7 +99,7 @@
 /// the engine closes it, because a request written to a connection that the engine is closing is lost.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.4;
 
-/// A connection to an engine rests for this long after an answer. An answer over HTTP/1.1 does not name its request, and
+/// A connection to an engine carries no attempt for this long after the answer to one. An answer over HTTP/1.1 does not name its request, and
 /// the platform's engines may send a second one some milliseconds after the first.
 const ENGINE_REUSE_DELAY_MS: Ms = 100.0;
 
--- a/tests/connection_pool.rs
+++ b/tests/connection_pool.rs
@@ -47,10 +47,16 @@
     let mut pool = pool_with_streams(3);
     pool.connecting(B, 10.0);
     pool.stream_opened(B, 10.0);
-    assert_eq!(pool.place(11.0), Placement::Existing(A));
+    assert_eq!(
+        pool.place(StreamKind::Attempt, 11.0),
+        Placement::Existing(A)
+    );
     pool.connected(B, None, 12.0);
     (0..4).for_each(|_| pool.stream_opened(B, 12.0));
-    assert_eq!(pool.place(13.0), Placement::Existing(B));
+    assert_eq!(
+        pool.place(StreamKind::Attempt, 13.0),
+        Placement::Existing(B)
+    );
 }
 
 #[test]
@@ -59,7 +65,10 @@
     pool.connecting(A, 0.0);
     pool.connected(A, Some(2), 1.0);
     (0..2).for_each(|_| pool.stream_opened(A, 1.0));
-    assert_eq!(pool.place(2.0), Placement::NewConnection);
+    assert_eq!(
+        pool.place(StreamKind::Attempt, 2.0),
+        Placement::NewConnection
+    );
 }
 
 /// The maximum number of connections is reached, and all of them are full. A further connection would overload the
@@ -68,13 +77,16 @@
 fn a_stream_is_not_placed_if_the_maximum_number_of_connections_is_full() {
     let mut pool = ConnectionPool::new(settings(), 1);
     for id in 1..=3 {
-        assert_eq!(pool.place(1.0), Placement::NewConnection);
+        assert_eq!(
+            pool.place(StreamKind::Attempt, 1.0),
+            Placement::NewConnection
+        );
         pool.connecting(ConnectionId(id), 1.0);
         pool.connected(ConnectionId(id), None, 1.0);
         (0..10).for_each(|_| pool.stream_opened(ConnectionId(id), 1.0));
     }
     assert_eq!(
-        pool.place(1.0),
+        pool.place(StreamKind::Attempt, 1.0),
         Placement::Unavailable(PlacementError::PoolExhausted)
     );
     assert_eq!(
@@ -111,13 +123,16 @@
 fn a_draining_connection_keeps_its_streams_and_gets_no_new_ones() {
     let mut pool = pool_with_streams(1);
     pool.mark_draining(A);
-    assert_eq!(pool.place(20.0), Placement::NewConnection);
+    assert_eq!(
+        pool.place(StreamKind::Attempt, 20.0),
+        Placement::NewConnection
+    );
     assert_eq!(
         pool.due_commands(20.0, true),
         [PoolCommand::Connect],
         "a draining connection in use must be replaced ahead of need"
     );
-    pool.stream_ended(A, 30.0);
+    pool.stream_ended(A, StreamKind::Attempt, 30.0);
     assert_eq!(
         pool.due_commands(30.0, true),
         [PoolCommand::Close(A, CloseReason::Drained)]
@@ -131,7 +146,10 @@
     let mut pool = ConnectionPool::new(settings(), 7);
     let (mut now, mut waits) = (0.0, Vec::new());
     for id in 0..8 {
-        assert_eq!(pool.place(now), Placement::NewConnection);
+        assert_eq!(
+            pool.place(StreamKind::Attempt, now),
+            Placement::NewConnection
+        );
         pool.connecting(ConnectionId(id), now);
         assert_eq!(pool.due_commands(now + 249.0, true), []);
         assert_eq!(
@@ -144,7 +162,9 @@
         pool.closed(ConnectionId(id), now + 250.0);
         let closed_at = now + 250.0;
         now = closed_at;
-        while pool.place(now) == Placement::Unavailable(PlacementError::BackingOff) {
+        while pool.place(StreamKind::Attempt, now)
+            == Placement::Unavailable(PlacementError::BackingOff)
+        {
             now += 1.0;
         }
         waits.push(now - closed_at);
@@ -160,11 +180,14 @@
     pool.connecting(A, now);
     pool.closed(A, now);
     assert_eq!(
-        pool.place(now),
+        pool.place(StreamKind::Attempt, now),
         Placement::Unavailable(PlacementError::BackingOff)
     );
     pool.reset_backoff();
-    assert_eq!(pool.place(now), Placement::NewConnection);
+    assert_eq!(
+        pool.place(StreamKind::Attempt, now),
+        Placement::NewConnection
+    );
 }
 
 /// An engine's machine is gone, and TCP reports no error. Without a ping, streams would wait forever. The connection is
@@ -197,7 +220,7 @@
 #[test]
 fn a_connection_without_streams_is_not_pinged_but_closed_when_idle() {
     let mut pool = pool_with_streams(1);
-    pool.stream_ended(A, 100.0);
+    pool.stream_ended(A, StreamKind::Attempt, 100.0);
     assert_eq!(pool.due_commands(5099.0, true), []);
     assert_eq!(
         pool.due_commands(5100.0, true),
@@ -272,7 +295,7 @@
             .copied()
             .nth(usize::from(which) % expected.len().max(1));
         match (kind_of_event % 8, chosen) {
-            (0..=3, _) => match pool.place(now) {
+            (0..=3, _) => match pool.place(StreamKind::Attempt, now) {
                 Placement::Existing(id) => {
                     let connection = expected
                         .get_mut(&id)
@@ -316,7 +339,7 @@
                     .filter(|connection| connection.streams > 0)
                 {
                     connection.streams -= 1;
-                    pool.stream_ended(id, now);
+                    pool.stream_ended(id, StreamKind::Attempt, now);
                 }
             }
             (6, Some(id)) => {
@@ -383,7 +406,7 @@
         pool.connecting(ConnectionId(id), 0.0);
         pool.connected(ConnectionId(id), Some(1), 0.0);
         pool.stream_opened(ConnectionId(id), 0.0);
-        pool.stream_ended(ConnectionId(id), at);
+        pool.stream_ended(ConnectionId(id), StreamKind::Attempt, at);
     }
     pool
 }
@@ -397,35 +420,53 @@
     let mut pool = pool_with_ended_streams(single_stream_settings(), &ended_at);
     // The engine may close the third connection right after its answer, and the first because of its long idle time.
     for id in [2, 1] {
-        assert_eq!(pool.place(150.0), Placement::Existing(ConnectionId(id)));
+        assert_eq!(
+            pool.place(StreamKind::Attempt, 150.0),
+            Placement::Existing(ConnectionId(id))
+        );
         pool.stream_opened(ConnectionId(id), 150.0);
     }
-    assert_eq!(pool.place(150.0), Placement::NewConnection);
-    assert_eq!(pool.place(199.9), Placement::Existing(ConnectionId(3)));
+    assert_eq!(
+        pool.place(StreamKind::Attempt, 150.0),
+        Placement::NewConnection
+    );
+    assert_eq!(
+        pool.place(StreamKind::Attempt, 199.9),
+        Placement::Existing(ConnectionId(3))
+    );
     pool.stream_opened(ConnectionId(3), 199.9);
-    assert_eq!(pool.place(199.9), Placement::NewConnection);
+    assert_eq!(
+        pool.place(StreamKind::Attempt, 199.9),
+        Placement::NewConnection
+    );
 }
 
 /// Guards against foreign answers: an engine sends a second answer some milliseconds after the first, and on a
 /// connection that was reused meanwhile it counts as the answer to the next request.
 #[test]
-fn no_connection_is_reused_until_a_second_answer_to_its_last_stream_would_have_arrived() {
+fn no_attempt_reuses_a_connection_until_a_second_answer_to_the_last_one_would_have_arrived() {
     let mut pool = pool_with_ended_streams(single_stream_settings(), &[(1, 10.0)]);
     for after in [0.0, 1.0, 5.0, 8.0, 50.0, 99.0] {
         assert_eq!(
-            pool.place(10.0 + after),
+            pool.place(StreamKind::Attempt, 10.0 + after),
             Placement::NewConnection,
-            "{after} ms after the end of the last stream"
+            "{after} ms after the end of the last attempt"
         );
-        assert!(!pool.has_reusable_idle_connection(10.0 + after));
+        // No client receives the answer to a health check, and it starts no delay.
+        let existing = Placement::Existing(ConnectionId(1));
+        assert_eq!(pool.place(StreamKind::Control, 10.0 + after), existing);
+        pool.stream_opened(ConnectionId(1), 10.0 + after);
+        pool.stream_ended(ConnectionId(1), StreamKind::Control, 10.0 + after);
     }
-    assert!(pool.has_reusable_idle_connection(110.0));
-    pool.connecting(ConnectionId(2), 10.0);
-    pool.connected(ConnectionId(2), Some(1), 20.0);
+    let existing = Placement::Existing(ConnectionId(1));
+    assert_eq!(pool.place(StreamKind::Attempt, 110.0), existing);
+    pool.stream_opened(ConnectionId(1), 110.0);
+    pool.connecting(ConnectionId(2), 110.0);
+    pool.connected(ConnectionId(2), Some(1), 120.0);
     assert_eq!(
-        pool.place(20.0),
+        pool.place(StreamKind::Attempt, 120.0),
         Placement::Existing(ConnectionId(2)),
-        "a connection that has carried no stream yet is used at once"
+        "a connection that has carried no attempt yet is used at once"
     );
 }
 
@@ -439,15 +480,24 @@
     };
     let mut pool = pool_with_ended_streams(settings, &[(1, 30.0), (2, 20.0), (3, 25.0)]);
     pool.stream_opened(ConnectionId(2), 20.0);
-    assert_eq!(pool.place(40.0), Placement::Replacement(ConnectionId(3)));
+    assert_eq!(
+        pool.place(StreamKind::Attempt, 40.0),
+        Placement::Replacement(ConnectionId(3))
+    );
     pool.closed(ConnectionId(3), 40.0);
-    assert_eq!(pool.place(40.0), Placement::NewConnection);
+    assert_eq!(
+        pool.place(StreamKind::Attempt, 40.0),
+        Placement::NewConnection
+    );
     pool.connecting(ConnectionId(4), 40.0);
     pool.stream_opened(ConnectionId(4), 40.0);
-    assert_eq!(pool.place(40.0), Placement::Replacement(ConnectionId(1)));
+    assert_eq!(
+        pool.place(StreamKind::Attempt, 40.0),
+        Placement::Replacement(ConnectionId(1))
+    );
     pool.stream_opened(ConnectionId(1), 130.0);
     assert_eq!(
-        pool.place(130.0),
+        pool.place(StreamKind::Attempt, 130.0),
         Placement::Unavailable(PlacementError::PoolExhausted)
     );
 }
