Input held back by the client's system counts as sent when reading was stopped

Cause: an empty socket was taken for the end of what had waited unread. While the window is closed, the client's system holds the rest back, and sends it a round trip later. Bytes that arrive within 100 ms after all was read now count as sent when reading was stopped.

Beside it: the session's tests share their set-up on sockets, and the test of a close behind unread input runs on a paused clock.

--- a/crates/http1/src/arrivals.rs
+++ b/crates/http1/src/arrivals.rs
@@ -2,10 +2,14 @@
 //! behind the request before it.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// The maximum number of chunks with their own arrival time; bytes that arrive later count as part of the last chunk.
 const MAX_CHUNKS: usize = 64;
+/// Input that arrives within this time after all of it was read may have been held back by the peer's system while reading
+/// was stopped. Longer than a round trip.
+const HELD_BACK_TIME: Duration = Duration::from_millis(100);
 
 /// The arrival times of the bytes that are buffered and not parsed yet, one per chunk read.
 #[derive(Debug, Default)]
@@ -14,24 +18,38 @@
     chunks: VecDeque<(usize, Instant)>,
     /// The number of unparsed bytes of all chunks.
     unparsed: usize,
-    /// When reading was stopped although more input may have arrived; `None` once all input has been read.
+    /// When reading was stopped although more input may have arrived; `None` once all input of that time has been read.
     unread_since: Option<Instant>,
+    /// Since when there is no more input to read; `None` if there may be some.
+    all_read_since: Option<Instant>,
 }
 
 impl Arrivals {
     /// Records that input is left unread from now on. It may arrive at once, so bytes that are read later count as
     /// arrived now, until all of them are read.
     pub fn stop_reading(&mut self) {
+        self.end_pause();
         self.unread_since.get_or_insert_with(Instant::now);
     }
 
     /// Records that all input that has arrived so far was read.
     pub fn all_read(&mut self) {
-        self.unread_since = None;
+        if self.unread_since.is_some() {
+            self.all_read_since.get_or_insert_with(Instant::now);
+        }
+    }
+
+    /// Forgets when reading was stopped, if all input was read long enough ago.
+    fn end_pause(&mut self) {
+        let all_read_since = self.all_read_since.take();
+        if all_read_since.is_some_and(|since| since.elapsed() > HELD_BACK_TIME) {
+            self.unread_since = None;
+        }
     }
 
     /// Records that `bytes` bytes were read, which arrived now unless reading was stopped.
     pub fn received(&mut self, bytes: usize) {
+        self.end_pause();
         self.unparsed += bytes;
         let is_full = self.chunks.len() >= MAX_CHUNKS;
         match self.chunks.back_mut().filter(|_| is_full) {
--- a/crates/http1/tests/session.rs
+++ b/crates/http1/tests/session.rs
@@ -38,10 +38,19 @@
     tokio::task::LocalSet::new().block_on(&runtime.expect("runtime built"), test_with_timeout);
 }
 
-/// Runs a test on a runtime with sockets and the real clock.
-fn on_sockets<F: Future<Output = ()>>(test: F) {
+/// The clock of a test on sockets.
+#[derive(Clone, Copy, PartialEq)]
+enum TestClock {
+    Real,
+    /// Time passes only while nothing else happens, so that time limits do not depend on the machine's load.
+    Paused,
+}
+
+/// Runs a test on a runtime with sockets.
+fn on_sockets<F: Future<Output = ()>>(clock: TestClock, test: F) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
+        .start_paused(clock == TestClock::Paused)
         .build()
         .expect("runtime built");
     tokio::task::LocalSet::new().block_on(&runtime, test);
@@ -337,31 +346,40 @@
     });
 }
 
+/// Sends a request and `pipelined` further bytes, closes the client's end, and requires that the session ends soon.
+async fn close_behind_pipelined_bytes(
+    mut io: impl AsyncWrite + Unpin,
+    mut session: Session,
+    wire: &Http1,
+    pipelined: usize,
+) {
+    io.write_all(request_text("{}").as_bytes())
+        .await
+        .expect("bytes written");
+    assert!(matches!(
+        next_body(&mut session).await,
+        Some((1, Body::Submit(_)))
+    ));
+    io.write_all(&vec![b'x'; pipelined])
+        .await
+        .expect("bytes written");
+    drop(io);
+    let ended = tokio::time::timeout(Duration::from_millis(100), next_body(&mut session)).await;
+    assert_eq!(
+        ended,
+        Ok(None),
+        "{pipelined} pipelined bytes must not hide the end of the connection"
+    );
+    assert_eq!(wire.buffered_bytes(), 0);
+}
+
 #[test]
 fn a_client_that_closes_after_pipelined_bytes_ends_its_session() {
     for pipelined in [1, 9_000] {
         run(async move {
             let wire = Http1::new(BOUNDS);
-            let (mut io, mut session) = client(&wire).await;
-            io.write_all(request_text("{}").as_bytes())
-                .await
-                .expect("bytes written");
-            assert!(matches!(
-                next_body(&mut session).await,
-                Some((1, Body::Submit(_)))
-            ));
-            io.write_all(&vec![b'x'; pipelined])
-                .await
-                .expect("bytes written");
-            drop(io);
-            let ended =
-                tokio::time::timeout(Duration::from_millis(100), next_body(&mut session)).await;
-            assert_eq!(
-                ended,
-                Ok(None),
-                "{pipelined} pipelined bytes must not hide the end of the connection"
-            );
-            assert_eq!(wire.buffered_bytes(), 0);
+            let (io, session) = client(&wire).await;
+            close_behind_pipelined_bytes(io, session, &wire, pipelined).await;
         });
     }
 }
@@ -370,33 +388,15 @@
 /// Needs sockets, because the end of an in-memory connection cannot be seen behind unread input.
 #[test]
 fn a_client_that_closes_behind_unread_input_ends_its_session() {
-    on_sockets(async {
+    on_sockets(TestClock::Paused, async {
         for pipelined in [1, 9_000, 16_000, 60_000] {
             let wire = Http1::new(BOUNDS);
-            let (session_end, mut io) = socket_pair().await;
-            let mut session = wire
+            let (session_end, io) = socket_pair().await;
+            let session = wire
                 .serve(session_end, setup())
                 .await
                 .expect("session started");
-            io.write_all(request_text("{}").as_bytes())
-                .await
-                .expect("bytes written");
-            assert!(matches!(
-                next_body(&mut session).await,
-                Some((1, Body::Submit(_)))
-            ));
-            io.write_all(&vec![b'x'; pipelined])
-                .await
-                .expect("bytes written");
-            drop(io);
-            let ended =
-                tokio::time::timeout(Duration::from_millis(100), next_body(&mut session)).await;
-            assert_eq!(
-                ended,
-                Ok(None),
-                "{pipelined} pipelined bytes must not hide the end of the connection"
-            );
-            assert_eq!(wire.buffered_bytes(), 0);
+            close_behind_pipelined_bytes(io, session, &wire, pipelined).await;
         }
     });
 }
@@ -473,6 +473,45 @@
     });
 }
 
+/// Guards against engines that are told more time than the client has left: the client's system accepts all of a request at
+/// once, and holds a part of it back while the dispatcher reads nothing. The in-memory connection does so beyond its size.
+#[test]
+fn input_that_the_clients_system_held_back_counts_as_sent_when_reading_was_stopped() {
+    run(async {
+        let (mut io, session_end) = duplex(4_000);
+        let wire = Http1::new(BOUNDS);
+        let mut session = wire
+            .serve(session_end, setup())
+            .await
+            .expect("session started");
+        let body = "x".repeat(1000);
+        let writer = tokio::task::spawn_local(async move {
+            let requests = request_text(&body).repeat(30);
+            io.write_all(requests.as_bytes())
+                .await
+                .expect("bytes written");
+            io
+        });
+        let sent_at = tokio::time::Instant::now();
+        for stream in 1..=30 {
+            let Some((_, Body::Submit(submit))) = next_body(&mut session).await else {
+                panic!("request {stream} must be submitted");
+            };
+            let waited = 4800.0 - submit.time_to_deadline_ms;
+            let elapsed = sent_at.elapsed().as_secs_f64() * 1000.0;
+            assert!(
+                (waited - elapsed).abs() < 5.0,
+                "request {stream} waited {elapsed} ms, and {waited} ms were subtracted"
+            );
+            tokio::time::sleep(Duration::from_millis(40)).await;
+            session
+                .out
+                .send(frame(stream, final_answer(v1::Answer::Rejected, 0.0)));
+        }
+        drop(writer);
+    });
+}
+
 /// One client's pipelined input must not use the room for the requests of others.
 #[test]
 fn pipelined_input_leaves_room_for_the_requests_of_other_clients() {
@@ -541,7 +580,7 @@
 /// client has not read.
 #[test]
 fn a_refusal_reaches_a_client_that_is_still_sending() {
-    on_sockets(async {
+    on_sockets(TestClock::Real, async {
         for _ in 0..20 {
             let (mut io, session_end) = socket_pair().await;
             let mut session = Http1::new(BOUNDS)
@@ -1169,7 +1208,7 @@
 /// connection wakes its reader at once.
 #[test]
 fn a_second_answer_that_the_runtime_has_not_noticed_is_not_the_next_calls_answer() {
-    on_sockets(async {
+    on_sockets(TestClock::Real, async {
         let (session_end, mut io) = socket_pair().await;
         let mut session = Http1::new(BOUNDS)
             .connect(session_end, v1::Party::Engine, setup())
