--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -12,8 +12,10 @@
 pub mod event_stream;
 pub mod framing;
 mod list;
+mod refusal;
 mod server;
 mod socket;
+mod submit;
 pub mod wire_names;
 
 pub use list::{parse as parse_list, Malformed};
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -1,9 +1,11 @@
 //! Sessions with a client: reads its HTTP requests and writes the responses.
 
 use crate::arrivals::Arrivals;
-use crate::framing::{self, BodyPart, FramingError, Length, Request};
+use crate::framing::{self, BodyPart, Length};
+use crate::refusal::{plain_response, refusal, refusal_for, request_timeout, Refusal};
+use crate::submit::{parse_submit, route, Route};
 use crate::{session, socket, wire_names, Http1, Session, Shared};
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{BufMut, BytesMut};
 use cindercleat_protocol::session::{ByteStream, Event, RefusalCause};
 use cindercleat_protocol::{v1, Body, Frame};
 use std::cell::Cell;
@@ -91,16 +93,6 @@
     }
 }
 
-/// An error response to an invalid request: its status line, and the reason in its body.
-struct Refusal {
-    status: &'static str,
-    reason: &'static str,
-}
-
-const fn refusal(status: &'static str, reason: &'static str) -> Refusal {
-    Refusal { status, reason }
-}
-
 /// What is known of a request that is being received.
 #[derive(Default)]
 struct Progress {
@@ -111,13 +103,6 @@
     waited_ms: Option<f64>,
 }
 
-const fn request_timeout() -> Refusal {
-    refusal(
-        wire_names::STATUS_TIMEOUT,
-        "the request did not come in time",
-    )
-}
-
 /// A request that was read completely.
 enum Received {
     Submit(Box<v1::Submit>),
@@ -332,15 +317,14 @@
         true
     }
 
-    /// Writes the response to the current request, whose body has this length; returns the reason if no other request may
-    /// follow.
-    async fn write_response(&mut self, keep_alive: bool, body_bytes: usize) -> Option<Stop> {
-        let mut stream_begun = false;
-        let mut text = Vec::new();
+    /// Waits for the next frame of the dispatcher, and reads the input that arrives behind the current request, whose
+    /// body has this length. Returns `None` if the connection ends, which cancels the current request.
+    ///
+    /// Pipelined input is read as it arrives, because unread input would hide that the client has closed the connection.
+    /// At the bounds the rest stays in the socket until the current request is answered: closing the connection instead
+    /// would leave that request without an answer.
+    async fn next_frame(&mut self, body_bytes: usize) -> Option<Frame> {
         loop {
-            // Pipelined input is read as it arrives, because unread input would hide that the client has closed the
-            // connection. At the bounds the rest stays in the socket until the current request is answered: closing
-            // the connection instead would leave that request without an answer.
             self.count_buffered(body_bytes);
             let max_read = self.max_pipelined_read();
             let reads = max_read > 0;
@@ -349,22 +333,30 @@
             } else {
                 self.arrivals.stop_reading();
             }
-            let frame = tokio::select! { biased;
-                frame = self.outgoing.recv() => frame,
-                () = self.shared.wait_closing() => return Some(Stop::Closed),
-                read = read_input(&mut self.io, &mut self.bytes, max_read, &mut self.arrivals), if reads => match read {
-                    // The client closed the connection. The session ends, which cancels the current request.
-                    Ok(0) | Err(_) => return Some(Stop::Closed),
-                    Ok(_) => continue,
-                },
+            tokio::select! { biased;
+                frame = self.outgoing.recv() => return frame,
+                () = self.shared.wait_closing() => return None,
+                read = read_input(&mut self.io, &mut self.bytes, max_read, &mut self.arrivals), if reads => {
+                    if !matches!(read, Ok(1..)) {
+                        return None;
+                    }
+                }
                 () = tokio::time::sleep(CLOSE_CHECK_INTERVAL), if !reads => {
                     if socket::is_closed_by_peer(&self.io).await {
-                        return Some(Stop::Closed);
+                        return None;
                     }
-                    continue;
                 }
-            };
-            let Some(mut frame) = frame else {
+            }
+        }
+    }
+
+    /// Writes the response to the current request, whose body has this length; returns the reason if no other request may
+    /// follow.
+    async fn write_response(&mut self, keep_alive: bool, body_bytes: usize) -> Option<Stop> {
+        let mut stream_begun = false;
+        let mut text = Vec::new();
+        loop {
+            let Some(mut frame) = self.next_frame(body_bytes).await else {
                 return Some(Stop::Closed);
             };
             let (mut messages, mut end) = (0, None);
@@ -374,20 +366,10 @@
                     match frame.body {
                         Some(Body::Tokens(tokens)) => {
                             if !stream_begun {
-                                text.extend_from_slice(STREAM_HEAD.as_bytes());
-                                let stays_open = self.stays_open(keep_alive);
-                                text.extend_from_slice(if stays_open {
-                                    b"\r\n"
-                                } else {
-                                    CLOSE_HEADER.as_bytes()
-                                });
+                                self.write_stream_head(keep_alive, &mut text);
                                 stream_begun = true;
                             }
-                            text.extend_from_slice(
-                                format!("{:x}\r\n", tokens.text.len()).as_bytes(),
-                            );
-                            text.extend_from_slice(&tokens.text);
-                            text.extend_from_slice(b"\r\n");
+                            write_chunk(&tokens.text, &mut text);
                             messages += 1;
                         }
                         Some(body) => {
@@ -451,6 +433,16 @@
         keep_alive && (!self.shared.leaving.get() || !self.bytes.is_empty())
     }
 
+    /// Appends the head of a streamed response.
+    fn write_stream_head(&self, keep_alive: bool, text: &mut Vec<u8>) {
+        text.extend_from_slice(STREAM_HEAD.as_bytes());
+        text.extend_from_slice(if self.stays_open(keep_alive) {
+            b"\r\n"
+        } else {
+            CLOSE_HEADER.as_bytes()
+        });
+    }
+
     /// Appends the end of the response for a frame. Returns whether another request may follow; `None` if the frame
     /// does not end the response.
     fn write_end(
@@ -511,6 +503,13 @@
     }
 }
 
+/// Appends one chunk of a chunked body.
+fn write_chunk(data: &[u8], text: &mut Vec<u8>) {
+    text.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+    text.extend_from_slice(data);
+    text.extend_from_slice(b"\r\n");
+}
+
 /// Reads up to `max_bytes` bytes of input and records when they arrived; returns their number, 0 at the end of the input.
 ///
 /// # Errors
@@ -535,147 +534,3 @@
     arrivals.received(count);
     Ok(count)
 }
-
-/// A complete plain-text response; `extra_headers` holds additional header lines.
-fn plain_response(status: &str, reason: &str, extra_headers: &str, keep_alive: bool) -> Vec<u8> {
-    let close = if keep_alive {
-        ""
-    } else {
-        "Connection: close\r\n"
-    };
-    let length = reason.len() + 1;
-    let head = "Content-Type: text/plain; charset=utf-8\r\n";
-    format!("HTTP/1.1 {status}\r\n{head}Content-Length: {length}\r\n{extra_headers}{close}\r\n{reason}\n")
-        .into_bytes()
-}
-
-/// The error response to a malformed request.
-fn refusal_for(error: FramingError) -> Refusal {
-    match error {
-        FramingError::Malformed(what) => refusal(wire_names::STATUS_INVALID, what),
-        FramingError::TooLong(what @ ("the head" | "the list of headers")) => {
-            refusal(wire_names::STATUS_HEAD_TOO_LARGE, what)
-        }
-        FramingError::TooLong(what) => refusal(wire_names::STATUS_TOO_LARGE, what),
-    }
-}
-
-/// The resource that a request is for.
-enum Route {
-    Submit,
-    Ready,
-}
-
-/// Routes a request by its method and path.
-fn route(head: &Request) -> Result<Route, Refusal> {
-    let path = head.start_line.target.split('?').next().unwrap_or_default();
-    match head.start_line.method.as_str() {
-        "GET" if path == wire_names::READY_PATH => Ok(Route::Ready),
-        "POST" if path.starts_with(wire_names::REQUESTS_PATH_PREFIX) => Ok(Route::Submit),
-        _ if path.starts_with(wire_names::REQUESTS_PATH_PREFIX) => {
-            Err(refusal(wire_names::STATUS_WRONG_METHOD, "only POST"))
-        }
-        _ => Err(refusal(
-            wire_names::STATUS_NOT_FOUND,
-            "there is nothing here",
-        )),
-    }
-}
-
-/// Converts an HTTP request into a `Submit`, or refuses it because of the first invalid header.
-fn parse_submit(head: &Request, prompt: Bytes) -> Result<v1::Submit, Refusal> {
-    let invalid = |reason| refusal(wire_names::STATUS_INVALID, reason);
-    let id = head
-        .text(wire_names::REQUEST_ID_HEADER)
-        .filter(|id| wire_names::is_valid_id(id))
-        .ok_or_else(|| invalid("no id, or none that can be one"))?;
-    let time_to_deadline = head
-        .get(wire_names::TIME_TO_DEADLINE_HEADER)
-        .and_then(wire_names::parse_u32);
-    let time_to_deadline =
-        time_to_deadline.ok_or_else(|| invalid("no time to wait, or none that can be one"))?;
-    let request_class = head
-        .text(wire_names::REQUEST_CLASS_HEADER)
-        .unwrap_or_default();
-    let mut labels = Labels::default();
-    if let Some(text) = head.text(wire_names::LABELS_HEADER) {
-        labels = Labels::parse(text).ok_or_else(|| invalid("the labels cannot be read"))?;
-    }
-    let estimated_tokens = prompt.len().div_ceil(wire_names::BYTES_PER_TOKEN).max(1) as u32;
-    let prompt_tokens = labels.prompt_tokens.unwrap_or(estimated_tokens).max(1);
-    let session = head.text(wire_names::SESSION_HEADER).unwrap_or(id);
-    let retry_kind = head.text(wire_names::RETRIED_HEADER);
-    // The dispatcher sets these two headers itself for each attempt.
-    let set_by_dispatcher = |name: &str| {
-        [
-            wire_names::REQUEST_ID_HEADER,
-            wire_names::TIME_TO_DEADLINE_HEADER,
-        ]
-        .iter()
-        .any(|header| header.eq_ignore_ascii_case(name))
-    };
-    let forwarded = head
-        .end_to_end()
-        .filter(|(name, _)| !set_by_dispatcher(name));
-    let headers = forwarded.map(|(name, value)| v1::Header {
-        name: name.clone(),
-        value: value.clone(),
-    });
-    Ok(v1::Submit {
-        request_class: request_class.to_owned(),
-        tenant: head
-            .text(wire_names::TENANT_HEADER)
-            .unwrap_or_default()
-            .to_owned(),
-        session: wire_names::parse_or_hash_key(session),
-        shared_text: labels.shared.unwrap_or(0),
-        prompt_tokens,
-        shared_tokens: labels.shared_tokens.unwrap_or(0).min(prompt_tokens),
-        max_tokens: labels.max_tokens.unwrap_or(estimated_tokens).max(1),
-        time_to_deadline_ms: f64::from(time_to_deadline),
-        retried: retry_kind == Some(wire_names::RETRIED_VALUE),
-        resumed: retry_kind == Some(wire_names::RESUMED_VALUE),
-        key: String::new(),
-        prompt,
-        origin: Some(v1::Origin {
-            id: id.to_owned(),
-            method: head.start_line.method.clone(),
-            target: head.start_line.target.clone(),
-            headers: headers.collect(),
-        }),
-    })
-}
-
-/// The labels of a request; a label is `None` if the client left it out.
-#[derive(Default)]
-struct Labels {
-    shared: Option<u64>,
-    prompt_tokens: Option<u32>,
-    shared_tokens: Option<u32>,
-    max_tokens: Option<u32>,
-}
-
-impl Labels {
-    /// Parses the labels header, ignoring unknown labels; `None` if a label is malformed.
-    fn parse(text: &str) -> Option<Labels> {
-        let mut labels = Labels::default();
-        for label in text
-            .split(',')
-            .map(str::trim)
-            .filter(|label| !label.is_empty())
-        {
-            let (name, value) = label.split_once('=')?;
-            let number = || wire_names::parse_u32(value.as_bytes());
-            match name {
-                wire_names::SHARED_PREFIX_LABEL => {
-                    labels.shared = Some(wire_names::parse_or_hash_key(value))
-                }
-                wire_names::PROMPT_TOKENS_LABEL => labels.prompt_tokens = Some(number()?),
-                wire_names::SHARED_TOKENS_LABEL => labels.shared_tokens = Some(number()?),
-                wire_names::MAX_TOKENS_LABEL => labels.max_tokens = Some(number()?),
-                _ => {}
-            }
-        }
-        Some(labels)
-    }
-}
