Soak: engines that answer twice, requests sent at once, late last bytes; foreign events are judged

Drawn by seed now: in one soak of two, engines send 12% of their answers a second time, up to 50 ms late (left out while the network is silent or the soak runs late, since a second answer that comes later cannot be told from the next one); one client of twenty sends 2 to 20 requests at once, in half of the cases all of them of 10 to 30 KB; one of 25 sends its last byte within 6 ms of the read time-out. Events name their request, and the audit checks that a client gets none of another (own-answer).

--- a/crates/cindercleat-cli/src/soak.rs
+++ b/crates/cindercleat-cli/src/soak.rs
@@ -113,9 +113,14 @@
     } else {
         "as they are"
     };
+    let answers = if plan.answers_repeat {
+        "some requests twice"
+    } else {
+        "each request once"
+    };
     let _ = writeln!(
         text,
-        "{} troubles; lists {lists}; system calls {calls}; wall clocks stepped by {} s",
+        "{} troubles; engines answer {answers}; lists {lists}; system calls {calls}; wall clocks stepped by {} s",
         plan.troubles.len(),
         if args.no_shim {
             0.0
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -27,8 +27,22 @@
 const STALL_PERCENT: u32 = 3;
 /// The percentage of clients that write their request slowly.
 const SLOW_PERCENT: u32 = 10;
-/// The percentage of clients that send two requests at once on one connection.
+/// The percentage of clients that send the last byte of their request as the process stops waiting for it.
+const LAST_BYTE_LATE_PERCENT: u32 = 4;
+/// The time after which a process stops waiting for the rest of a request.
+const REQUEST_READ_TIMEOUT: Ms = 2_000.0;
+/// How far from [`REQUEST_READ_TIMEOUT`] a late last byte is sent at most.
+const LAST_BYTE_SPREAD: Ms = 6.0;
+/// The percentage of clients that send several requests at once on one connection.
 const PIPELINE_PERCENT: u32 = 5;
+/// The number of requests that a client sends at once.
+const PIPELINED_REQUESTS: std::ops::RangeInclusive<usize> = 2..=20;
+/// The length of the question in a request of usual length, in bytes.
+const USUAL_QUESTION_BYTES: std::ops::Range<usize> = 10_000..30_000;
+/// The percentage of requests that have [`USUAL_QUESTION_BYTES`]; the others are short.
+const USUAL_LENGTH_PERCENT: u32 = 30;
+/// The question of a short request.
+const SHORT_QUESTION: &str = "a question of some length";
 /// How long a client that stalls within its request waits for the process to end it with an error or a close.
 const STALLED_CLIENT_WAIT: Ms = 8_000.0;
 /// How long after its deadline a client still waits for an answer.
@@ -50,7 +64,9 @@
     Stalls,
     /// Writes its request in pieces with pauses between.
     Slow,
-    /// Sends two requests at once.
+    /// Sends the last byte of its request this long after the others.
+    LastByteLate { after: Ms },
+    /// Sends several requests at once.
     Pipelines,
 }
 
@@ -88,6 +104,7 @@
     class: Class,
     /// The time from the request to its deadline, in milliseconds.
     time_to_deadline: u32,
+    question: String,
 }
 
 impl Clients {
@@ -121,6 +138,7 @@
                 STALL_PERCENT,
                 SLOW_PERCENT,
                 PIPELINE_PERCENT,
+                LAST_BYTE_LATE_PERCENT,
             ],
         ) {
             Some(0) => {
@@ -133,6 +151,10 @@
             Some(1) => Behaviour::Stalls,
             Some(2) => Behaviour::Slow,
             Some(3) => Behaviour::Pipelines,
+            Some(4) => Behaviour::LastByteLate {
+                after: REQUEST_READ_TIMEOUT
+                    + (2.0 * rng.generate::<f64>() - 1.0) * LAST_BYTE_SPREAD,
+            },
             _ => Behaviour::Plain,
         }
     }
@@ -147,11 +169,30 @@
         } else {
             class.time_to_deadline
         };
+        let question = if draw_percentage(&mut rng, [USUAL_LENGTH_PERCENT]).is_some() {
+            draw_usual_question(&mut rng)
+        } else {
+            SHORT_QUESTION.to_owned()
+        };
         NewRequest {
             id,
             class,
             time_to_deadline,
+            question,
+        }
+    }
+
+    /// Draws requests that are sent at once; in half of the cases all of them have the usual length.
+    fn draw_pipelined_requests(&self) -> Vec<NewRequest> {
+        let count = self.rng.borrow_mut().generate_range(PIPELINED_REQUESTS);
+        let mut requests: Vec<NewRequest> = (0..count).map(|_| self.draw_request()).collect();
+        let mut rng = self.rng.borrow_mut();
+        if rng.generate_range(0..2u32) == 0 {
+            for request in &mut requests {
+                request.question = draw_usual_question(&mut rng);
+            }
         }
+        requests
     }
 
     /// Sends a request of one client, whose behaviour is drawn at random.
@@ -160,7 +201,11 @@
             Behaviour::Stalls => self.stall_within_request().await,
             Behaviour::Pipelines => self.pipeline().await,
             behaviour => {
-                let request = self.draw_request();
+                let mut request = self.draw_request();
+                if let Behaviour::LastByteLate { after } = behaviour {
+                    // The process counts the deadline from the first byte.
+                    request.time_to_deadline += after as u32;
+                }
                 self.request(&request, behaviour).await;
             }
         }
@@ -221,10 +266,7 @@
         behaviour: Behaviour,
     ) -> bool {
         let text = request_text(request);
-        if write(&mut connection, &text, behaviour == Behaviour::Slow)
-            .await
-            .is_err()
-        {
+        if write(&mut connection, &text, behaviour).await.is_err() {
             // The request is incomplete, so the process has not accepted it.
             return !connection.is_reused;
         }
@@ -290,45 +332,56 @@
         true
     }
 
-    /// Sends two requests at once on one connection and reads both answers.
+    /// Sends several requests at once on one connection and reads their answers.
     async fn pipeline(&self) {
         let Ok(mut connection) = self.connect().await else {
             return;
         };
-        let requests = [self.draw_request(), self.draw_request()];
-        let text = requests.iter().map(request_text).collect::<String>();
-        if write(&mut connection, &text, false).await.is_err() {
-            return;
-        }
-        let now = self.clock.now();
-        for request in &requests {
-            let effect = request.class.effect;
+        let requests = self.draw_pipelined_requests();
+        for (number, request) in requests.iter().enumerate() {
+            let text = request_text(request);
+            if write(&mut connection, &text, Behaviour::Plain)
+                .await
+                .is_err()
+            {
+                // What was not written was not accepted, and the client reads no answers to the rest.
+                return self.give_up(&requests[..number]);
+            }
             self.audit.borrow_mut().request_sent(
                 &request.id,
                 self.run,
-                effect,
-                now,
+                request.class.effect,
+                self.clock.now(),
                 f64::from(request.time_to_deadline),
             );
         }
-        for request in &requests {
+        for (number, request) in requests.iter().enumerate() {
             let exchange = self.read(&mut connection, &request.id, None).await;
+            let now = self.clock.now();
             self.audit
                 .borrow_mut()
-                .answered(&request.id, exchange.answer, self.clock.now());
-            self.audit
-                .borrow_mut()
-                .previous_request_answered(&requests[1].id, self.clock.now());
-            if !exchange.keeps_alive {
-                // The connection ends with this answer, so the second request is given up.
+                .answered(&request.id, exchange.answer, now);
+            let later = &requests[number + 1..];
+            for request in later {
                 self.audit
                     .borrow_mut()
-                    .client_disconnected(&requests[1].id, self.clock.now());
-                return;
+                    .previous_request_answered(&request.id, now);
+            }
+            if !exchange.keeps_alive {
+                // The connection ends with this answer, so the requests behind it are given up.
+                return self.give_up(later);
             }
         }
     }
 
+    /// Records that the client of these requests has closed its connection.
+    fn give_up(&self, requests: &[NewRequest]) {
+        let mut audit = self.audit.borrow_mut();
+        for request in requests {
+            audit.client_disconnected(&request.id, self.clock.now());
+        }
+    }
+
     /// Sends the first part of a request and nothing more, and reports how long the process takes to end it.
     async fn stall_within_request(&self) {
         let Ok(mut connection) = self.connect().await else {
@@ -428,11 +481,11 @@
         let mut taken = 0;
         while let Some(end) = text.windows(2).position(|pair| pair == b"\n\n") {
             let event: Vec<u8> = text.drain(..end + 2).collect();
-            let number = std::str::from_utf8(&event).ok().and_then(event_number);
-            if let Some(number) = number {
-                self.audit
-                    .borrow_mut()
-                    .event_received(id, number, self.clock.now());
+            let event = std::str::from_utf8(&event).ok().and_then(parse_event);
+            if let Some((number, request)) = event {
+                let (mut audit, now) = (self.audit.borrow_mut(), self.clock.now());
+                audit.event_names_request(id, request, now);
+                audit.event_received(id, number, now);
                 taken += 1;
             }
         }
@@ -440,10 +493,16 @@
     }
 }
 
-/// The number of an event; `None` for an event without a number, such as the last one of a stream.
-fn event_number(event: &str) -> Option<usize> {
+fn draw_usual_question(rng: &mut WyRand) -> String {
+    "x".repeat(rng.generate_range(USUAL_QUESTION_BYTES))
+}
+
+/// The number of an event and the request that it names; `None` for an event without them, such as the last one of a
+/// stream.
+fn parse_event(event: &str) -> Option<(usize, &str)> {
     let rest = event.strip_prefix("data: {\"n\":")?;
-    rest.split(',').next()?.parse().ok()
+    let (number, rest) = rest.split_once(",\"id\":\"")?;
+    Some((number.parse().ok()?, rest.split('"').next()?))
 }
 
 /// The HTTP text of a request.
@@ -452,9 +511,11 @@
         id,
         class,
         time_to_deadline,
+        question,
     } = request;
-    let body =
-        "{\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"a question of some length\"}]}";
+    let body = format!(
+        "{{\"stream\":true,\"messages\":[{{\"role\":\"user\",\"content\":\"{question}\"}}]}}"
+    );
     format!(
         "POST /v1/chat/completions HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: {id}\r\nX-Lane: {}\r\nX-Entity: {id}\r\n\
          X-Remaining-Ms: {time_to_deadline}\r\nX-Labels: prompt_len=600,max_out=100\r\nContent-Length: {}\r\n\r\n{body}",
@@ -463,15 +524,22 @@
     )
 }
 
-/// Writes the text of a request: at once, or if `slowly` is set in pieces with pauses of 20 ms between.
-async fn write(connection: &mut Connection, text: &str, slowly: bool) -> io::Result<()> {
-    if !slowly {
-        return connection.io.write_all(text.as_bytes()).await;
-    }
+/// Writes the text of a request as the client behaves: at once, in pieces with pauses of 20 ms between, or with a pause
+/// before the last byte.
+async fn write(connection: &mut Connection, text: &str, behaviour: Behaviour) -> io::Result<()> {
     let (front, last) = text.as_bytes().split_at(text.len() - 1);
-    for piece in front.chunks(text.len() / 5 + 1) {
-        connection.io.write_all(piece).await?;
-        sleep(20.0).await;
+    match behaviour {
+        Behaviour::Slow => {
+            for piece in front.chunks(text.len() / 5 + 1) {
+                connection.io.write_all(piece).await?;
+                sleep(20.0).await;
+            }
+        }
+        Behaviour::LastByteLate { after } => {
+            connection.io.write_all(front).await?;
+            sleep(after).await;
+        }
+        _ => return connection.io.write_all(text.as_bytes()).await,
     }
     connection.io.write_all(last).await
 }
--- a/crates/soak/src/engine.rs
+++ b/crates/soak/src/engine.rs
@@ -41,6 +41,17 @@
 const IN_PIECES_PERCENT: u32 = 30;
 /// The percentage of streams that have [`LONG_STREAM_EVENTS`] events.
 const LONG_PERCENT: u32 = 5;
+/// The percentage of complete answers that are sent a second time, where engines do so.
+const REPEAT_PERCENT: u32 = 12;
+/// The longest time from an answer to its repetition. The platform's pages say 'some milliseconds'.
+const MAX_REPEAT_DELAY: Ms = 50.0;
+/// The number of events of a stream that is sent a second time.
+const REPEATED_EVENTS: usize = 3;
+/// The first part of an answer that is a stream.
+const STREAM_HEAD: &str =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+/// The body of the answer to a prefill.
+const PREFILL_RESULT: &str = "{\"cached_tokens\":0}";
 
 /// The faults that are injected into an engine at present.
 #[derive(Default)]
@@ -53,6 +64,8 @@
     pub rejects: Cell<bool>,
     /// The engine takes longer for the first event than clients wait.
     pub is_slow: Cell<bool>,
+    /// The number of faults at present that hold back bytes between the engine and processes.
+    pub silences: Cell<u32>,
     /// Notified to make the engine close its idle connections.
     pub close_idle: Notify,
 }
@@ -63,6 +76,7 @@
     pub id: String,
     stage: Stage,
     hung_release: HungRelease,
+    answers_repeat: bool,
     /// A permit for each decode attempt that may run at the same time.
     slots: Rc<Semaphore>,
     clock: Clock,
@@ -92,6 +106,8 @@
     pub slots: usize,
     /// How the engine treats a release while it hangs.
     pub hung_release: HungRelease,
+    /// Whether the engine sends some answers a second time.
+    pub answers_repeat: bool,
     pub seed: u64,
 }
 
@@ -103,12 +119,14 @@
             stage,
             slots,
             hung_release,
+            answers_repeat,
             seed,
         } = settings;
         Engine {
             id,
             stage,
             hung_release,
+            answers_repeat,
             slots: Rc::new(Semaphore::new(slots)),
             clock,
             audit,
@@ -191,9 +209,44 @@
         self.audit
             .borrow_mut()
             .attempt_ends(id, end, self.clock.now());
+        if (end, stays_open) == (AttemptEnd::Served, Some(true)) && self.draws_repetition() {
+            return Some(self.repeat_answer(connection, &request).await);
+        }
         stays_open
     }
 
+    fn draws_repetition(&self) -> bool {
+        self.answers_repeat
+            && draw_percentage(&mut self.rng.borrow_mut(), [REPEAT_PERCENT]).is_some()
+    }
+
+    /// Sends an answer to a request once more, some milliseconds after the first one. The next request may be on its way
+    /// by then. Returns whether the connection stays open.
+    ///
+    /// The second answer is left out if it would arrive later than that, because the network is silent or the soak runs
+    /// late: nothing in the protocol tells it from the answer to a request that follows.
+    async fn repeat_answer(&self, connection: &mut Connection, request: &str) -> bool {
+        let answered_at = self.clock.now();
+        let delay = self.rng.borrow_mut().generate::<f64>() * MAX_REPEAT_DELAY;
+        sleep(delay).await;
+        let is_late = self.clock.now() - answered_at > MAX_REPEAT_DELAY;
+        if is_late || self.behaviour.silences.get() > 0 {
+            return true;
+        }
+        let answer = match self.stage {
+            Stage::Prefill => response("202 Accepted", "", PREFILL_RESULT),
+            Stage::Decode => {
+                let events = (0..REPEATED_EVENTS).map(|number| chunk(&event(request, number)));
+                format!(
+                    "{STREAM_HEAD}{}{}",
+                    events.collect::<String>(),
+                    last_chunks()
+                )
+            }
+        };
+        connection.write(&answer).await.is_ok()
+    }
+
     /// Works on an attempt. Returns how the attempt ended and whether the connection stays open; the latter is `None`
     /// if the connection is to be reset.
     async fn work(
@@ -227,7 +280,7 @@
                     .borrow_mut()
                     .state_held(request, &self.id, self.clock.now());
                 let written = connection
-                    .write(&response("202 Accepted", "", "{\"cached_tokens\":0}"))
+                    .write(&response("202 Accepted", "", PREFILL_RESULT))
                     .await;
                 (AttemptEnd::Served, Some(written.is_ok()))
             }
@@ -238,7 +291,7 @@
                         .await;
                     return (AttemptEnd::Rejected, Some(written.is_ok()));
                 }
-                self.stream(connection, id).await
+                self.stream(connection, id, request).await
             }
         }
     }
@@ -314,15 +367,15 @@
         &self,
         connection: &mut Connection,
         id: AttemptId,
+        request: &str,
     ) -> (AttemptEnd, Option<bool>) {
         let (outcome, events, in_pieces) = self.draw_stream();
-        let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
         if outcome == StreamOutcome::Malformed {
             // The response is not valid HTTP. The request has been executed nevertheless.
             let _ = connection.write("HTTP/1.1 2?0 OK\r\n\r\nnoise").await;
             return (AttemptEnd::Failed, Some(false));
         }
-        if connection.write(head).await.is_err() {
+        if connection.write(STREAM_HEAD).await.is_err() {
             return (AttemptEnd::Abandoned, Some(false));
         }
         let breaks_at = match outcome {
@@ -331,7 +384,7 @@
             _ => None,
         };
         for number in 0..events {
-            let event = format!("data: {{\"n\":{number},\"choices\":[]}}\n\n");
+            let event = event(request, number);
             let (front, back) = event.split_at(event.len() / 2);
             if breaks_at == Some(number) {
                 // The stream breaks after half an event in a chunk of its own.
@@ -357,8 +410,7 @@
             }
         }
         self.audit.borrow_mut().stream_complete(id);
-        let last = format!("{}0\r\n\r\n", chunk("data: [DONE]\n\n"));
-        let written = connection.write(&last).await;
+        let written = connection.write(&last_chunks()).await;
         (AttemptEnd::Served, Some(written.is_ok()))
     }
 
@@ -377,6 +429,16 @@
     }
 }
 
+/// The event of a stream with this number, which names the request that it answers.
+fn event(request: &str, number: usize) -> String {
+    format!("data: {{\"n\":{number},\"id\":\"{request}\",\"choices\":[]}}\n\n")
+}
+
+/// The end of a complete stream.
+fn last_chunks() -> String {
+    format!("{}0\r\n\r\n", chunk("data: [DONE]\n\n"))
+}
+
 /// The text as one chunk of a chunked HTTP body.
 fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -141,6 +141,8 @@
     pub wall_step: Ms,
     /// How long after the start of a process its wall clock is stepped.
     pub wall_step_after: Ms,
+    /// Whether engines send some answers a second time, some milliseconds after the first.
+    pub answers_repeat: bool,
 }
 
 /// The layout of the engines: how many there are, of how many kinds, in how many zones. Kinds alternate from engine to
@@ -239,6 +241,7 @@
             system_calls_fail: rng.generate_range(0..2u32) == 1,
             wall_step: WALL_STEPS[rng.generate_range(0..WALL_STEPS.len())],
             wall_step_after: QUIET_START + rng.generate::<f64>() * (end - QUIET_START).max(0.0),
+            answers_repeat: rng.generate_range(0..2u32) == 0,
         }
     }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,7 +7,7 @@
 use crate::client::Clients;
 use crate::configuration::{self, ProcessSettings, KINDS, ZONES};
 use crate::discovery::{self, Discovery, Entry};
-use crate::engine::{Engine, EngineSettings};
+use crate::engine::{Behaviour, Engine, EngineSettings};
 use crate::plan::{BlockedDirection, Engines, Fault, Hang, Plan, PlannedFault, Silence};
 use crate::process::{Process, Program, Shim};
 use crate::proxy::{self, Proxy};
@@ -428,6 +428,8 @@
     /// The number of decode attempts that an engine serves at the same time.
     slots: usize,
     hung_release: HungRelease,
+    /// Whether engines send some answers a second time.
+    answers_repeat: bool,
 }
 
 impl Platform {
@@ -442,6 +444,7 @@
             seed,
             slots,
             hung_release: plan.readings.hung_release,
+            answers_repeat: plan.answers_repeat,
         }
     }
 }
@@ -466,6 +469,7 @@
         stage,
         slots: platform.slots,
         hung_release: platform.hung_release,
+        answers_repeat: platform.answers_repeat,
         seed: platform.seed ^ (index as u64) << 8 ^ u64::from(generation),
     };
     let engine = Engine::new(settings, clock, audit.clone());
--- a/crates/soak/src/run/faults.rs
+++ b/crates/soak/src/run/faults.rs
@@ -203,11 +203,17 @@
             BlockedDirection::ToEngines => proxy::Mode::SilentToEngine,
             BlockedDirection::ToProcesses => proxy::Mode::SilentToProcess,
         };
-        for (_, proxy) in &silenced {
+        let behaviours: Vec<_> = silenced
+            .iter()
+            .map(|(index, _)| self.behaviour(*index))
+            .collect();
+        for ((_, proxy), behaviour) in silenced.iter().zip(&behaviours) {
+            behaviour.silences.set(behaviour.silences.get() + 1);
             proxy.set_mode(mode);
         }
         sleep(until - since).await;
-        for (index, proxy) in silenced {
+        for ((index, proxy), behaviour) in silenced.into_iter().zip(behaviours) {
+            behaviour.silences.set(behaviour.silences.get() - 1);
             if !silence.delivers && self.is_current_proxy(index, &proxy) {
                 let id = self.engines.borrow()[index].entry.id.clone();
                 self.audit
@@ -221,9 +227,11 @@
 
     /// Silences [`SILENT_PERCENT`] of an engine's connections until the time `until`.
     pub(super) async fn silence_some(&self, index: usize, delivers: bool, until: Ms) {
-        let proxy = self.proxy(index);
+        let (proxy, behaviour) = (self.proxy(index), self.behaviour(index));
+        behaviour.silences.set(behaviour.silences.get() + 1);
         proxy.silence_some(SILENT_PERCENT);
         sleep(until - self.clock.now()).await;
+        behaviour.silences.set(behaviour.silences.get() - 1);
         if !delivers && self.is_current_proxy(index, &proxy) {
             self.reset_engine_connections(index);
         }
@@ -237,7 +245,7 @@
             .into_iter()
             .filter(|index| self.mark_unreachable(*index));
         let hung: Vec<_> = hung_engines
-            .map(|index| (index, self.engines.borrow()[index].engine.behaviour.clone()))
+            .map(|index| (index, self.behaviour(index)))
             .collect();
         for (_, behaviour) in &hung {
             behaviour.misses_closes.set(!hang.notices_closes);
@@ -250,6 +258,11 @@
         }
     }
 
+    /// The faults that are injected into the engine that now runs at this index.
+    fn behaviour(&self, index: usize) -> Rc<Behaviour> {
+        self.engines.borrow()[index].engine.behaviour.clone()
+    }
+
     /// The proxy in front of the engine that now runs at this index.
     pub(super) fn proxy(&self, index: usize) -> Proxy {
         self.engines.borrow()[index].proxy.clone()
