--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -84,7 +84,9 @@
         self.world, self.name, self.flavor = world, name, flavor
         self.read_ms, self.events, self.event_ms = read_ms, events, event_ms
         self.behave = None
+        self.hung = None        # an event while the host hangs: it takes connections and bytes and does nothing
         self.phase = "up"
+        self.cell, self.zone, self.up_since_ms = 0, "a", 0
         self.port = 0
 
     async def start(self):
@@ -92,14 +94,25 @@
         self.port = self.server.sockets[0].getsockname()[1]
 
     def entry(self):
-        return {"id": self.name, "host_port": f"127.0.0.1:{self.port}", "locality": "a", "flavor": self.flavor,
-                "cell": 0, "phase": self.phase, "size": 1.0, "up_since_ms": 0}
+        return {"id": self.name, "host_port": f"127.0.0.1:{self.port}", "locality": self.zone, "flavor": self.flavor,
+                "cell": self.cell, "phase": self.phase, "size": 1.0, "up_since_ms": self.up_since_ms}
+
+    def hang(self):
+        self.world.record(f"host {self.name} hangs")
+        self.hung = asyncio.Event()
+
+    def go_on(self):
+        self.world.record(f"host {self.name} goes on")
+        event, self.hung = self.hung, None
+        event.set()
 
     async def serve(self, reader, writer):
         try:
             while True:
                 start, headers = await read_head(reader)
                 body = await read_body(reader, headers)
+                if self.hung is not None:
+                    await self.hung.wait()
                 method, target, _ = start.split(" ", 2)
                 if method == "DELETE":
                     self.world.on_release(self, target.rsplit("/", 1)[-1])
@@ -107,7 +120,10 @@
                     await writer.drain()
                     continue
                 if method == "GET":
-                    writer.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+                    text = json.dumps({"util": 0.2, "queue": 0, "x0": 0.2}).encode()
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s"
+                                 % (len(text), text) if self.world.probes else
+                                 b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
                     await writer.drain()
                     continue
                 request = headers.get("x-txn", "")
@@ -237,7 +253,7 @@
                            "aimUsPer1000PromptTokens": [40000.0] * len(world.classes),
                            "tokenAim": [60000.0] * len(world.classes)},
             "limits": {"cancel": True, "connIdle": 15_000_000, "connectTimeout": 250_000, "maxAttempts": 4,
-                       "mostHeld": 20000, "probes": False, "retryAfter": False},
+                       "mostHeld": 20000, "probes": world.probes, "retryAfter": False},
             "rules": {"askWithin": 6_000_000, "drainGrace": world.drain_us, "graceToAnswer": 16000,
                       "fallMultiple": 4.0, "overloadFor": 3_000_000, "startCapacity": 0.32, "rampTime": 10_000_000},
             "services": world.classes,
@@ -323,6 +339,7 @@
         self.memory_mb, self.sockets = 64, 512
         self.classes = [dict(entry) for entry in DEFAULT_CLASSES]
         self.extra_settings = {}
+        self.probes = False
         self.gives_known = True
         self.attempts, self.runs, self.sent, self.held, self.released = [], [], {}, {}, []
 
@@ -456,6 +473,10 @@
         except asyncio.TimeoutError:
             world.record("could not run: took too long")
             return 2
+        except Exception as problem:  # a fault of the case itself is no result
+            world.record(f"could not run: {problem!r}")
+            print(f"could not run: {problem!r}")
+            return 2
         finally:
             await world.end()
         for line in breaks:
