--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -77,13 +77,21 @@
 
 # ---------------------------------------------------------------- model hosts
 
+class Link:
+    """One connection of a model host."""
+
+    def __init__(self, reader, writer):
+        self.reader, self.writer, self.busy, self.silent = reader, writer, False, False
+        self.used_at = 0.0
+
+
 class ModelHost:
     """A model host: a reader answers 202, a writer streams events. `behave` may take a request over."""
 
     def __init__(self, world, name, flavor, read_ms=5.0, events=4, event_ms=30.0):
         self.world, self.name, self.flavor = world, name, flavor
         self.read_ms, self.events, self.event_ms = read_ms, events, event_ms
-        self.behave = None
+        self.behave, self.links = None, []
         self.hung = None        # an event while the host hangs: it takes connections and bytes and does nothing
         self.phase = "up"
         self.cell, self.zone, self.up_since_ms = 0, "a", 0
@@ -107,10 +115,16 @@
         event.set()
 
     async def serve(self, reader, writer):
+        link = Link(reader, writer)
+        self.links.append(link)
         try:
             while True:
                 start, headers = await read_head(reader)
+                if link.silent:
+                    # What came on a silent connection has not come at all; it stays open and says nothing.
+                    await asyncio.sleep(3600)
                 body = await read_body(reader, headers)
+                link.busy, link.used_at = True, now_ms()
                 if self.hung is not None:
                     await self.hung.wait()
                 method, target, _ = start.split(" ", 2)
@@ -118,6 +132,7 @@
                     self.world.on_release(self, target.rsplit("/", 1)[-1])
                     writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
                     await writer.drain()
+                    link.busy = False
                     continue
                 if method == "GET":
                     text = json.dumps({"util": 0.2, "queue": 0, "x0": 0.2}).encode()
@@ -139,10 +154,12 @@
                     self.world.on_read_done(self, request)
                 else:
                     await self.stream(request, writer)
+                link.busy = False
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError, OSError,
                 asyncio.CancelledError):
             pass
         finally:
+            self.links.remove(link)
             writer.close()
 
     async def stream(self, request, writer):
@@ -394,12 +411,12 @@
     return os.urandom(8).hex()
 
 
-def request_bytes(identity, lane, remaining_ms, body=None, extra=""):
+def request_bytes(identity, lane, remaining_ms, body=None, extra="", entity=None):
     if body is None:
         body = json.dumps({"model": "chat", "stream": True, "max_tokens": 200,
                            "messages": [{"role": "user", "content": "write a caption " * 20}]}).encode()
     head = (f"POST /v1/chat/completions HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: {identity}\r\nX-Lane: {lane}\r\n"
-            f"X-Entity: {os.urandom(8).hex()}\r\nX-Remaining-Ms: {remaining_ms}\r\n"
+            f"X-Entity: {entity or os.urandom(8).hex()}\r\nX-Remaining-Ms: {remaining_ms}\r\n"
             f"X-Labels: prompt_len={max(1, len(body) // 4)},max_out=200\r\n{extra}Content-Length: {len(body)}\r\n\r\n")
     return head.encode() + body
 
@@ -415,7 +432,7 @@
 
 
 async def ask(world, port, lane="caption-draft", remaining_ms=4000, wait_ms=None, identity=None, body=None,
-              connection=None):
+              connection=None, entity=None):
     """A usual client: one request, on a new connection or the given one; waits for the answer's end."""
     identity = identity or request_id()
     answer = Answer()
@@ -423,7 +440,7 @@
     writer = None
     try:
         reader, writer = connection or await asyncio.open_connection("127.0.0.1", port, limit=1 << 20)
-        writer.write(request_bytes(identity, lane, remaining_ms, body))
+        writer.write(request_bytes(identity, lane, remaining_ms, body, entity=entity))
         await writer.drain()
         answer.sent_at = now_ms()
         world.record(f"client sent {identity} lane={lane} remaining={remaining_ms}")
