--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -148,10 +148,10 @@
                 if self.flavor == "p":
                     await asyncio.sleep(self.read_ms / 1000.0)
                     text = b'{"cached_tokens":0}'
+                    self.world.on_read_done(self, request)
                     writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Type: application/json\r\n"
                                  b"Content-Length: %d\r\n\r\n%s" % (len(text), text))
                     await writer.drain()
-                    self.world.on_read_done(self, request)
                 else:
                     await self.stream(request, writer)
                 link.busy = False
