--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,78 +1,76 @@
-"""Clients send two requests at once on a connection; a planned restart begins while the first one streams."""
+"""Bad clients begin a chunk of less than 256 KiB, stop before its end and stay; the process's memory is watched."""
 import os
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-2"))
 from world import *
 
-PAIRS = 8
-REMAINING_MS = 10_000           # the patience of proof-send
-KILL_AFTER_MS = 3_000 + 700     # SIGKILL comes no sooner than this after SIGTERM
+BAD_CLIENTS = 150           # "hundreds"; the dispatcher may hold 512 descriptors
+CHUNK = (256 << 10) - 16    # a body of less than the 256 KiB that a body may have
 
 
-async def pair(world, port, results):
-    """Sends two requests at once and reads their answers in turn."""
-    first, second = request_id(), request_id()
-    answers = {first: Answer(), second: Answer()}
-    results.append((first, second, answers))
-    reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1 << 20)
+async def bad_client(world, port, number, ends):
+    """Sends a head and nearly all of one chunk at full speed, then stays; reads what it is sent."""
+    identity = request_id()
+    began = now_ms()
     try:
-        writer.write(request_bytes(first, "proof-send", REMAINING_MS) +
-                     request_bytes(second, "proof-send", REMAINING_MS))
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write((f"POST /v1/chat/completions HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: {identity}\r\n"
+                      f"X-Lane: caption-draft\r\nX-Entity: {identity}\r\nX-Remaining-Ms: 4000\r\n"
+                      f"Transfer-Encoding: chunked\r\n\r\n{CHUNK:x}\r\n").encode() + b"x" * (CHUNK - 1024))
         await writer.drain()
-        sent = now_ms()
-        for answer in answers.values():
-            answer.sent_at = sent
-        world.record(f"client sent {first} and {second} at once, remaining={REMAINING_MS}")
-        for identity in (first, second):
-            await asyncio.wait_for(read_answer(reader, answers[identity]), 20)
-            answers[identity].ended_at = now_ms()
-            world.record(f"client {identity}: {answers[identity]}")
-    except asyncio.TimeoutError:
-        world.record(f"client of {first} and {second}: no answer")
-    except (ConnectionError, asyncio.IncompleteReadError, OSError) as problem:
-        ended = now_ms()
-        for identity in (first, second):
-            if not answers[identity].whole:
-                answers[identity].error, answers[identity].ended_at = type(problem).__name__, ended
-                world.record(f"client {identity}: {answers[identity]}")
-    writer.close()
+        answer = await asyncio.wait_for(reader.read(200), 10)
+        ends.append((now_ms() - began, answer[:12]))
+        writer.close()
+    except (OSError, asyncio.TimeoutError) as problem:
+        ends.append((now_ms() - began, type(problem).__name__.encode()))
+    world.record(f"bad client {number} ended after {ends[-1][0]:.0f} ms with {ends[-1][1]!r}")
+
+
+async def platform(world, dispatcher, seen):
+    """Over memory_mb the dispatcher is killed. Only the memory of its own counts here, no file's."""
+    while dispatcher.alive():
+        used = dispatcher.status_kb("RssAnon")
+        seen["peak_kb"] = max(seen["peak_kb"], used)
+        if used > world.memory_mb * 1024:
+            seen["killed_at_kb"] = used
+            world.record(f"platform: {used} kB are over {world.memory_mb} MB, the dispatcher is killed")
+            dispatcher.signal(signal.SIGKILL)
+            return
+        await asyncio.sleep(0.005)
 
 
 async def case(world):
-    world.resume = True
+    world.memory_mb, world.sockets = 32, 512
     world.add_hosts(3, 3)
     for host in world.hosts:
-        host.events, host.event_ms = 100, 60.0
+        host.events, host.event_ms = 10, 60.0
     await world.start()
     dispatcher = world.dispatchers[0]
-    results = []
-    pairs = [asyncio.ensure_future(pair(world, dispatcher.port, results)) for _ in range(PAIRS)]
-    await asyncio.sleep(1.5)
-    term_at = kill_at = None
-    if TROUBLE:
-        term_at = now_ms()
-        dispatcher.signal(signal.SIGTERM)
-        earliest = term_at + KILL_AFTER_MS + 300
-        while now_ms() < earliest and dispatcher.alive():
-            await asyncio.sleep(0.01)
-        if dispatcher.alive():
-            kill_at = now_ms()
-            dispatcher.signal(signal.SIGKILL)
-        else:
-            kill_at = None
-            world.record(f"the dispatcher ended by itself, {now_ms() - term_at:.0f} ms after SIGTERM")
-    await asyncio.gather(*pairs)
+    seen = {"peak_kb": 0}
+    watch = asyncio.ensure_future(platform(world, dispatcher, seen))
+    asked, bad, ends = [], [], []
+    for step in range(60):
+        if not dispatcher.alive():
+            break
+        asked.append(asyncio.ensure_future(ask(world, dispatcher.port)))
+        if TROUBLE and step == 20:
+            world.record(f"{BAD_CLIENTS} bad clients connect")
+            bad = [asyncio.ensure_future(bad_client(world, dispatcher.port, number, ends))
+                   for number in range(BAD_CLIENTS)]
+        await asyncio.sleep(0.1)
+    answers = await asyncio.gather(*asked)
+    await asyncio.gather(*bad)
+    watch.cancel()
+    lost = [answer for answer in answers if answer.status is None or not answer.whole]
+    world.record(f"peak {seen['peak_kb']} kB of {world.memory_mb * 1024}; {len(answers)} requests, {len(lost)} not whole")
+    print(f"peak {seen['peak_kb']} kB of {world.memory_mb * 1024}; {len(lost)} of {len(answers)} usual requests not whole")
     breaks = []
-    for first, second, answers in results:
-        for identity in (first, second):
-            answer = answers[identity]
-            # A stream that has begun may be ended: clients ask for the rest. What SIGKILL finds unanswered is not lost,
-            # as these requests came before SIGTERM.
-            if answer.status is None and (kill_at is None or answer.ended_at < kill_at):
-                after = "" if term_at is None else f", {answer.ended_at - term_at:.0f} ms after SIGTERM"
-                breaks.append(f"{identity} was taken, and the dispatcher ended its connection with no answer{after}")
-    print(f"{len(results)} pairs, {len(breaks)} requests lost")
+    if "killed_at_kb" in seen:
+        breaks.append(f"the dispatcher went over its memory limit: {seen['killed_at_kb']} kB of "
+                      f"{world.memory_mb * 1024}; {len(lost)} usual requests that it had taken were cut off")
+    elif not dispatcher.alive():
+        breaks.append("the dispatcher ended")
     return breaks
 
 
--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -92,6 +92,7 @@
         self.world, self.name, self.flavor = world, name, flavor
         self.read_ms, self.events, self.event_ms = read_ms, events, event_ms
         self.behave, self.links = None, []
+        self.after_release = None   # called behind the answer to a release
         self.hung = None        # an event while the host hangs: it takes connections and bytes and does nothing
         self.phase = "up"
         self.cell, self.zone, self.up_since_ms = 0, "a", 0
@@ -132,6 +133,8 @@
                     self.world.on_release(self, target.rsplit("/", 1)[-1])
                     writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
                     await writer.drain()
+                    if self.after_release is not None:
+                        self.after_release(self, writer)
                     link.busy = False
                     continue
                 if method == "GET":
@@ -143,7 +146,11 @@
                     continue
                 request = headers.get("x-txn", "")
                 self.world.on_attempt(self, request, headers, body)
-                if self.behave is not None and await self.behave(self, request, reader, writer, headers):
+                taken = await self.behave(self, request, reader, writer, headers) if self.behave is not None else False
+                if taken == "more":     # answered, and the connection goes on
+                    link.busy = False
+                    continue
+                if taken:
                     return
                 if self.flavor == "p":
                     await asyncio.sleep(self.read_ms / 1000.0)
