--- a/review/6/case.py
+++ b/review/6/case.py
@@ -25,6 +25,7 @@
             bad = await asyncio.create_subprocess_exec(
                 sys.executable, os.path.join(CASE, "bad_clients.py"), str(dispatcher.port), str(BAD_CLIENTS),
                 str(BAD_SECONDS), stdout=asyncio.subprocess.PIPE)
+            world.helpers.append(bad)
         asked.append(asyncio.ensure_future(ask(world, dispatcher.port, remaining_ms=REMAINING_MS, wait_ms=40_000)))
         await asyncio.sleep(0.1)
     answers = await asyncio.gather(*asked)
--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -356,6 +356,7 @@
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.record = Record(case_folder)
         self.hosts, self.dispatchers, self.started = [], [], []
+        self.helpers = []       # further processes of the case, ended with it
         self.dispatcher_count = 1
         self.discovery = Discovery(self)
         self.discovery_mode = "automatic"
@@ -401,6 +402,10 @@
         self.released.append((now_ms(), host.name, request))
 
     async def end(self):
+        for helper in self.helpers:
+            if helper.returncode is None:
+                helper.kill()
+            await helper.wait()
         for dispatcher in self.started:
             if dispatcher.alive():
                 os.kill(dispatcher.process.pid, signal.SIGKILL)
@@ -488,14 +493,17 @@
     """Runs `case(world)`; it returns a list of breaks. Exit code 1: broken, 0: kept, 2: could not run."""
     async def whole():
         world = World(case_folder)
+        task = asyncio.ensure_future(case(world))
+        for what in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(what, task.cancel)
         try:
-            breaks = await asyncio.wait_for(case(world), limit_s)
+            breaks = await asyncio.wait_for(task, limit_s)
         except CannotRun as problem:
             world.record(f"could not run: {problem}")
             print(f"could not run: {problem}")
             return 2
-        except asyncio.TimeoutError:
-            world.record("could not run: took too long")
+        except (asyncio.TimeoutError, asyncio.CancelledError):
+            world.record("could not run: took too long, or was ended")
             return 2
         except Exception as problem:  # a fault of the case itself is no result
             world.record(f"could not run: {problem!r}")
