HTTP/1.1: a peer whose bytes keep coming keeps nobody else from being served

Cause: a client's input is read outside of tokio's budget, and a task returns to the one thread's runtime only when a read has to wait. A peer that sends faster than its bytes are parsed decides how long the task runs. The trailer section and the chunk extensions of a request were bounded by the line, not in sum, so such a request had no end; its time-out was tried only after a read that found nothing.

Fix: `Turn` lets the other tasks run after every 16 KiB that a connection has read, on connections of clients, engines and discovery and while input is discarded after a last response. A trailer section is at most as long as a head (431), chunk extensions at most 16 KiB longer than the data (413). After its time-out a request is read 64 times more at most.

--- a/crates/http1/src/discovery_client.rs
+++ b/crates/http1/src/discovery_client.rs
@@ -1,10 +1,12 @@
 //! Sessions with discovery: fetches the complete list, then long-polls for changes.
 
 use crate::framing::{Length, ResponsePart, ResponseReader};
+use crate::turn::Turn;
 use crate::{list, session, wire_names, Bounds, Session, Shared};
 use bytes::BytesMut;
 use cindercleat_protocol::session::{ByteStream, Event, Setup};
 use cindercleat_protocol::{v1, Body, Frame};
+use std::io;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::mpsc;
@@ -62,6 +64,7 @@
         Some(version) => changes_since(version, 0),
     };
     let mut bytes = BytesMut::new();
+    let mut turn = Turn::default();
     loop {
         let request = format!("GET {path} HTTP/1.1\r\nHost: list\r\n\r\n");
         if let Err(error) = io.write_all(request.as_bytes()).await {
@@ -71,7 +74,7 @@
             // The session was dropped. Without this branch, the watch would continue forever in parallel with the
             // watch of the next session.
             () = outbox_dropped(outgoing) => return WatchEnd::Lost("the session was dropped".to_owned()),
-            received = read_list(&mut io, bounds, &mut bytes, shared) => received,
+            received = read_list(&mut io, bounds, &mut bytes, &mut turn, shared) => received,
         };
         let body = match received {
             Ok(body) => body,
@@ -106,6 +109,7 @@
     io: &mut S,
     bounds: Bounds,
     bytes: &mut BytesMut,
+    turn: &mut Turn,
     shared: &Shared,
 ) -> Result<BytesMut, WatchEnd> {
     let too_long = || WatchEnd::Unusable("the list is too long".to_owned());
@@ -134,7 +138,7 @@
             }
             Some(ResponsePart::Data(data)) => body.extend_from_slice(&data),
             Some(ResponsePart::End) => return Ok(body),
-            None => match io.read_buf(bytes).await {
+            None => match read_more(io, bytes, turn).await {
                 Ok(0) if reader.is_complete_at_close() => return Ok(body),
                 Ok(0) => return Err(WatchEnd::Lost("discovery closed the connection".to_owned())),
                 Ok(_) if !has_begun => {
@@ -148,6 +152,18 @@
     }
 }
 
+/// Reads more bytes; returns their number, 0 at the end of the input.
+async fn read_more<S: ByteStream>(
+    io: &mut S,
+    bytes: &mut BytesMut,
+    turn: &mut Turn,
+) -> io::Result<usize> {
+    turn.yield_if_spent().await;
+    let count = io.read_buf(bytes).await?;
+    turn.read(count);
+    Ok(count)
+}
+
 fn is_longer(length: Length, max_bytes: usize) -> bool {
     matches!(length, Length::Known(bytes) if bytes > max_bytes as u64)
 }
--- a/crates/http1/src/engine_client.rs
+++ b/crates/http1/src/engine_client.rs
@@ -6,6 +6,7 @@
 
 use crate::event_stream::FirstEventScanner;
 use crate::framing::{FramingError, Length, ResponseHead, ResponsePart, ResponseReader};
+use crate::turn::Turn;
 use crate::{session, socket, wire_names, Bounds, Session, Shared};
 use bytes::{Bytes, BytesMut};
 use cindercleat_protocol::session::{ByteStream, Event, Setup};
@@ -33,6 +34,7 @@
         shared,
         outgoing,
         bytes: BytesMut::new(),
+        turn: Turn::default(),
         response_begun: false,
         name: setup.expects,
     };
@@ -47,6 +49,7 @@
     outgoing: mpsc::UnboundedReceiver<Frame>,
     /// The received bytes that are not parsed yet.
     bytes: BytesMut,
+    turn: Turn,
     /// Whether at least one byte of the current call's response has arrived.
     response_begun: bool,
     /// The engine's name, sent as the `Host` header.
@@ -340,6 +343,7 @@
     /// engine closed the connection.
     async fn read_more(&mut self, stream: u64, call: &mut Call) -> Result<bool, CallStop> {
         loop {
+            self.turn.yield_if_spent().await;
             let has_credit = !matches!(call, Call::Decode { credit: 0, .. });
             // A few events fit in a small buffer; a large chunk that is partly received needs a larger one.
             self.bytes.reserve(if self.bytes.len() < MAX_READ_BYTES {
@@ -352,6 +356,7 @@
                 frame = self.outgoing.recv() => frame,
                 read = self.io.read_buf(&mut self.bytes), if has_credit => return match read {
                     Ok(bytes) => {
+                        self.turn.read(bytes);
                         self.response_begun |= bytes > 0;
                         Ok(bytes > 0)
                     }
--- a/crates/http1/src/framing.rs
+++ b/crates/http1/src/framing.rs
@@ -12,9 +12,21 @@
 const MAX_CHUNK_SIZE_LINE_BYTES: usize = 256;
 /// The longest trailer line, in bytes. Trailers are discarded, so only one line is held in memory at a time.
 const MAX_TRAILER_LINE_BYTES: usize = 4 << 10;
+/// The longest trailer section, in bytes: as long as the longest head.
+const MAX_TRAILER_SECTION_BYTES: usize = MAX_HEAD_BYTES;
+/// The maximum number of bytes by which the chunk extensions of a body may be longer than its data. Extensions are
+/// discarded, so that no limit on the body's size applies to them.
+const MAX_EXCESS_EXTENSION_BYTES: u64 = 16 << 10;
 /// The maximum number of interim (1xx) responses before the final response.
 const MAX_INTERIM_RESPONSES: usize = 16;
 
+/// The part of a message in a [`FramingError`] for a head.
+pub const HEAD: &str = "the head";
+/// The part of a message in [`FramingError::TooLong`] for too many header lines.
+pub const HEADER_LIST: &str = "the list of headers";
+/// The part of a message in [`FramingError::TooLong`] for the trailer section of a chunked body (RFC 9112, 7.1.2).
+pub const TRAILER_SECTION: &str = "the trailer section";
+
 /// The reason why bytes are not a valid message. The text of a variant names the invalid part of the message, such as
 /// the head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -141,9 +153,9 @@
     match parsed {
         Ok(httparse::Status::Complete(len)) if len <= MAX_HEAD_BYTES => Ok(Some(len)),
         Ok(httparse::Status::Partial) if available < MAX_HEAD_BYTES => Ok(None),
-        Ok(_) => Err(FramingError::TooLong("the head")),
-        Err(httparse::Error::TooManyHeaders) => Err(FramingError::TooLong("the list of headers")),
-        Err(_) => Err(FramingError::Malformed("the head")),
+        Ok(_) => Err(FramingError::TooLong(HEAD)),
+        Err(httparse::Error::TooManyHeaders) => Err(FramingError::TooLong(HEADER_LIST)),
+        Err(_) => Err(FramingError::Malformed(HEAD)),
     }
 }
 
@@ -243,8 +255,9 @@
     Size,
     /// Before the data of a chunk, with the size of the chunk in bytes.
     Chunk(usize),
-    /// After the last chunk, before the empty line that ends the trailers.
-    Trailers,
+    /// After the last chunk, before the empty line that ends the trailer section, with the number of bytes of the section
+    /// so far.
+    Trailers(usize),
     /// After the end of the body.
     End,
 }
@@ -255,6 +268,8 @@
     state: BodyState,
     /// The largest chunk accepted, in bytes.
     max_chunk_bytes: usize,
+    /// The number of bytes that the chunk extensions may still use.
+    remaining_extension_bytes: u64,
 }
 
 impl BodyReader {
@@ -270,6 +285,7 @@
         BodyReader {
             state,
             max_chunk_bytes,
+            remaining_extension_bytes: MAX_EXCESS_EXTENSION_BYTES,
         }
     }
 
@@ -296,12 +312,16 @@
                     let Some(line) = take_line(bytes, MAX_CHUNK_SIZE_LINE_BYTES)? else {
                         return Ok(None);
                     };
-                    let size = parse_chunk_size(&line)?;
+                    let ChunkSize {
+                        size,
+                        extension_bytes,
+                    } = parse_chunk_size(&line)?;
                     if size > self.max_chunk_bytes {
                         return Err(FramingError::TooLong("a chunk"));
                     }
+                    self.count_extension(size, extension_bytes)?;
                     self.state = if size == 0 {
-                        BodyState::Trailers
+                        BodyState::Trailers(0)
                     } else {
                         BodyState::Chunk(size)
                     };
@@ -318,18 +338,32 @@
                     self.state = BodyState::Size;
                     return Ok(Some(BodyPart::Data(data)));
                 }
-                BodyState::Trailers => {
+                BodyState::Trailers(section_bytes) => {
                     let Some(line) = take_line(bytes, MAX_TRAILER_LINE_BYTES)? else {
                         return Ok(None);
                     };
-                    if line.is_empty() {
-                        self.state = BodyState::End;
+                    let section_bytes = section_bytes + line.len() + "\r\n".len();
+                    if section_bytes > MAX_TRAILER_SECTION_BYTES {
+                        return Err(FramingError::TooLong(TRAILER_SECTION));
                     }
+                    self.state = if line.is_empty() {
+                        BodyState::End
+                    } else {
+                        BodyState::Trailers(section_bytes)
+                    };
                 }
             }
         }
     }
 
+    /// Counts the extension of a chunk of `size` bytes of data.
+    fn count_extension(&mut self, size: usize, extension_bytes: usize) -> Result<(), FramingError> {
+        self.remaining_extension_bytes = (self.remaining_extension_bytes + size as u64)
+            .checked_sub(extension_bytes as u64)
+            .ok_or(FramingError::TooLong("the chunk extensions"))?;
+        Ok(())
+    }
+
     /// Whether the body is complete if the connection ends now.
     pub fn is_complete_at_close(&self) -> bool {
         matches!(self.state, BodyState::End | BodyState::UntilClose)
@@ -357,8 +391,16 @@
     Ok(Some(line))
 }
 
+/// The content of a chunk's size line.
+struct ChunkSize {
+    /// The size of the chunk's data, in bytes.
+    size: usize,
+    /// The length of the chunk extension, in bytes.
+    extension_bytes: usize,
+}
+
 /// Parses the size line of a chunk: the size in hexadecimal, and optionally a chunk extension, which is ignored.
-fn parse_chunk_size(line: &[u8]) -> Result<usize, FramingError> {
+fn parse_chunk_size(line: &[u8]) -> Result<ChunkSize, FramingError> {
     let end = line
         .iter()
         .position(|byte| *byte == b';')
@@ -367,11 +409,15 @@
     if digits.is_empty() || digits.len() > 8 {
         return Err(FramingError::Malformed("a chunk's size"));
     }
-    digits.iter().try_fold(0, |sum, digit| {
+    let size = digits.iter().try_fold(0, |sum, digit| {
         let value = char::from(*digit)
             .to_digit(16)
             .ok_or(FramingError::Malformed("a chunk's size"))?;
         Ok(16 * sum + value as usize)
+    })?;
+    Ok(ChunkSize {
+        size,
+        extension_bytes: line.len() - digits.len(),
     })
 }
 
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -16,6 +16,7 @@
 mod server;
 mod socket;
 mod submit;
+mod turn;
 pub mod wire_names;
 
 pub use list::{parse as parse_list, Malformed};
--- a/crates/http1/src/refusal.rs
+++ b/crates/http1/src/refusal.rs
@@ -1,6 +1,6 @@
 //! Plain-text responses of the dispatcher itself, among them the refusals of requests that are invalid or incomplete.
 
-use crate::framing::FramingError;
+use crate::framing::{FramingError, HEAD, HEADER_LIST, TRAILER_SECTION};
 use crate::wire_names;
 
 /// An error response to an invalid request: its status line, and the reason in its body.
@@ -25,7 +25,7 @@
 pub(crate) fn refusal_for(error: FramingError) -> Refusal {
     match error {
         FramingError::Malformed(what) => refusal(wire_names::STATUS_INVALID, what),
-        FramingError::TooLong(what @ ("the head" | "the list of headers")) => {
+        FramingError::TooLong(what @ (HEAD | HEADER_LIST | TRAILER_SECTION)) => {
             refusal(wire_names::STATUS_HEAD_TOO_LARGE, what)
         }
         FramingError::TooLong(what) => refusal(wire_names::STATUS_TOO_LARGE, what),
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -4,6 +4,7 @@
 use crate::framing::{self, BodyPart, Length};
 use crate::refusal::{plain_response, refusal, refusal_for, request_timeout, Refusal};
 use crate::submit::{parse_submit, route, Route};
+use crate::turn::Turn;
 use crate::{session, socket, wire_names, Http1, Session, Shared};
 use bytes::{BufMut, BytesMut};
 use cindercleat_protocol::session::{ByteStream, Event, RefusalCause};
@@ -34,6 +35,9 @@
 /// Pipelined input of all connections may use `Bounds::max_total_body_bytes` divided by this. The rest is left for
 /// requests whose connection has no open one.
 const PIPELINED_BYTES_DIVISOR: usize = 2;
+/// How often a request that was refused while it arrived is still read. Its last bytes may have arrived before the refusal;
+/// a client whose bytes keep coming gets no more time.
+const MAX_READS_AFTER_REFUSAL: usize = 64;
 /// How often a connection whose input is not read is checked for a close by the client.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -55,6 +59,7 @@
         outgoing,
         bytes,
         arrivals,
+        turn: Turn::default(),
         stream: 0,
         buffered,
     };
@@ -69,6 +74,7 @@
     outgoing: mpsc::UnboundedReceiver<Frame>,
     bytes: BytesMut,
     arrivals: Arrivals,
+    turn: Turn,
     /// The stream number of the current or the last request.
     stream: u64,
     buffered: BufferedBytes,
@@ -101,6 +107,8 @@
     /// Set once `Event::MessageBegun` was sent: how long the first byte of the request had waited by then, in
     /// milliseconds.
     waited_ms: Option<f64>,
+    /// The number of reads since the request was refused.
+    reads_after_refusal: usize,
 }
 
 /// A request that was read completely.
@@ -179,10 +187,14 @@
         )));
         tokio::pin!(deadline);
         while remaining > 0 {
+            self.turn.yield_if_spent().await;
             tokio::select! { biased;
                 read = self.io.read(&mut discarded) => match read {
                     Ok(0) | Err(_) => return,
-                    Ok(bytes) => remaining = remaining.saturating_sub(bytes),
+                    Ok(bytes) => {
+                        self.turn.read(bytes);
+                        remaining = remaining.saturating_sub(bytes);
+                    }
                 },
                 () = std::future::ready(()), if makes_room => return,
                 () = &mut deadline => return,
@@ -281,6 +293,13 @@
         } else {
             MAX_READ_BYTES
         });
+        self.turn.yield_if_spent().await;
+        if !is_idle && self.shared.refusal.get().is_some() {
+            if progress.reads_after_refusal >= MAX_READS_AFTER_REFUSAL {
+                return Err(Stop::Refused(request_timeout()));
+            }
+            progress.reads_after_refusal += 1;
+        }
         tokio::select! { biased;
             () = self.shared.wait_closing() => {
                 Err(if is_idle { Stop::Closed } else {
@@ -289,7 +308,10 @@
             }
             read = read_input(&mut self.io, &mut self.bytes, usize::MAX, &mut self.arrivals) => match read {
                 Ok(0) | Err(_) => Err(Stop::Closed),
-                Ok(_) => Ok(()),
+                Ok(bytes) => {
+                    self.turn.read(bytes);
+                    Ok(())
+                }
             },
             // After the read, so that a request whose last bytes have arrived is not refused.
             () = self.shared.wait_refusal(), if !is_idle => Err(Stop::Refused(request_timeout())),
@@ -333,14 +355,14 @@
             } else {
                 self.arrivals.stop_reading();
             }
+            self.turn.yield_if_spent().await;
             tokio::select! { biased;
                 frame = self.outgoing.recv() => return frame,
                 () = self.shared.wait_closing() => return None,
-                read = read_input(&mut self.io, &mut self.bytes, max_read, &mut self.arrivals), if reads => {
-                    if !matches!(read, Ok(1..)) {
-                        return None;
-                    }
-                }
+                read = read_input(&mut self.io, &mut self.bytes, max_read, &mut self.arrivals), if reads => match read {
+                    Ok(0) | Err(_) => return None,
+                    Ok(bytes) => self.turn.read(bytes),
+                },
                 () = tokio::time::sleep(CLOSE_CHECK_INTERVAL), if !reads => {
                     if socket::is_closed_by_peer(&self.io).await {
                         return None;
@@ -521,7 +543,8 @@
     arrivals: &mut Arrivals,
 ) -> io::Result<usize> {
     let mut buffer = bytes.limit(max_bytes);
-    // `unconstrained`, because tokio otherwise also answers `Pending` when the task has run for long.
+    // `unconstrained`, because tokio otherwise also answers `Pending` when the task has run for long. `Turn` bounds how
+    // long it runs.
     let mut read = pin!(unconstrained(io.read_buf(&mut buffer)));
     let count = poll_fn(|context| {
         let read = read.as_mut().poll(context);
--- a/crates/http1/tests/common/mod.rs
+++ b/crates/http1/tests/common/mod.rs
@@ -4,9 +4,14 @@
 use cindercleat_http1::{Bounds, Http1, Session};
 use cindercleat_protocol::session::{Event, Setup, Wire};
 use cindercleat_protocol::{v1, Body};
+use std::cell::{Cell, RefCell};
 use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
-use tokio::io::{duplex, AsyncReadExt, DuplexStream};
+use tokio::io::{duplex, AsyncRead, AsyncReadExt, AsyncWrite, DuplexStream, ReadBuf};
 
 pub const BOUNDS: Bounds = Bounds {
     max_body_bytes: 1000,
@@ -152,3 +157,100 @@
         ..v1::Final::default()
     })
 }
+
+/// A peer that can always be read: it sends a beginning, then a pattern again and again, and closes after `max_bytes`.
+/// It accepts everything that is written to it.
+pub struct AlwaysReadable {
+    beginning: Vec<u8>,
+    /// The pattern, repeated to a length that fills a read.
+    pattern: Vec<u8>,
+    /// The length of the pattern without its repeats.
+    period: usize,
+    max_bytes: usize,
+    /// Whether the peer sends nothing before something was written to it.
+    answers: bool,
+    /// Woken by the first write.
+    waiting: Option<Waker>,
+    log: PeerLog,
+}
+
+/// What an [`AlwaysReadable`] has sent and received.
+#[derive(Clone, Default)]
+pub struct PeerLog {
+    /// The number of bytes that were read from the peer.
+    pub sent_bytes: Rc<Cell<usize>>,
+    /// The bytes that were written to the peer.
+    pub received: Rc<RefCell<Vec<u8>>>,
+}
+
+impl AlwaysReadable {
+    pub fn new(beginning: &str, pattern: &str, max_bytes: usize) -> (Self, PeerLog) {
+        const MIN_PATTERN_BYTES: usize = 64 << 10;
+        let log = PeerLog::default();
+        let peer = AlwaysReadable {
+            beginning: beginning.as_bytes().to_vec(),
+            pattern: pattern
+                .repeat(1 + MIN_PATTERN_BYTES / pattern.len())
+                .into_bytes(),
+            period: pattern.len(),
+            max_bytes,
+            answers: false,
+            waiting: None,
+            log: log.clone(),
+        };
+        (peer, log)
+    }
+
+    /// Makes the peer an engine or discovery: it sends nothing before its first request has begun.
+    pub fn answering(mut self) -> Self {
+        self.answers = true;
+        self
+    }
+}
+
+impl AsyncRead for AlwaysReadable {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context,
+        buffer: &mut ReadBuf,
+    ) -> Poll<io::Result<()>> {
+        if self.answers && self.log.received.borrow().is_empty() {
+            self.waiting = Some(context.waker().clone());
+            return Poll::Pending;
+        }
+        let sent = self.log.sent_bytes.get();
+        let rest = match sent.checked_sub(self.beginning.len()) {
+            None => &self.beginning[sent..],
+            Some(of_pattern) => &self.pattern[of_pattern % self.period..],
+        };
+        let bytes = rest
+            .len()
+            .min(buffer.remaining())
+            .min(self.max_bytes.saturating_sub(sent));
+        buffer.put_slice(&rest[..bytes]);
+        self.log.sent_bytes.set(sent + bytes);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for AlwaysReadable {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        _: &mut Context,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if let Some(waiting) = self.waiting.take() {
+            waiting.wake();
+        }
+        self.log.received.borrow_mut().extend_from_slice(bytes);
+        Poll::Ready(Ok(bytes.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
