Discovery over HTTP/1.1: a list is taken over before the next one is read

An agent that answers without being asked, or again and again, filled the channel to the driver with lists within one turn: memory that the peer decides and nobody counts.

Test: lists_that_keep_coming_do_not_pile_up_before_they_are_taken_over. Fix: the session lets the driver run after each list.

--- a/crates/http1/src/discovery_client.rs
+++ b/crates/http1/src/discovery_client.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::mpsc;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 
 /// Starts a session with discovery. The session sends its first request after it receives a `WatchEndpoints` frame.
 /// Every response is a list, which may be empty.
@@ -86,6 +86,9 @@
         };
         path = changes_since(list.version, bounds.discovery_wait_ms);
         shared.send_frame(stream, Body::Endpoints(list));
+        // The list is taken over before the next one is read. Discovery that sends more than it is asked for would
+        // otherwise fill the memory with lists.
+        yield_now().await;
     }
 }
 
--- a/crates/http1/tests/hostile_peers.rs
+++ b/crates/http1/tests/hostile_peers.rs
@@ -163,3 +163,37 @@
         });
     }
 }
+
+/// Guards against discovery that answers without being asked: lists must not pile up before they are taken over.
+#[test]
+fn lists_that_keep_coming_do_not_pile_up_before_they_are_taken_over() {
+    run(async {
+        let wire = Http1::new(BOUNDS);
+        let list = "{\"revision\":1,\"complete\":true,\"members\":[]}";
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}",
+            list.len()
+        );
+        let (io, log) = AlwaysReadable::new("", &answer, MAX_SENT_BYTES);
+        let mut session = wire
+            .connect(io.answering(), v1::Party::Feed, setup())
+            .await
+            .expect("session started");
+        session.out.send(frame(
+            1,
+            Body::WatchEndpoints(v1::WatchEndpoints::default()),
+        ));
+        for _ in 0..10 {
+            assert!(matches!(
+                next_body(&mut session).await,
+                Some((1, Body::Endpoints(_)))
+            ));
+            let mut waiting = 0;
+            while session.events.try_recv().is_ok() {
+                waiting += 1;
+            }
+            assert!(waiting <= 2, "{waiting} further events lay in memory");
+        }
+        require_service(&wire, &log, "lists").await;
+    });
+}
