HTTP/1.1: what has arrived of a request counts against the memory from its first byte

Cause: the bound was enforced on what the parser returned, and that returned a chunk when it was whole. Until then its bytes lay in the connection's input, which counted only behind an open request. Buffers of bodies counted by their length, up to half of what they hold; heads not at all.

Fix: a pool (memory.rs) with reservations from the read until the last copy is freed: the buffer of a body by its capacity, input beyond one read, heads. A body takes its reservation along into the state machine and into attempts. Chunks of requests are returned as they arrive. A request's part of the input's buffer is freed with it. A log line says when requests fill their share.

Tests: a_request_over_the_bound_of_all_bodies_is_rejected now holds the submitted requests as the dispatcher does. A body counts for as long as it lies in memory; the test dropped it and relied on a count that went on to the answer's end. Its bound and its assertions are the same.

--- a/crates/http1/src/framing.rs
+++ b/crates/http1/src/framing.rs
@@ -17,6 +17,8 @@
 /// The maximum number of bytes by which the chunk extensions of a body may be longer than its data. Extensions are
 /// discarded, so that no limit on the body's size applies to them.
 const MAX_EXCESS_EXTENSION_BYTES: u64 = 16 << 10;
+/// What follows each line, and the data of each chunk.
+const LINE_END: &[u8] = b"\r\n";
 /// The maximum number of interim (1xx) responses before the final response.
 const MAX_INTERIM_RESPONSES: usize = 16;
 
@@ -253,8 +255,10 @@
     UntilClose,
     /// Before the size line of a chunk.
     Size,
-    /// Before the data of a chunk, with the size of the chunk in bytes.
+    /// Within the data of a chunk, with the number of bytes of data that remain.
     Chunk(usize),
+    /// After the data of a chunk, before the line end that follows it.
+    ChunkEnd,
     /// After the last chunk, before the empty line that ends the trailer section, with the number of bytes of the section
     /// so far.
     Trailers(usize),
@@ -262,20 +266,39 @@
     End,
 }
 
+/// When the data of a chunk is returned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChunkDelivery {
+    /// As it arrives. The reader's input then holds no more than what arrives at once, whatever the size of a chunk.
+    InParts,
+    /// Once the chunk is complete and its end was checked. The reader's input holds up to one chunk.
+    Whole,
+}
+
 /// Parses a body from the front of the received bytes.
 #[derive(Clone, Debug)]
 pub struct BodyReader {
     state: BodyState,
     /// The largest chunk accepted, in bytes.
     max_chunk_bytes: usize,
+    chunk_delivery: ChunkDelivery,
     /// The number of bytes that the chunk extensions may still use.
     remaining_extension_bytes: u64,
 }
 
 impl BodyReader {
-    /// Creates a parser for a body of the given length. `max_chunk_bytes` is the largest chunk accepted, in bytes.
-    /// Chunks are returned only when they are complete.
+    /// Creates a parser for a body of the given length, which returns data as it arrives. `max_chunk_bytes` is the
+    /// largest chunk accepted, in bytes.
     pub fn new(length: Length, max_chunk_bytes: usize) -> Self {
+        BodyReader::with_delivery(length, max_chunk_bytes, ChunkDelivery::InParts)
+    }
+
+    /// Like [`BodyReader::new`], with the choice of when the data of a chunk is returned.
+    pub fn with_delivery(
+        length: Length,
+        max_chunk_bytes: usize,
+        chunk_delivery: ChunkDelivery,
+    ) -> Self {
         let state = match length {
             Length::Known(0) => BodyState::End,
             Length::Known(bytes) => BodyState::Data(bytes),
@@ -285,6 +308,7 @@
         BodyReader {
             state,
             max_chunk_bytes,
+            chunk_delivery,
             remaining_extension_bytes: MAX_EXCESS_EXTENSION_BYTES,
         }
     }
@@ -326,23 +350,38 @@
                         BodyState::Chunk(size)
                     };
                 }
-                BodyState::Chunk(size) => {
-                    if bytes.len() < size + 2 {
+                BodyState::Chunk(size) if self.chunk_delivery == ChunkDelivery::Whole => {
+                    let whole = size + LINE_END.len();
+                    if bytes.len() < whole {
                         return Ok(None);
                     }
-                    if &bytes[size..size + 2] != b"\r\n" {
-                        return Err(FramingError::Malformed("a chunk is not of the size said"));
-                    }
+                    require_line_end(&bytes[size..whole])?;
                     let data = bytes.split_to(size).freeze();
-                    bytes.advance(2);
+                    bytes.advance(LINE_END.len());
                     self.state = BodyState::Size;
                     return Ok(Some(BodyPart::Data(data)));
                 }
+                BodyState::Chunk(left) => {
+                    let take = left.min(bytes.len());
+                    self.state = if take == left {
+                        BodyState::ChunkEnd
+                    } else {
+                        BodyState::Chunk(left - take)
+                    };
+                    return Ok(Some(BodyPart::Data(bytes.split_to(take).freeze())));
+                }
+                BodyState::ChunkEnd => {
+                    if bytes.len() < LINE_END.len() {
+                        return Ok(None);
+                    }
+                    require_line_end(&bytes.split_to(LINE_END.len()))?;
+                    self.state = BodyState::Size;
+                }
                 BodyState::Trailers(section_bytes) => {
                     let Some(line) = take_line(bytes, MAX_TRAILER_LINE_BYTES)? else {
                         return Ok(None);
                     };
-                    let section_bytes = section_bytes + line.len() + "\r\n".len();
+                    let section_bytes = section_bytes + line.len() + LINE_END.len();
                     if section_bytes > MAX_TRAILER_SECTION_BYTES {
                         return Err(FramingError::TooLong(TRAILER_SECTION));
                     }
@@ -370,6 +409,15 @@
     }
 }
 
+/// Requires that the data of a chunk is followed by a line end.
+fn require_line_end(bytes: &[u8]) -> Result<(), FramingError> {
+    if bytes == LINE_END {
+        Ok(())
+    } else {
+        Err(FramingError::Malformed("a chunk is not of the size said"))
+    }
+}
+
 /// Removes a line from the front of `bytes` and returns it without its CR LF; `None` if the line is incomplete.
 fn take_line(bytes: &mut BytesMut, max_bytes: usize) -> Result<Option<BytesMut>, FramingError> {
     let Some(newline) = bytes
@@ -436,6 +484,7 @@
 #[derive(Clone, Debug)]
 pub struct ResponseReader {
     max_chunk_bytes: usize,
+    chunk_delivery: ChunkDelivery,
     /// The number of interim responses skipped so far.
     interim: usize,
     /// The parser of the body; `None` until the head of the final response is received.
@@ -443,10 +492,17 @@
 }
 
 impl ResponseReader {
-    /// Creates a parser for one response; `max_chunk_bytes` is the largest chunk accepted, in bytes.
+    /// Creates a parser for one response; `max_chunk_bytes` is the largest chunk accepted, in bytes. Chunks are returned
+    /// only when they are complete, so that no byte of a chunk whose size is wrong is passed on.
     pub fn new(max_chunk_bytes: usize) -> Self {
+        ResponseReader::with_delivery(max_chunk_bytes, ChunkDelivery::Whole)
+    }
+
+    /// Like [`ResponseReader::new`], with the choice of when the data of a chunk is returned.
+    pub fn with_delivery(max_chunk_bytes: usize, chunk_delivery: ChunkDelivery) -> Self {
         ResponseReader {
             max_chunk_bytes,
+            chunk_delivery,
             interim: 0,
             body: None,
         }
@@ -476,7 +532,11 @@
                 }
                 continue;
             }
-            self.body = Some(BodyReader::new(head.length, self.max_chunk_bytes));
+            self.body = Some(BodyReader::with_delivery(
+                head.length,
+                self.max_chunk_bytes,
+                self.chunk_delivery,
+            ));
             return Ok(Some(ResponsePart::Head(head)));
         }
     }
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -12,7 +12,9 @@
 pub mod event_stream;
 pub mod framing;
 mod list;
+mod memory;
 mod refusal;
+mod request_body;
 mod server;
 mod socket;
 mod submit;
@@ -23,8 +25,10 @@
 
 use cindercleat_protocol::session::{self, ByteStream, Event, Outbox, RefusalCause, Setup, Wire};
 use cindercleat_protocol::{v1, Body, Frame};
+use memory::MemoryPool;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::sync::{mpsc, Notify};
 
 /// A session on a connection of the platform's protocol.
@@ -39,8 +43,9 @@
     pub max_chunk_bytes: usize,
     /// The largest endpoint list, in bytes.
     pub max_list_bytes: usize,
-    /// The maximum number of bytes that the request bodies of all clients hold together. A request that exceeds it is
-    /// rejected with status 503.
+    /// The maximum number of bytes that the requests of all clients hold together, from the read of a byte until its
+    /// last copy is freed: bodies, and what a connection holds besides beyond one read (8 KiB). A body that exceeds it
+    /// while it arrives is rejected with status 503; what arrives behind an open request stays in the socket.
     pub max_total_body_bytes: usize,
     /// The maximum time that discovery may delay its response while the list is unchanged, in milliseconds.
     pub discovery_wait_ms: u32,
@@ -58,8 +63,8 @@
 #[derive(Clone, Debug)]
 pub struct Http1 {
     bounds: Bounds,
-    /// The number of bytes of clients' requests in memory, summed over all connections.
-    buffered_bytes: Rc<Cell<usize>>,
+    /// The memory that clients' requests hold, of all connections together.
+    request_memory: Arc<MemoryPool>,
 }
 
 impl Http1 {
@@ -67,13 +72,13 @@
     pub fn new(bounds: Bounds) -> Self {
         Http1 {
             bounds,
-            buffered_bytes: Rc::default(),
+            request_memory: MemoryPool::new("clients' requests", bounds.max_total_body_bytes),
         }
     }
 
     /// The number of bytes of clients' requests in memory, which [`Bounds::max_total_body_bytes`] limits.
     pub fn buffered_bytes(&self) -> usize {
-        self.buffered_bytes.get()
+        self.request_memory.used()
     }
 }
 
--- /dev/null
+++ b/crates/http1/src/memory.rs
@@ -0,0 +1,121 @@
+//! Counts the memory that the bytes of peers hold, from their read until they are freed.
+//!
+//! A [`MemoryPool`] has a limit for the bytes of one kind. Each holder of such bytes has a [`Reservation`] of the pool,
+//! and [`counted`] hands bytes on together with theirs, so that they count wherever they lie: in a queue, in the state
+//! machine, or in an attempt that is being written.
+
+use bytes::Bytes;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+
+/// The memory for the bytes of one kind, of all connections together.
+#[derive(Debug)]
+pub(crate) struct MemoryPool {
+    /// What the pool is for; part of the log line.
+    name: &'static str,
+    /// The limit of `used`, in bytes.
+    limit: usize,
+    used: AtomicUsize,
+    /// Whether the log says that the limit was exceeded; unset once less than half of the limit is used.
+    is_reported: AtomicBool,
+}
+
+impl MemoryPool {
+    /// Creates a pool of `limit` bytes, none of them in use. `name` is what the log calls the bytes.
+    pub fn new(name: &'static str, limit: usize) -> Arc<Self> {
+        Arc::new(MemoryPool {
+            name,
+            limit,
+            used: AtomicUsize::new(0),
+            is_reported: AtomicBool::new(false),
+        })
+    }
+
+    /// The number of bytes in use.
+    pub fn used(&self) -> usize {
+        self.used.load(Ordering::Relaxed)
+    }
+
+    /// Whether more than the limit is in use. The holder that finds this has to free its bytes. The first time is logged,
+    /// and again only after half of the limit was free.
+    pub fn is_exceeded(&self) -> bool {
+        let used = self.used();
+        if used <= self.limit {
+            return false;
+        }
+        if !self.is_reported.swap(true, Ordering::Relaxed) {
+            tracing::warn!(
+                used,
+                limit = self.limit,
+                "{} fill their share of the memory; refusing more until some are freed",
+                self.name
+            );
+        }
+        true
+    }
+
+    fn replace(&self, old: usize, new: usize) {
+        self.used.fetch_add(new, Ordering::Relaxed);
+        let used = self.used.fetch_sub(old, Ordering::Relaxed) - old;
+        if used < self.limit / 2 {
+            self.is_reported.store(false, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Bytes of a pool that are in use until this is dropped.
+#[derive(Debug)]
+pub(crate) struct Reservation {
+    pool: Arc<MemoryPool>,
+    bytes: usize,
+}
+
+impl Reservation {
+    /// Creates a reservation of 0 bytes.
+    pub fn new(pool: &Arc<MemoryPool>) -> Self {
+        Reservation {
+            pool: pool.clone(),
+            bytes: 0,
+        }
+    }
+
+    /// Changes the number of bytes that this reservation counts.
+    pub fn set(&mut self, bytes: usize) {
+        if bytes != self.bytes {
+            self.pool.replace(self.bytes, bytes);
+            self.bytes = bytes;
+        }
+    }
+
+    /// Whether this reservation counts anything and its pool is exceeded, so that its bytes have to be freed.
+    pub fn is_over_limit(&self) -> bool {
+        self.bytes > 0 && self.pool.is_exceeded()
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
+
+/// Bytes with the reservation that counts them.
+struct CountedBytes {
+    bytes: Vec<u8>,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for CountedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Hands on `bytes`: `reservation` counts them until the last clone is dropped.
+pub(crate) fn counted(bytes: Vec<u8>, mut reservation: Reservation) -> Bytes {
+    reservation.set(bytes.len());
+    Bytes::from_owner(CountedBytes {
+        bytes,
+        _reservation: reservation,
+    })
+}
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -2,14 +2,15 @@
 
 use crate::arrivals::Arrivals;
 use crate::framing::{self, BodyPart, Length};
+use crate::memory::Reservation;
 use crate::refusal::{plain_response, refusal, refusal_for, request_timeout, Refusal};
+use crate::request_body::RequestBody;
 use crate::submit::{parse_submit, route, Route};
 use crate::turn::Turn;
 use crate::{session, socket, wire_names, Http1, Session, Shared};
 use bytes::{BufMut, BytesMut};
 use cindercleat_protocol::session::{ByteStream, Event, RefusalCause};
 use cindercleat_protocol::{v1, Body, Frame};
-use std::cell::Cell;
 use std::future::{poll_fn, Future};
 use std::io;
 use std::pin::pin;
@@ -35,6 +36,8 @@
 /// Pipelined input of all connections may use `Bounds::max_total_body_bytes` divided by this. The rest is left for
 /// requests whose connection has no open one.
 const PIPELINED_BYTES_DIVISOR: usize = 2;
+/// The memory, in bytes, that a parsed header holds besides its name and value, about.
+const HEADER_OVERHEAD_BYTES: usize = 128;
 /// How often a request that was refused while it arrived is still read. Its last bytes may have arrived before the refusal;
 /// a client whose bytes keep coming gets no more time.
 const MAX_READS_AFTER_REFUSAL: usize = 64;
@@ -47,10 +50,7 @@
         ..v1::Hello::default()
     };
     let (session, shared, outgoing) = session(peer, None);
-    let buffered = BufferedBytes {
-        total: wire.buffered_bytes.clone(),
-        bytes: 0,
-    };
+    let input_memory = Reservation::new(&wire.request_memory);
     let (bytes, arrivals) = (BytesMut::new(), Arrivals::default());
     let client = Client {
         io,
@@ -61,7 +61,9 @@
         arrivals,
         turn: Turn::default(),
         stream: 0,
-        buffered,
+        head_bytes: 0,
+        largest_input: 0,
+        input_memory,
     };
     spawn_local(client.run());
     session
@@ -77,26 +79,12 @@
     turn: Turn,
     /// The stream number of the current or the last request.
     stream: u64,
-    buffered: BufferedBytes,
-}
-
-/// The bytes of requests that this connection holds in memory, counted in the total of all connections.
-struct BufferedBytes {
-    total: Rc<Cell<usize>>,
-    bytes: usize,
-}
-
-impl BufferedBytes {
-    fn set(&mut self, bytes: usize) {
-        self.total.set(self.total.get() - self.bytes + bytes);
-        self.bytes = bytes;
-    }
-}
-
-impl Drop for BufferedBytes {
-    fn drop(&mut self) {
-        self.set(0);
-    }
+    /// The memory that the head of the current request holds, in bytes.
+    head_bytes: usize,
+    /// The largest length of `bytes` since its buffer was allocated.
+    largest_input: usize,
+    /// Counts `bytes` and the head of the current request. The request's body has a reservation of its own.
+    input_memory: Reservation,
 }
 
 /// What is known of a request that is being received.
@@ -136,8 +124,9 @@
         };
         if let Some(Some(Refusal { status, reason })) = &refusal {
             let text = plain_response(status, reason, "", false);
-            self.buffered.set(0);
             self.bytes = BytesMut::new();
+            self.head_bytes = 0;
+            self.count_input();
             let _ = self.write(&text).await;
         }
         // Ends only the sending direction: the client reads the last response, and then the end of the stream.
@@ -156,16 +145,15 @@
                 Err(stop) => return stop,
             };
             self.stream += 1;
-            let (body, body_bytes) = match received {
-                Received::Submit(submit) => {
-                    let body_bytes = submit.prompt.len();
-                    (Body::Submit(*submit), body_bytes)
-                }
-                Received::Ready => (Body::Ping(v1::Ping {}), 0),
+            let body = match received {
+                Received::Submit(submit) => Body::Submit(*submit),
+                Received::Ready => Body::Ping(v1::Ping {}),
             };
+            self.free_parsed_input();
             self.shared.send_frame(self.stream, body);
-            let ended = self.write_response(keep_alive, body_bytes).await;
-            self.count_buffered(0);
+            let ended = self.write_response(keep_alive).await;
+            self.head_bytes = 0;
+            self.count_input();
             if let Some(stop) = ended {
                 return stop;
             }
@@ -212,9 +200,12 @@
         self.shared.refusal.set(None);
         let mut progress = Progress::default();
         let head = loop {
+            let input_bytes = self.bytes.len();
             if let Some(head) = framing::parse_request(&mut self.bytes)
                 .map_err(|error| Stop::Refused(refusal_for(error)))?
             {
+                let parsed_bytes = input_bytes - self.bytes.len();
+                self.head_bytes = parsed_bytes + HEADER_OVERHEAD_BYTES * head.headers.len();
                 break head;
             }
             self.read_more(&mut progress).await?;
@@ -232,10 +223,8 @@
         }
         let route = route(&head).map_err(Stop::Refused)?;
         let mut reader = framing::BodyReader::new(head.length, max_body);
-        let mut body = BytesMut::new();
-        if let Length::Known(bytes) = head.length {
-            body.reserve((bytes as usize).min(2 * self.bytes.len()));
-        }
+        let memory = Reservation::new(&self.wire.request_memory);
+        let mut body = RequestBody::new(head.length, max_body, memory);
         loop {
             match reader
                 .next(&mut self.bytes)
@@ -245,14 +234,9 @@
                     if body.len() + data.len() > max_body {
                         return Err(too_long());
                     }
-                    body.extend_from_slice(&data);
-                    self.count_buffered(body.len());
-                    // Limits the memory that the bodies of all connections use together.
-                    if self.buffered.total.get() > self.wire.bounds.max_total_body_bytes {
-                        return Err(Stop::Refused(refusal(
-                            wire_names::STATUS_REJECTED,
-                            "too much is being sent",
-                        )));
+                    body.extend(&data);
+                    if body.is_over_limit() {
+                        return Err(too_much_in_memory());
                     }
                 }
                 Some(BodyPart::End) => break,
@@ -262,7 +246,7 @@
         let received = match route {
             Route::Ready => Received::Ready,
             Route::Submit => {
-                let mut submit = parse_submit(&head, body.freeze()).map_err(Stop::Refused)?;
+                let mut submit = parse_submit(&head, body.into_bytes()).map_err(Stop::Refused)?;
                 if submit.time_to_deadline_ms > 0.0 {
                     let waited_ms = progress
                         .waited_ms
@@ -310,6 +294,7 @@
                 Ok(0) | Err(_) => Err(Stop::Closed),
                 Ok(bytes) => {
                     self.turn.read(bytes);
+                    self.count_input();
                     Ok(())
                 }
             },
@@ -339,15 +324,15 @@
         true
     }
 
-    /// Waits for the next frame of the dispatcher, and reads the input that arrives behind the current request, whose
-    /// body has this length. Returns `None` if the connection ends, which cancels the current request.
+    /// Waits for the next frame of the dispatcher, and reads the input that arrives behind the current request. Returns
+    /// `None` if the connection ends, which cancels the current request.
     ///
     /// Pipelined input is read as it arrives, because unread input would hide that the client has closed the connection.
     /// At the bounds the rest stays in the socket until the current request is answered: closing the connection instead
     /// would leave that request without an answer.
-    async fn next_frame(&mut self, body_bytes: usize) -> Option<Frame> {
+    async fn next_frame(&mut self) -> Option<Frame> {
         loop {
-            self.count_buffered(body_bytes);
+            self.count_input();
             let max_read = self.max_pipelined_read();
             let reads = max_read > 0;
             if reads {
@@ -372,13 +357,12 @@
         }
     }
 
-    /// Writes the response to the current request, whose body has this length; returns the reason if no other request may
-    /// follow.
-    async fn write_response(&mut self, keep_alive: bool, body_bytes: usize) -> Option<Stop> {
+    /// Writes the response to the current request; returns the reason if no other request may follow.
+    async fn write_response(&mut self, keep_alive: bool) -> Option<Stop> {
         let mut stream_begun = false;
         let mut text = Vec::new();
         loop {
-            let Some(mut frame) = self.next_frame(body_bytes).await else {
+            let Some(mut frame) = self.next_frame().await else {
                 return Some(Stop::Closed);
             };
             let (mut messages, mut end) = (0, None);
@@ -428,11 +412,22 @@
         }
     }
 
-    /// Counts the bytes that this connection holds: `body_bytes` of the current request's body, and the input behind it
-    /// that is longer than one read.
-    fn count_buffered(&mut self, body_bytes: usize) {
-        let pipelined = self.bytes.len().saturating_sub(MAX_READ_BYTES);
-        self.buffered.set(body_bytes + pipelined);
+    /// Counts what this connection holds besides the current request's body, as far as it is more than one read. A head
+    /// leaves less room for bodies, but is not refused for want of room: its own limit is small.
+    fn count_input(&mut self) {
+        self.largest_input = self.largest_input.max(self.bytes.len());
+        let held = self.bytes.len() + self.head_bytes;
+        self.input_memory.set(held.saturating_sub(MAX_READ_BYTES));
+    }
+
+    /// Frees the part of the input's buffer that held the current request, if it is large. Parsing frees nothing by
+    /// itself: the input behind the request keeps the whole buffer.
+    fn free_parsed_input(&mut self) {
+        if self.largest_input > self.bytes.len() + 2 * MAX_READ_BYTES {
+            self.bytes = BytesMut::from(&self.bytes[..]);
+            self.largest_input = self.bytes.len();
+        }
+        self.count_input();
     }
 
     /// The number of bytes that may be read behind the current request now. At most one more request at its largest is
@@ -441,8 +436,8 @@
         let bounds = self.wire.bounds;
         let max_pipelined = bounds.max_body_bytes + framing::MAX_HEAD_BYTES;
         let max_total = bounds.max_total_body_bytes / PIPELINED_BYTES_DIVISOR;
-        let uncounted = MAX_READ_BYTES.saturating_sub(self.bytes.len());
-        let countable = max_total.saturating_sub(self.buffered.total.get());
+        let uncounted = MAX_READ_BYTES.saturating_sub(self.bytes.len() + self.head_bytes);
+        let countable = max_total.saturating_sub(self.wire.request_memory.used());
         max_pipelined
             .saturating_sub(self.bytes.len())
             .min(uncounted + countable)
@@ -525,6 +520,14 @@
     }
 }
 
+/// The refusal of a request that the memory has no room for.
+fn too_much_in_memory() -> Stop {
+    Stop::Refused(refusal(
+        wire_names::STATUS_REJECTED,
+        "too much is being sent",
+    ))
+}
+
 /// Appends one chunk of a chunked body.
 fn write_chunk(data: &[u8], text: &mut Vec<u8>) {
     text.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
--- a/crates/http1/tests/common/mod.rs
+++ b/crates/http1/tests/common/mod.rs
@@ -135,6 +135,11 @@
     X-Entity: 7f3a9c21e0b4d655\r\nX-Remaining-Ms: 4800\r\n\
     X-Labels: prefix=5c0f,prompt_len=5120,prefix_len=2048,max_out=800\r\nContent-Type: application/json\r\n";
 
+/// The head of a request with a chunked body.
+pub fn chunked_head() -> String {
+    format!("{REQUEST_HEAD}Transfer-Encoding: chunked\r\n\r\n")
+}
+
 /// A complete client request with this body.
 pub fn request_text(body: &str) -> String {
     format!("{REQUEST_HEAD}Content-Length: {}\r\n\r\n{body}", body.len())
@@ -158,8 +163,8 @@
     })
 }
 
-/// A peer that can always be read: it sends a beginning, then a pattern again and again, and closes after `max_bytes`.
-/// It accepts everything that is written to it.
+/// A peer that can always be read: it sends a beginning, then a pattern again and again, and closes or stays silent after
+/// `max_bytes`. It accepts everything that is written to it.
 pub struct AlwaysReadable {
     beginning: Vec<u8>,
     /// The pattern, repeated to a length that fills a read.
@@ -169,6 +174,8 @@
     max_bytes: usize,
     /// Whether the peer sends nothing before something was written to it.
     answers: bool,
+    /// Whether the peer stays silent after its last byte, in place of closing.
+    stays: bool,
     /// Woken by the first write.
     waiting: Option<Waker>,
     log: PeerLog,
@@ -195,6 +202,7 @@
             period: pattern.len(),
             max_bytes,
             answers: false,
+            stays: false,
             waiting: None,
             log: log.clone(),
         };
@@ -206,6 +214,12 @@
         self.answers = true;
         self
     }
+
+    /// Makes the peer stay silent after its last byte, in place of closing.
+    pub fn staying(mut self) -> Self {
+        self.stays = true;
+        self
+    }
 }
 
 impl AsyncRead for AlwaysReadable {
@@ -219,6 +233,9 @@
             return Poll::Pending;
         }
         let sent = self.log.sent_bytes.get();
+        if self.stays && sent >= self.max_bytes {
+            return Poll::Pending;
+        }
         let rest = match sent.checked_sub(self.beginning.len()) {
             None => &self.beginning[sent..],
             Some(of_pattern) => &self.pattern[of_pattern % self.period..],
--- a/crates/http1/tests/hostile_peers.rs
+++ b/crates/http1/tests/hostile_peers.rs
@@ -34,11 +34,6 @@
     assert_eq!(next_body(&mut session).await, None, "{form}");
 }
 
-/// The head of a request with a chunked body.
-fn chunked_head() -> String {
-    format!("{REQUEST_HEAD}Transfer-Encoding: chunked\r\n\r\n")
-}
-
 /// Guards against a process that serves nobody while one client sends: input that does not end, and is never waited for.
 #[test]
 fn clients_that_send_without_end_are_refused_and_others_are_served_meanwhile() {
--- a/crates/http1/tests/session.rs
+++ b/crates/http1/tests/session.rs
@@ -189,10 +189,11 @@
             io.write_all(request_text(&"x".repeat(1000)).as_bytes())
                 .await
                 .expect("bytes written");
-            next_body(&mut session)
+            // A body counts for as long as it lies in memory, and the dispatcher holds that of an open request.
+            let submit = next_body(&mut session)
                 .await
                 .expect("submit frame received");
-            open_connections.push((io, session));
+            open_connections.push((io, session, submit));
         }
         let (mut io, mut session) = client(&wire).await;
         io.write_all(request_text("x").as_bytes())
--- a/src/resource_limits.rs
+++ b/src/resource_limits.rs
@@ -47,7 +47,7 @@
     pub engine_reuse_delay: Ms,
     /// Maximum size in bytes of the body of one request.
     pub max_body_bytes: usize,
-    /// Maximum size in bytes of the bodies of all open requests together.
+    /// Maximum number of bytes that the requests of all clients hold together, those that are still arriving included.
     pub max_total_body_bytes: usize,
     /// Maximum size in bytes of one chunk of an engine's answer, or of an answer that is not chunked.
     pub max_chunk_bytes: usize,
