HTTP/1.1: what engines have sent counts against the memory until it is written to the client

What callers would see: engines that send all but the end of a large chunk, or streams that clients don't read, take the process over its memory, and it is killed.

Cause: responses were bounded a connection (up to 512 KiB) and by messages (a credit of 32, of any size), not together. Each attempt copied its request until the engine had accepted it.

Fix: a pool for all responses, an eighth of the memory. A response that cannot be forwarded and is longer than one read fails its call while the pool is exceeded; a stream's engine is not read while 64 KiB wait for its client, or 16 KiB while the pool is exceeded. A request's body is no longer copied beyond 16 KiB.

Evidence: http1/tests/memory.rs, at the allocator, 150 engines, five forms.

--- a/crates/cindercleat-cli/src/node.rs
+++ b/crates/cindercleat-cli/src/node.rs
@@ -106,6 +106,7 @@
         max_chunk_bytes: allowed.max_chunk_bytes,
         max_list_bytes: allowed.max_list_bytes,
         max_total_body_bytes: allowed.max_total_body_bytes,
+        max_total_response_bytes: allowed.max_total_response_bytes,
         discovery_wait_ms: allowed.discovery_poll_wait as u32,
         drain_timeout_ms: allowed.close_drain_timeout as u32,
         max_drained_bytes: allowed.max_close_drain_bytes,
--- a/crates/dispatcher/tests/common/loopback.rs
+++ b/crates/dispatcher/tests/common/loopback.rs
@@ -28,6 +28,7 @@
     max_chunk_bytes: 256 << 10,
     max_list_bytes: 1 << 20,
     max_total_body_bytes: 8 << 20,
+    max_total_response_bytes: 8 << 20,
     discovery_wait_ms: 500,
     drain_timeout_ms: 500,
     max_drained_bytes: 1 << 20,
--- a/crates/dispatcher/tests/platform.rs
+++ b/crates/dispatcher/tests/platform.rs
@@ -23,6 +23,7 @@
     max_chunk_bytes: 10_000,
     max_list_bytes: 10_000,
     max_total_body_bytes: 50_000,
+    max_total_response_bytes: 50_000,
     discovery_wait_ms: 500,
     drain_timeout_ms: 500,
     max_drained_bytes: 40_000,
--- a/crates/http1/src/engine_client.rs
+++ b/crates/http1/src/engine_client.rs
@@ -6,21 +6,27 @@
 
 use crate::event_stream::FirstEventScanner;
 use crate::framing::{FramingError, Length, ResponseHead, ResponsePart, ResponseReader};
+use crate::memory::{counted, MemoryPool, Reservation};
 use crate::turn::Turn;
-use crate::{session, socket, wire_names, Bounds, Session, Shared};
+use crate::{session, socket, wire_names, Http1, Session, Shared};
 use bytes::{Bytes, BytesMut};
 use cindercleat_protocol::session::{ByteStream, Event, Setup};
 use cindercleat_protocol::{v1, Body, Frame};
 use serde::Deserialize;
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
 /// The maximum number of bytes per read. Token events are forwarded without another read once they reach this size.
 const MAX_READ_BYTES: usize = 16 << 10;
+/// The engine is not read while more than this number of bytes of its stream wait for the client.
+const MAX_UNWRITTEN_BYTES: usize = 64 << 10;
+/// The number of bytes of a request's body that are copied behind its head, so that a short request takes one write.
+const MAX_COPIED_BODY_BYTES: usize = 16 << 10;
 
-pub(crate) fn start<S: ByteStream>(io: S, bounds: Bounds, setup: Setup) -> Session {
+pub(crate) fn start<S: ByteStream>(io: S, wire: &Http1, setup: Setup) -> Session {
     let name = setup.expects.clone();
     let peer = v1::Hello {
         party: v1::Party::Engine.into(),
@@ -30,10 +36,13 @@
     let (session, shared, outgoing) = session(peer, Some(1));
     let connection = EngineConnection {
         io,
-        bounds,
+        max_response_bytes: wire.bounds.max_chunk_bytes,
         shared,
         outgoing,
         bytes: BytesMut::new(),
+        memory: Reservation::new(&wire.response_memory),
+        unwritten: MemoryPool::part_of(&wire.response_memory, MAX_UNWRITTEN_BYTES),
+        response_memory: wire.response_memory.clone(),
         turn: Turn::default(),
         response_begun: false,
         name: setup.expects,
@@ -44,11 +53,18 @@
 
 struct EngineConnection<S> {
     io: S,
-    bounds: Bounds,
+    /// The largest chunk of a response, and the largest response that is not a stream, in bytes.
+    max_response_bytes: usize,
     shared: Rc<Shared>,
     outgoing: mpsc::UnboundedReceiver<Frame>,
     /// The received bytes that are not parsed yet.
     bytes: BytesMut,
+    /// Counts what has arrived of a response and cannot be forwarded yet, as far as it is more than one read.
+    memory: Reservation,
+    /// Counts the bytes of the current stream that were forwarded and not written to the client yet.
+    unwritten: Arc<MemoryPool>,
+    /// The memory of all responses.
+    response_memory: Arc<MemoryPool>,
     turn: Turn,
     /// Whether at least one byte of the current call's response has arrived.
     response_begun: bool,
@@ -79,6 +95,8 @@
     ConnectionLost(String),
     /// The response does not follow the protocol.
     Malformed(FramingError),
+    /// The memory has no room for the response.
+    NoMemory,
 }
 
 impl<S: ByteStream> EngineConnection<S> {
@@ -127,6 +145,7 @@
         }
         // An idle connection frees its buffer, to save memory.
         self.bytes = BytesMut::new();
+        self.memory.set(0);
         let mut byte = [0];
         tokio::select! { biased;
             () = self.shared.wait_closing() => None,
@@ -240,13 +259,14 @@
 
     /// Runs one call; returns whether the connection can carry another call.
     async fn run_call(&mut self, stream: u64, mut call: Call, head: &[u8], body: &[u8]) -> bool {
-        let request = [head, body].concat();
-        if let Err((stop, written)) = self.write_request(stream, &request).await {
+        let (copied, rest) = body.split_at(body.len().min(MAX_COPIED_BODY_BYTES));
+        let beginning = [head, copied].concat();
+        if let Err((stop, written)) = self.write_request(stream, [&beginning, rest]).await {
             match stop {
                 CallStop::ConnectionLost(reason) => {
                     let goodbye = v1::Goodbye {
                         reason,
-                        never_ran: written < request.len(),
+                        never_ran: written < beginning.len() + rest.len(),
                     };
                     self.shared.send_frame(stream, Body::Goodbye(goodbye));
                 }
@@ -254,8 +274,10 @@
             }
             return false;
         }
-        drop(request);
+        drop(beginning);
         self.response_begun = false;
+        // The client of the previous stream may still be reading, and must not hold up this one.
+        self.unwritten = MemoryPool::part_of(&self.response_memory, MAX_UNWRITTEN_BYTES);
         match self.read_response(stream, &mut call).await {
             Ok(keep_alive) => keep_alive,
             Err(CallStop::ClosedLocally) => {
@@ -275,14 +297,21 @@
                 false
             }
             Err(CallStop::Malformed(error)) => {
-                self.shared.send_event(Event::GoingAway);
-                let reason = format!("malformed response: {error:?}");
-                self.shared.send_frame(stream, failure(&call, reason));
-                false
+                self.fail_call(stream, &call, format!("malformed response: {error:?}"))
+            }
+            Err(CallStop::NoMemory) => {
+                self.fail_call(stream, &call, "no memory for the response".to_owned())
             }
         }
     }
 
+    /// Ends a call whose response is given up; returns that the connection cannot carry another call.
+    fn fail_call(&self, stream: u64, call: &Call, reason: String) -> bool {
+        self.shared.send_event(Event::GoingAway);
+        self.shared.send_frame(stream, failure(call, reason));
+        false
+    }
+
     /// Applies a frame that the dispatcher sent during a call; returns whether the frame ends the call. `None` as the
     /// frame means that the session was dropped.
     fn ends_call(&self, stream: u64, frame: Option<Frame>, call: Option<&mut Call>) -> bool {
@@ -309,42 +338,54 @@
         }
     }
 
-    /// Writes a request.
+    /// Writes the parts of a request one after another.
     ///
     /// # Errors
     /// Returns the reason why the call stops, and the number of bytes written before it stopped.
     async fn write_request(
         &mut self,
         stream: u64,
-        request: &[u8],
+        parts: [&[u8]; 2],
     ) -> Result<(), (CallStop, usize)> {
         let mut written = 0;
-        while written < request.len() {
+        for mut part in parts {
+            while !part.is_empty() {
+                let bytes = self
+                    .write_some(stream, part)
+                    .await
+                    .map_err(|stop| (stop, written))?;
+                written += bytes;
+                part = &part[bytes..];
+            }
+        }
+        Ok(())
+    }
+
+    /// Writes bytes of a request as soon as the engine accepts some; returns their number.
+    async fn write_some(&mut self, stream: u64, bytes: &[u8]) -> Result<usize, CallStop> {
+        loop {
             let frame = tokio::select! { biased;
-                () = self.shared.wait_closing() => return Err((CallStop::ClosedLocally, written)),
-                wrote = self.io.write(&request[written..]) => match wrote {
-                    Ok(0) => return Err((CallStop::ConnectionLost("the engine accepted no bytes".to_owned()), written)),
-                    Ok(bytes) => {
-                        written += bytes;
-                        continue;
-                    }
-                    Err(error) => return Err((CallStop::ConnectionLost(error.to_string()), written)),
+                () = self.shared.wait_closing() => return Err(CallStop::ClosedLocally),
+                wrote = self.io.write(bytes) => return match wrote {
+                    Ok(0) => Err(CallStop::ConnectionLost("the engine accepted no bytes".to_owned())),
+                    Ok(written) => Ok(written),
+                    Err(error) => Err(CallStop::ConnectionLost(error.to_string())),
                 },
                 frame = self.outgoing.recv() => frame,
             };
             if self.ends_call(stream, frame, None) {
-                return Err((CallStop::ClosedLocally, written));
+                return Err(CallStop::ClosedLocally);
             }
         }
-        Ok(())
     }
 
-    /// Reads more bytes of the response, or waits for credit to forward the bytes already read. Returns false if the
-    /// engine closed the connection.
+    /// Reads more bytes of the response, or waits for credit to forward the bytes already read, or until the client has
+    /// read more of the stream. Returns false if the engine closed the connection.
     async fn read_more(&mut self, stream: u64, call: &mut Call) -> Result<bool, CallStop> {
         loop {
             self.turn.yield_if_spent().await;
             let has_credit = !matches!(call, Call::Decode { credit: 0, .. });
+            let may_read = has_credit && self.unwritten.has_room(MAX_READ_BYTES);
             // A few events fit in a small buffer; a large chunk that is partly received needs a larger one.
             self.bytes.reserve(if self.bytes.len() < MAX_READ_BYTES {
                 MAX_READ_BYTES / 4
@@ -354,7 +395,8 @@
             let frame = tokio::select! { biased;
                 () = self.shared.wait_closing() => return Err(CallStop::ClosedLocally),
                 frame = self.outgoing.recv() => frame,
-                read = self.io.read_buf(&mut self.bytes), if has_credit => return match read {
+                () = self.unwritten.wait_freed(), if has_credit && !may_read => continue,
+                read = self.io.read_buf(&mut self.bytes), if may_read => return match read {
                     Ok(bytes) => {
                         self.turn.read(bytes);
                         self.response_begun |= bytes > 0;
@@ -375,9 +417,9 @@
 
     /// Reads the response and sends its result as frames; returns whether the connection can be used again.
     async fn read_response(&mut self, stream: u64, call: &mut Call) -> Result<bool, CallStop> {
-        let mut reader = ResponseReader::new(self.bounds.max_chunk_bytes);
+        let mut reader = ResponseReader::new(self.max_response_bytes);
         let mut head: Option<ResponseHead> = None;
-        let mut body = BytesMut::new();
+        let mut body = Vec::new();
         let mut first_event = FirstEventScanner::default();
         let (mut ended, mut connection_ended) = (false, false);
         loop {
@@ -393,7 +435,7 @@
                         body.extend_from_slice(&data);
                         let streams = head.as_ref().is_some_and(|head| is_stream(head, call));
                         let is_forwarded = streams && first_event.is_complete(&body);
-                        if body.len() > self.bounds.max_chunk_bytes && !is_forwarded {
+                        if body.len() > self.max_response_bytes && !is_forwarded {
                             return Err(CallStop::Malformed(FramingError::TooLong("the response")));
                         }
                         message_is_full = is_forwarded && body.len() >= MAX_READ_BYTES;
@@ -437,6 +479,7 @@
             if message_is_full {
                 continue;
             }
+            self.require_memory(&body)?;
             if !self.read_more(stream, call).await? {
                 // A rejection is complete once its head was received, because the head carries the rejection header.
                 // Its body is not used.
@@ -451,19 +494,32 @@
         }
     }
 
+    /// Counts what has arrived of a response and was not forwarded.
+    ///
+    /// # Errors
+    /// The responses of all engines together exceed their share of the memory, and this one is longer than one read.
+    fn require_memory(&mut self, body: &Vec<u8>) -> Result<(), CallStop> {
+        let held = self.bytes.len() + body.capacity();
+        self.memory.set(held.saturating_sub(MAX_READ_BYTES));
+        if self.memory.is_over_limit() {
+            return Err(CallStop::NoMemory);
+        }
+        Ok(())
+    }
+
     /// Sends the events read so far as one message, if the response is a stream, and uses one credit.
     fn forward_events(
         &mut self,
         stream: u64,
         call: &mut Call,
         head: Option<&ResponseHead>,
-        body: &mut BytesMut,
+        body: &mut Vec<u8>,
     ) {
         if body.is_empty() || !head.is_some_and(|head| is_stream(head, call)) {
             return;
         }
         if let Call::Decode { credit, position } = call {
-            let text = body.split().freeze();
+            let text = counted(std::mem::take(body), Reservation::new(&self.unwritten));
             let count = u32::try_from(text.len()).unwrap_or(u32::MAX);
             let tokens = v1::Tokens {
                 position: *position,
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -47,6 +47,10 @@
     /// last copy is freed: bodies, and what a connection holds besides beyond one read (8 KiB). A body that exceeds it
     /// while it arrives is rejected with status 503; what arrives behind an open request stays in the socket.
     pub max_total_body_bytes: usize,
+    /// The maximum number of bytes that the responses of all engines hold together, from the read of a byte until it is
+    /// written to the client, beyond one read (16 KiB) a connection. A response that exceeds it before it can be forwarded
+    /// ends its call as failed; the engine of a stream is not read until its client has read more.
+    pub max_total_response_bytes: usize,
     /// The maximum time that discovery may delay its response while the list is unchanged, in milliseconds.
     pub discovery_wait_ms: u32,
     /// How long a connection still reads and discards input after its last response before it is closed, in
@@ -65,6 +69,8 @@
     bounds: Bounds,
     /// The memory that clients' requests hold, of all connections together.
     request_memory: Arc<MemoryPool>,
+    /// The memory that engines' responses hold, of all connections together.
+    response_memory: Arc<MemoryPool>,
 }
 
 impl Http1 {
@@ -73,6 +79,7 @@
         Http1 {
             bounds,
             request_memory: MemoryPool::new("clients' requests", bounds.max_total_body_bytes),
+            response_memory: MemoryPool::new("engines' responses", bounds.max_total_response_bytes),
         }
     }
 
@@ -80,6 +87,11 @@
     pub fn buffered_bytes(&self) -> usize {
         self.request_memory.used()
     }
+
+    /// The number of bytes of engines' responses in memory, which [`Bounds::max_total_response_bytes`] limits.
+    pub fn buffered_response_bytes(&self) -> usize {
+        self.response_memory.used()
+    }
 }
 
 impl Wire for Http1 {
@@ -96,7 +108,7 @@
         setup: Setup,
     ) -> Result<Session, String> {
         match to {
-            v1::Party::Engine => Ok(engine_client::start(io, self.bounds, setup)),
+            v1::Party::Engine => Ok(engine_client::start(io, self, setup)),
             v1::Party::Feed => Ok(discovery_client::start(io, self.bounds, setup)),
             _ => Err("HTTP/1.1 sessions connect only to engines and discovery".to_owned()),
         }
--- a/crates/http1/src/memory.rs
+++ b/crates/http1/src/memory.rs
@@ -7,8 +7,9 @@
 use bytes::Bytes;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
+use tokio::sync::Notify;
 
-/// The memory for the bytes of one kind, of all connections together.
+/// The memory for the bytes of one kind, of all connections together or of one.
 #[derive(Debug)]
 pub(crate) struct MemoryPool {
     /// What the pool is for; part of the log line.
@@ -18,6 +19,10 @@
     used: AtomicUsize,
     /// Whether the log says that the limit was exceeded; unset once less than half of the limit is used.
     is_reported: AtomicBool,
+    /// The pool that this one is a part of: what is used here is used there too.
+    parent: Option<Arc<MemoryPool>>,
+    /// Notified when bytes are freed.
+    freed: Notify,
 }
 
 impl MemoryPool {
@@ -28,9 +33,40 @@
             limit,
             used: AtomicUsize::new(0),
             is_reported: AtomicBool::new(false),
+            parent: None,
+            freed: Notify::new(),
         })
     }
 
+    /// Creates the part of `parent` that one connection uses, with a limit of its own.
+    pub fn part_of(parent: &Arc<MemoryPool>, limit: usize) -> Arc<Self> {
+        Arc::new(MemoryPool {
+            name: parent.name,
+            limit,
+            used: AtomicUsize::new(0),
+            is_reported: AtomicBool::new(false),
+            parent: Some(parent.clone()),
+            freed: Notify::new(),
+        })
+    }
+
+    /// Whether this part has room for more bytes: less than its limit is used, and its parent is not exceeded. The first
+    /// `always_free` bytes need no room at the parent, so that what others use holds up no connection that uses little.
+    pub fn has_room(&self, always_free: usize) -> bool {
+        let used = self.used();
+        let parent_has_room = || {
+            self.parent
+                .as_ref()
+                .is_none_or(|parent| !parent.is_exceeded())
+        };
+        used < self.limit && (used <= always_free || parent_has_room())
+    }
+
+    /// Waits until bytes of this pool are freed.
+    pub async fn wait_freed(&self) {
+        self.freed.notified().await;
+    }
+
     /// The number of bytes in use.
     pub fn used(&self) -> usize {
         self.used.load(Ordering::Relaxed)
@@ -60,6 +96,12 @@
         if used < self.limit / 2 {
             self.is_reported.store(false, Ordering::Relaxed);
         }
+        if let Some(parent) = &self.parent {
+            parent.replace(old, new);
+        }
+        if new < old {
+            self.freed.notify_waiters();
+        }
     }
 }
 
@@ -111,9 +153,9 @@
     }
 }
 
-/// Hands on `bytes`: `reservation` counts them until the last clone is dropped.
+/// Hands on `bytes`: `reservation` counts their buffer until the last clone is dropped.
 pub(crate) fn counted(bytes: Vec<u8>, mut reservation: Reservation) -> Bytes {
-    reservation.set(bytes.len());
+    reservation.set(bytes.capacity());
     Bytes::from_owner(CountedBytes {
         bytes,
         _reservation: reservation,
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -33,6 +33,8 @@
 const MIN_TIME_TO_DEADLINE_MS: f64 = 0.001;
 /// The size, in bytes, at which collected token messages are written without collecting more.
 const MAX_WRITE_BYTES: usize = 32 << 10;
+/// A buffer for text up to this size, in bytes, is kept between the messages of a stream.
+const MAX_KEPT_TEXT_BYTES: usize = 4 << 10;
 /// Pipelined input of all connections may use `Bounds::max_total_body_bytes` divided by this. The rest is left for
 /// requests whose connection has no open one.
 const PIPELINED_BYTES_DIVISOR: usize = 2;
@@ -361,6 +363,7 @@
     async fn write_response(&mut self, keep_alive: bool) -> Option<Stop> {
         let mut stream_begun = false;
         let mut text = Vec::new();
+        let mut text_memory = Reservation::new(&self.wire.response_memory);
         loop {
             let Some(mut frame) = self.next_frame().await else {
                 return Some(Stop::Closed);
@@ -397,9 +400,14 @@
                 // before the rejection is written. Yielding lets the tasks that were woken before this one run first.
                 tokio::task::yield_now().await;
             }
+            text_memory.set(text.capacity());
             if !text.is_empty() && !self.write(&text).await {
                 return Some(Stop::Closed);
             }
+            if text.capacity() > MAX_KEPT_TEXT_BYTES {
+                text = Vec::new();
+                text_memory.set(0);
+            }
             if let Some(stays_open) = end {
                 return (!stays_open).then_some(Stop::LastResponseSent);
             }
--- a/crates/http1/tests/common/mod.rs
+++ b/crates/http1/tests/common/mod.rs
@@ -18,6 +18,7 @@
     max_chunk_bytes: 1000,
     max_list_bytes: 4000,
     max_total_body_bytes: 5000,
+    max_total_response_bytes: 5000,
     discovery_wait_ms: 500,
     drain_timeout_ms: 500,
     max_drained_bytes: 4000,
--- a/crates/http1/tests/hostile_peers.rs
+++ b/crates/http1/tests/hostile_peers.rs
@@ -192,3 +192,43 @@
         require_service(&wire, &log, "lists").await;
     });
 }
+
+/// Guards against a stream that stands still because the client of another one does not read: the connection to the
+/// engine, and the memory for responses, are shared.
+#[test]
+fn a_client_that_reads_nothing_does_not_hold_up_the_next_stream_of_the_engine() {
+    run(async {
+        let (mut io, mut session) = engine().await;
+        let event = format!("data: {}\n\n", "x".repeat(900));
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}0\r\n\r\n",
+            chunk.repeat(16)
+        );
+        let mut unread = Vec::new();
+        for stream in 1..=5 {
+            let decode = v1::Decode {
+                origin: Some(v1::Origin::default()),
+                window: 32,
+                ..v1::Decode::default()
+            };
+            session.out.send(frame(stream, Body::Decode(decode)));
+            read_until(&mut io, "\r\n\r\n").await;
+            io.write_all(answer.as_bytes())
+                .await
+                .expect("bytes written");
+            loop {
+                match next_body(&mut session).await {
+                    Some((_, Body::Tokens(tokens))) => unread.push(tokens),
+                    Some((_, Body::Ended(ended))) => {
+                        assert_eq!(ended.status(), v1::Status::Succeeded, "stream {stream}");
+                        break;
+                    }
+                    other => panic!("stream {stream}: {other:?}"),
+                }
+            }
+        }
+        let received: usize = unread.iter().map(|tokens| tokens.text.len()).sum();
+        assert_eq!(received, 5 * 16 * event.len());
+    });
+}
--- a/crates/http1/tests/memory.rs
+++ b/crates/http1/tests/memory.rs
@@ -2,8 +2,10 @@
 //! not count itself; this file therefore has a single test that runs at a time.
 
 use cindercleat_http1::{Bounds, Http1};
-use cindercleat_protocol::session::Wire;
+use cindercleat_protocol::session::{Outbox, Wire};
+use cindercleat_protocol::{frame, v1, Body};
 use peak_alloc::PeakAlloc;
+use std::future::Future;
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -30,24 +32,58 @@
         max_body_bytes: MAX_BODY_BYTES,
         max_chunk_bytes: MAX_BODY_BYTES,
         max_total_body_bytes: LIMIT,
+        max_total_response_bytes: LIMIT,
         ..BOUNDS
     })
 }
 
-/// The most memory in use, in bytes, while these peers have connections to a dispatcher that answers nothing.
-fn peak_with(peers: Vec<AlwaysReadable>) -> usize {
+/// Requires that peers hold no more than their limit, and a small buffer a connection, beyond what they hold at rest.
+fn require_bounded(form: &str, held: usize, at_rest: usize) {
+    let most = LIMIT + PEERS * MAX_BYTES_PER_CONNECTION;
+    let held = held.saturating_sub(at_rest);
+    assert!(
+        held <= most,
+        "{form}: {PEERS} peers held {} KiB, where {} KiB are allowed",
+        held / KIB,
+        most / KIB
+    );
+}
+
+/// The most memory in use, in bytes, while `test` runs.
+fn peak_of(test: impl Future<Output = ()>) -> usize {
     ALLOCATOR.reset_peak_usage();
     let before = ALLOCATOR.current_usage();
-    run(async move {
+    run(test);
+    ALLOCATOR.peak_usage().saturating_sub(before)
+}
+
+/// The most memory in use while these clients have connections to a dispatcher that answers nothing.
+fn peak_with_clients(peers: Vec<AlwaysReadable>) -> usize {
+    peak_of(async move {
         let wire = wire();
         let mut sessions = Vec::new();
         for io in peers {
             sessions.push(wire.serve(io, setup()).await.expect("session started"));
         }
         tokio::time::sleep(Duration::from_millis(100)).await;
-        drop(sessions);
-    });
-    ALLOCATOR.peak_usage().saturating_sub(before)
+    })
+}
+
+/// The most memory in use while these engines answer a call each, and nothing of their answers is taken over.
+fn peak_with_engines(peers: Vec<AlwaysReadable>, call: Body) -> usize {
+    peak_of(async move {
+        let wire = wire();
+        let mut sessions = Vec::new();
+        for io in peers {
+            let session = wire
+                .connect(io.answering(), v1::Party::Engine, setup())
+                .await
+                .expect("session started");
+            session.out.send(frame(1, call.clone()));
+            sessions.push(session);
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    })
 }
 
 /// Peers that send a beginning, then a pattern up to `bytes` in all, and stay.
@@ -65,7 +101,7 @@
     let nearly_all = MAX_BODY_BYTES - KIB;
     let known_length = |length: usize| format!("{REQUEST_HEAD}Content-Length: {length}\r\n\r\n");
     let small_chunk = format!("100\r\n{}\r\n", "x".repeat(256));
-    let header = format!("a: {}\r\n", "x".repeat(250));
+    let header = format!("a: {}\r\n", "x".repeat(500));
     let forms = [
         ("one chunk", chunked_head() + "3fff0\r\n", "x", nearly_all),
         ("small chunks", chunked_head(), &*small_chunk, nearly_all),
@@ -84,15 +120,45 @@
             nearly_all,
         ),
     ];
-    let at_rest = peak_with(peers("P", "x", 1));
+    let at_rest = peak_with_clients(peers("P", "x", 1));
+    for (form, beginning, pattern, bytes) in forms {
+        let held = peak_with_clients(peers(&beginning, pattern, bytes));
+        require_bounded(form, held, at_rest);
+    }
+}
+
+/// Guards against a process that is killed for its memory: engines whose answers do not end, and answers that no client
+/// reads.
+#[test]
+fn answers_of_engines_hold_no_more_memory_than_is_counted() {
+    const EVENT: &str = "data: a\n\n";
+    let _guard = MEASURING.lock();
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned();
+    let call = || {
+        Body::Decode(v1::Decode {
+            origin: Some(v1::Origin::default()),
+            window: 32,
+            ..v1::Decode::default()
+        })
+    };
+    let comment_chunk = format!("100\r\n:{}\n\r\n", "x".repeat(254));
+    let large_event = format!("3e80\r\ndata: {}\n\n\r\n", "x".repeat(15_992));
+    let small_event = format!("{:x}\r\n{EVENT}\r\n", EVENT.len());
+    let forms = [
+        ("one chunk", head.clone() + "3fff0\r\n", "x", 255 * KIB),
+        ("no event", head.clone(), &*comment_chunk, 255 * KIB),
+        (
+            "a chunk behind an event",
+            format!("{head}{small_event}3fff0\r\n"),
+            "x",
+            255 * KIB,
+        ),
+        ("large events", head.clone(), &*large_event, 1024 * KIB),
+        ("small events", head.clone(), &*small_event, 1024 * KIB),
+    ];
+    let at_rest = peak_with_engines(peers("H", "x", 1), call());
     for (form, beginning, pattern, bytes) in forms {
-        let held = peak_with(peers(&beginning, pattern, bytes)).saturating_sub(at_rest);
-        let most = LIMIT + PEERS * MAX_BYTES_PER_CONNECTION;
-        assert!(
-            held <= most,
-            "{form}: {PEERS} peers held {} KiB, where {} KiB are allowed",
-            held / KIB,
-            most / KIB
-        );
+        let held = peak_with_engines(peers(&beginning, pattern, bytes), call());
+        require_bounded(form, held, at_rest);
     }
 }
--- a/src/resource_limits.rs
+++ b/src/resource_limits.rs
@@ -49,6 +49,8 @@
     pub max_body_bytes: usize,
     /// Maximum number of bytes that the requests of all clients hold together, those that are still arriving included.
     pub max_total_body_bytes: usize,
+    /// Maximum number of bytes that the responses of all engines hold together until they are written to their clients.
+    pub max_total_response_bytes: usize,
     /// Maximum size in bytes of one chunk of an engine's answer, or of an answer that is not chunked.
     pub max_chunk_bytes: usize,
     /// Maximum size in bytes of one list of endpoints.
@@ -79,9 +81,12 @@
 /// File descriptors reserved for logs, signals, the listener, discovery and connections that are being closed.
 pub const RESERVED_FILE_DESCRIPTORS: usize = 32;
 
-/// All bodies together may use the memory of the process divided by this.
+/// All requests together may use the memory of the process divided by this.
 const BODIES_MEMORY_DIVISOR: f64 = 8.0;
 
+/// All responses of engines together may use the memory of the process divided by this.
+const RESPONSES_MEMORY_DIVISOR: f64 = 8.0;
+
 /// The largest body that the platform's protocol allows, in bytes.
 const MAX_BODY_BYTES: usize = 256 << 10;
 
@@ -190,6 +195,7 @@
             engine_reuse_delay: ENGINE_REUSE_DELAY_MS,
             max_body_bytes: MAX_BODY_BYTES,
             max_total_body_bytes: (process.memory_bytes / BODIES_MEMORY_DIVISOR) as usize,
+            max_total_response_bytes: (process.memory_bytes / RESPONSES_MEMORY_DIVISOR) as usize,
             max_chunk_bytes: MAX_BODY_BYTES,
             max_list_bytes: ((process.memory_bytes / LIST_MEMORY_DIVISOR) as usize)
                 .max(MIN_LIST_BODIES * MAX_BODY_BYTES),
