Discovery over HTTP/1.1: a list holds little more memory than its bytes

What callers would see: a list within its bound of an eighth of the memory takes the process over all of it, and it is killed.

Cause: a cell was parsed into a tree of values, entries into a table that was copied into another, and each chunk was held whole beside the list. The bound was on bytes of JSON alone.

Evidence: http1/tests/memory.rs, at the allocator, lists of 4 MiB. A list of 3,200 engines, indented, is taken.

--- a/crates/cindercleat-cli/src/node.rs
+++ b/crates/cindercleat-cli/src/node.rs
@@ -64,7 +64,8 @@
     let known = match &said.known {
         None | Some(serde_json::Value::Null) => None,
         Some(list) => {
-            let list = cindercleat_http1::parse_list(list.to_string().as_bytes());
+            // The configuration is trusted, so its list has no limit of its own.
+            let list = cindercleat_http1::parse_list(list.to_string().as_bytes(), usize::MAX);
             Some(list.map_err(|e| wrong(format!("known: {e}")))?)
         }
     };
@@ -105,6 +106,7 @@
         max_body_bytes: allowed.max_body_bytes,
         max_chunk_bytes: allowed.max_chunk_bytes,
         max_list_bytes: allowed.max_list_bytes,
+        max_listed_engines: allowed.max_listed_engines,
         max_total_body_bytes: allowed.max_total_body_bytes,
         max_total_response_bytes: allowed.max_total_response_bytes,
         discovery_wait_ms: allowed.discovery_poll_wait as u32,
--- a/crates/dispatcher/tests/common/loopback.rs
+++ b/crates/dispatcher/tests/common/loopback.rs
@@ -27,6 +27,7 @@
     max_body_bytes: 256 << 10,
     max_chunk_bytes: 256 << 10,
     max_list_bytes: 1 << 20,
+    max_listed_engines: 4096,
     max_total_body_bytes: 8 << 20,
     max_total_response_bytes: 8 << 20,
     discovery_wait_ms: 500,
--- a/crates/dispatcher/tests/platform.rs
+++ b/crates/dispatcher/tests/platform.rs
@@ -22,6 +22,7 @@
     max_body_bytes: 10_000,
     max_chunk_bytes: 10_000,
     max_list_bytes: 10_000,
+    max_listed_engines: 4096,
     max_total_body_bytes: 50_000,
     max_total_response_bytes: 50_000,
     discovery_wait_ms: 500,
--- a/crates/http1/src/discovery_client.rs
+++ b/crates/http1/src/discovery_client.rs
@@ -1,6 +1,6 @@
 //! Sessions with discovery: fetches the complete list, then long-polls for changes.
 
-use crate::framing::{Length, ResponsePart, ResponseReader};
+use crate::framing::{ChunkDelivery, Length, ResponsePart, ResponseReader};
 use crate::turn::Turn;
 use crate::{list, session, wire_names, Bounds, Session, Shared};
 use bytes::BytesMut;
@@ -80,10 +80,11 @@
             Ok(body) => body,
             Err(ended) => return ended,
         };
-        let list = match list::parse(&body) {
+        let list = match list::parse(&body, bounds.max_listed_engines) {
             Ok(list) => list,
             Err(error) => return WatchEnd::Unusable(format!("not a valid list: {error}")),
         };
+        drop(body);
         path = changes_since(list.version, bounds.discovery_wait_ms);
         shared.send_frame(stream, Body::Endpoints(list));
         // The list is taken over before the next one is read. Discovery that sends more than it is asked for would
@@ -117,7 +118,7 @@
 ) -> Result<BytesMut, WatchEnd> {
     let too_long = || WatchEnd::Unusable("the list is too long".to_owned());
     let mut has_begun = false;
-    let mut reader = ResponseReader::new(bounds.max_list_bytes);
+    let mut reader = ResponseReader::with_delivery(bounds.max_list_bytes, ChunkDelivery::InParts);
     let mut body = BytesMut::new();
     loop {
         match reader
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -43,6 +43,8 @@
     pub max_chunk_bytes: usize,
     /// The largest endpoint list, in bytes.
     pub max_list_bytes: usize,
+    /// The maximum number of engines in one endpoint list.
+    pub max_listed_engines: usize,
     /// The maximum number of bytes that the requests of all clients hold together, from the read of a byte until its
     /// last copy is freed: bodies, and what a connection holds besides beyond one read (8 KiB). A body that exceeds it
     /// while it arrives is rejected with status 503; what arrives behind an open request stays in the socket.
--- a/crates/http1/tests/common/mod.rs
+++ b/crates/http1/tests/common/mod.rs
@@ -17,6 +17,7 @@
     max_body_bytes: 1000,
     max_chunk_bytes: 1000,
     max_list_bytes: 4000,
+    max_listed_engines: 4096,
     max_total_body_bytes: 5000,
     max_total_response_bytes: 5000,
     discovery_wait_ms: 500,
--- a/crates/http1/tests/memory.rs
+++ b/crates/http1/tests/memory.rs
@@ -33,6 +33,8 @@
         max_chunk_bytes: MAX_BODY_BYTES,
         max_total_body_bytes: LIMIT,
         max_total_response_bytes: LIMIT,
+        max_list_bytes: LIMIT,
+        max_listed_engines: LIMIT / KIB,
         ..BOUNDS
     })
 }
@@ -162,3 +164,63 @@
         require_bounded(form, held, at_rest);
     }
 }
+
+/// Guards against a process that is killed for its memory: lists that are much larger in memory than they are in JSON.
+#[test]
+fn a_list_of_discovery_holds_little_more_memory_than_its_bytes() {
+    let _guard = MEASURING.lock();
+    let entry = "{\"id\":\"\",\"host_port\":\"\",\"locality\":\"\",\"flavor\":\"\",\"cell\":0,\"phase\":\"\"},";
+    let head = "HTTP/1.1 200 OK\r\n\r\n{\"revision\":1,\"complete\":true,\"members\":[";
+    let forms = [
+        ("small entries", head.to_owned(), entry),
+        (
+            "a cell that is a long list",
+            format!("{head}{{\"cell\":["),
+            "0,",
+        ),
+        ("an unknown field", head.replace("members", "unknown"), "0,"),
+        ("a long name", format!("{head}{{\"id\":\""), "x"),
+    ];
+    for (form, beginning, pattern) in forms {
+        let (io, _) = AlwaysReadable::new(&beginning, pattern, LIMIT - KIB);
+        let held = peak_of(async move {
+            let mut session = wire()
+                .connect(io.answering(), v1::Party::Feed, setup())
+                .await
+                .expect("session started");
+            session.out.send(frame(
+                1,
+                Body::WatchEndpoints(v1::WatchEndpoints::default()),
+            ));
+            let answer = next_body(&mut session).await;
+            assert!(matches!(answer, Some((1, Body::Goodbye(_)))), "{form}");
+        });
+        assert!(
+            held <= 4 * LIMIT,
+            "{form}: a list of {} KiB held {} KiB",
+            LIMIT / KIB,
+            held / KIB
+        );
+    }
+}
+
+/// Guards against a list that is refused although it is one of the platform's largest: 3,200 engines, indented.
+#[test]
+fn a_list_of_the_largest_fleet_is_taken() {
+    let _guard = MEASURING.lock();
+    let entry = |number: usize| {
+        format!(
+            "{{\n  \"id\": \"s-{number:032x}\",\n  \"host_port\": \"10.1.0.18:{number}\",\n  \"locality\": \"a\",\n  \
+             \"flavor\": \"m2\",\n  \"cell\": {number},\n  \"phase\": \"up\",\n  \"size\": 1.0,\n  \"up_since_ms\": 0\n}}"
+        )
+    };
+    let entries: Vec<String> = (0..3_200).map(entry).collect();
+    let list = format!(
+        "{{\"members\": [{}], \"revision\": 7, \"complete\": true}}\n",
+        entries.join(", ")
+    );
+    let list = cindercleat_http1::parse_list(list.as_bytes(), LIMIT / KIB).expect("list accepted");
+    assert_eq!((list.version, list.endpoints.len()), (7, 3_200));
+    assert_eq!(list.endpoints[3_199].cell, "3199");
+    assert!(cindercleat_http1::parse_list(b"{\"revision\":1,\"complete\":true}", 1).is_err());
+}
--- a/src/resource_limits.rs
+++ b/src/resource_limits.rs
@@ -55,6 +55,8 @@
     pub max_chunk_bytes: usize,
     /// Maximum size in bytes of one list of endpoints.
     pub max_list_bytes: usize,
+    /// Maximum number of engines in one list of endpoints.
+    pub max_listed_engines: usize,
     /// Maximum number of token messages of one stream that are on the way from the decode engine to the client.
     pub stream_window: u32,
     /// A stream that makes no progress for this long is ended.
@@ -94,6 +96,9 @@
 /// there may be thousands.
 const LIST_MEMORY_DIVISOR: f64 = 8.0;
 
+/// The memory that an engine of the list uses, in bytes. Entries may be many times larger in memory than in the list.
+const LISTED_ENGINE_BYTES: usize = 1 << 10;
+
 /// The size limit of a list of endpoints is at least this many times the maximum body size.
 const MIN_LIST_BODIES: usize = 4;
 
@@ -181,6 +186,8 @@
             return None;
         }
         let (discovery_poll_wait, discovery) = discovery_settings(process);
+        let max_list_bytes = ((process.memory_bytes / LIST_MEMORY_DIVISOR) as usize)
+            .max(MIN_LIST_BODIES * MAX_BODY_BYTES);
         Some(ResourceLimits {
             client_timeouts: CLIENT_TIMEOUTS,
             max_client_connections: max_connections,
@@ -197,8 +204,8 @@
             max_total_body_bytes: (process.memory_bytes / BODIES_MEMORY_DIVISOR) as usize,
             max_total_response_bytes: (process.memory_bytes / RESPONSES_MEMORY_DIVISOR) as usize,
             max_chunk_bytes: MAX_BODY_BYTES,
-            max_list_bytes: ((process.memory_bytes / LIST_MEMORY_DIVISOR) as usize)
-                .max(MIN_LIST_BODIES * MAX_BODY_BYTES),
+            max_list_bytes,
+            max_listed_engines: max_list_bytes / LISTED_ENGINE_BYTES,
             stream_window: STREAM_WINDOW,
             stall_timeout: STALL_TIMEOUT_MS,
             discovery_poll_wait,
--- a/tests/resource_limits.rs
+++ b/tests/resource_limits.rs
@@ -167,6 +167,11 @@
             "a list may have only {} bytes",
             limits.max_list_bytes
         );
+        assert!(
+            limits.max_listed_engines >= 3_200,
+            "a list may have only {} engines",
+            limits.max_listed_engines
+        );
         assert!(
             limits.max_list_bytes as f64 <= memory / 8.0,
             "a list may have {} bytes, more than an eighth of the memory",
