Soak: hostile clients by seed, and the memory of each process judged

One soak in two has groups of 5 to 60 clients that send, at full speed and on a thread of their own, what does not end, is too long or stops within a request (eight forms, their sizes drawn); its processes have 64 or 32 MiB. Each such client is owed an error or a close within 3 s; each process's memory is read every 25 ms and held against its limit (new invariant memory-limit); usual clients keep all of theirs. Drawn last, so that the other draws of a seed stay.

The text of a bad-client-ended violation says 'a bad client'.

--- a/crates/cindercleat-cli/src/soak.rs
+++ b/crates/cindercleat-cli/src/soak.rs
@@ -134,6 +134,14 @@
         "serve all at once"
     };
     let _ = writeln!(text, "readings: {}; decode engines {waits}", plan.readings);
+    let hostile_clients: usize = plan.hostile_groups.iter().map(|group| group.clients).sum();
+    let _ = writeln!(
+        text,
+        "hostile clients: {hostile_clients} in {} groups; memory {} MiB of {}",
+        plan.hostile_groups.len(),
+        report.peak_memory_kib.div_ceil(1 << 10),
+        plan.memory_mib
+    );
     let cases = Invariant::ALL.map(|invariant| {
         format!(
             "{invariant} {}",
--- a/crates/cindercleat-cli/tests/soak.rs
+++ b/crates/cindercleat-cli/tests/soak.rs
@@ -28,6 +28,22 @@
     met.unwrap_or_default()
 }
 
+/// The memory and the service of a process under clients that send what is not a request, hundreds in all, at full speed.
+#[test]
+fn a_soak_with_hostile_clients_keeps_every_invariant() {
+    let args = ["--seed", "7710004", "--processes", "8", "--seconds", "12"];
+    let (code, told, problem) = soak(&args);
+    assert_eq!(code, Some(0), "{told}{problem}");
+    assert!(told.contains("hostile clients: 404 in 12 groups"), "{told}");
+    for (invariant, least) in [
+        ("answered", 100),
+        ("bad-client-ended", 250),
+        ("memory-limit", 1_000),
+    ] {
+        assert!(cases(&told, invariant) >= least, "{invariant}: {told}");
+    }
+}
+
 /// One seed with lists that are pushed and system calls that fail, one with lists that are asked for, and two longer ones with
 /// engines that answer twice; each takes other readings of the pages. In all of them clients send requests of usual length at
 /// once, and last bytes as the process stops waiting for them.
--- a/crates/soak/src/audit.rs
+++ b/crates/soak/src/audit.rs
@@ -37,15 +37,17 @@
     EventsInTime,
     /// An engine that has just started gets no more attempts than its slow-start budget, from all processes together.
     SlowStart,
-    /// A client that stalls within its request gets an error or a close in time.
+    /// A client that stalls within its request, or sends what is not a request, gets an error or a close in time.
     BadClientEnded,
     /// Processes start, become ready soon, and end only when told to.
     ProcessUp,
+    /// Processes use no more memory than they may.
+    MemoryLimit,
 }
 
 impl Invariant {
     /// All invariants, in the order in which reports list them.
-    pub const ALL: [Invariant; 11] = [
+    pub const ALL: [Invariant; 12] = [
         Invariant::Answered,
         Invariant::RunOnce,
         Invariant::DrainKept,
@@ -57,6 +59,7 @@
         Invariant::SlowStart,
         Invariant::BadClientEnded,
         Invariant::ProcessUp,
+        Invariant::MemoryLimit,
     ];
 }
 
@@ -74,6 +77,7 @@
             Invariant::SlowStart => "slow-start",
             Invariant::BadClientEnded => "bad-client-ended",
             Invariant::ProcessUp => "process-up",
+            Invariant::MemoryLimit => "memory-limit",
         })
     }
 }
@@ -264,6 +268,8 @@
 pub struct Report {
     pub cases: BTreeMap<Invariant, u64>,
     pub violations: Vec<Violation>,
+    /// The most memory that a process has used, in KiB.
+    pub peak_memory_kib: u64,
 }
 
 /// The audit of a soak. Its methods record observations, and [`Audit::finish`] returns the report.
--- a/crates/soak/src/audit/platform.rs
+++ b/crates/soak/src/audit/platform.rs
@@ -74,15 +74,22 @@
         self.violated(now, Invariant::ProcessUp, what);
     }
 
-    /// Records when a client that stalled within its request got an error or a close; `None` if it got neither.
+    /// Records how much memory a process uses, and how much it may use.
+    pub fn memory_used(&mut self, process: usize, used_kib: u64, limit_kib: u64, now: Ms) {
+        self.report.peak_memory_kib = self.report.peak_memory_kib.max(used_kib);
+        let violation = (used_kib > limit_kib)
+            .then(|| format!("process {process} used {used_kib} KiB of {limit_kib}"));
+        self.check(now, Invariant::MemoryLimit, violation);
+    }
+
+    /// Records when a client that stalled within its request, or sent what is not a request, got an error or a close;
+    /// `None` if it got neither.
     pub fn stalled_client_ended(&mut self, after: Option<Ms>, now: Ms) {
         let limit = self.rules.stalled_client_limit + self.rules.timer_slack;
         let violation = match after {
             Some(after) if after <= limit => None,
-            Some(after) => Some(format!(
-                "an incomplete request was ended after {after:.0} ms"
-            )),
-            None => Some("an incomplete request was never ended".to_owned()),
+            Some(after) => Some(format!("a bad client was ended after {after:.0} ms")),
+            None => Some("a bad client was never ended".to_owned()),
         };
         self.check(now, Invariant::BadClientEnded, violation);
     }
--- a/crates/soak/src/configuration.rs
+++ b/crates/soak/src/configuration.rs
@@ -72,6 +72,8 @@
     pub discovery: SocketAddr,
     /// Whether the process polls discovery for lists, rather than receives pushed ones.
     pub lists_are_asked_for: bool,
+    /// The memory that the process may use, in MiB.
+    pub memory_mib: u32,
 }
 
 /// The text of a process's configuration file. `known` is the list of engines that the process starts with, as JSON.
@@ -83,6 +85,7 @@
         start,
         discovery,
         lists_are_asked_for,
+        memory_mib,
     } = settings;
     let micros = |time: Ms| (time * 1000.0) as u64;
     let (release, connect, grace) = (
@@ -122,7 +125,7 @@
     let seed = 0x9e37_79b9_u64.wrapping_mul(*number as u64 + 1) ^ u64::from(*start) << 40;
     format!(
         r#"{{"name":"n{number}","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"{seed:x}","peers":[],
-"limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},"known":{known},
+"limits":{{"cores":1.0,"memory_mb":{memory_mib},"sockets":256}},"known":{known},
 "settings":{{"me":{number},"replicasOfMe":{processes},"zone":{zone},"zones":["{}","{}"],"tick":4000,
 "discovery":"{discovery_mode}","shapes":["{}","{}"],"orgs":[],"stats":{{"columns":[]}},
 "familyInfo":{{"kindRole":["read","write"],"tokensByKind":[500000,500000],"release":{release},"resume":false,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod connection_trace;
 mod discovery;
 mod engine;
+pub mod hostile_clients;
 pub mod plan;
 mod process;
 mod proxy;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,6 +2,7 @@
 //! at any time.
 
 use crate::audit::Effect;
+use crate::hostile_clients::HostileGroup;
 use crate::readings::Readings;
 use crate::Ms;
 use nanorand::{Rng, WyRand};
@@ -143,6 +144,10 @@
     pub wall_step_after: Ms,
     /// Whether engines send some answers a second time, some milliseconds after the first.
     pub answers_repeat: bool,
+    /// The groups of hostile clients; empty in most soaks.
+    pub hostile_groups: Vec<HostileGroup>,
+    /// The memory that each process may use, in MiB.
+    pub memory_mib: u32,
 }
 
 /// The layout of the engines: how many there are, of how many kinds, in how many zones. Kinds alternate from engine to
@@ -198,6 +203,12 @@
 const SHORT_ONE_IN: u32 = 3;
 /// One soak in this many is crowded: hundreds of idle clients stay connected, and requests also come in bursts.
 const CROWDED_ONE_IN: u32 = 4;
+/// One soak in this many has hostile clients.
+const HOSTILE_ONE_IN: u32 = 2;
+/// The mean time between two groups of hostile clients at a process.
+const HOSTILE_INTERVAL: Ms = 5_000.0;
+/// The memory of processes, in MiB: one of these in soaks with hostile clients, the first in the others.
+const MEMORY_MIB: [u32; 2] = [64, 32];
 /// The range of the time, in milliseconds, for which engines recognise the repeat of a keyed request.
 const DEDUPLICATION_WINDOWS: std::ops::Range<u32> = 500..3_000;
 /// The largest number of processes that one fault stops one after another.
@@ -231,7 +242,7 @@
         if rng.generate_range(0..KIND_FAILS_ONE_IN) == 0 {
             troubles.extend(draw_kind_failures(&mut rng, engines, end));
         }
-        Plan {
+        let mut plan = Plan {
             readings: Readings::draw(&mut rng),
             classes,
             troubles,
@@ -242,7 +253,15 @@
             wall_step: WALL_STEPS[rng.generate_range(0..WALL_STEPS.len())],
             wall_step_after: QUIET_START + rng.generate::<f64>() * (end - QUIET_START).max(0.0),
             answers_repeat: rng.generate_range(0..2u32) == 0,
+            hostile_groups: Vec::new(),
+            memory_mib: MEMORY_MIB[0],
+        };
+        // Drawn last, so that the other draws of a seed stay as they are.
+        if rng.generate_range(0..HOSTILE_ONE_IN) == 0 {
+            plan.hostile_groups = draw_hostile_groups(&mut rng, processes, end);
+            plan.memory_mib = MEMORY_MIB[rng.generate_range(0..MEMORY_MIB.len())];
         }
+        plan
     }
 
     /// The longest time to the deadline among the classes.
@@ -254,6 +273,17 @@
     }
 }
 
+/// Draws groups of hostile clients, spread at random over the soak and the processes.
+fn draw_hostile_groups(rng: &mut WyRand, processes: usize, end: Ms) -> Vec<HostileGroup> {
+    let mut groups = Vec::new();
+    let mut now = QUIET_START;
+    while now < end {
+        groups.push(HostileGroup::draw(rng, now, processes));
+        now += -(1.0 - rng.generate::<f64>()).ln() * HOSTILE_INTERVAL / processes as f64;
+    }
+    groups
+}
+
 /// Draws three request classes, one of each effect, with a deadline each.
 fn draw_classes(rng: &mut WyRand) -> [Class; 3] {
     let is_short = rng.generate_range(0..SHORT_ONE_IN) == 0;
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -13,6 +13,9 @@
 /// The text that marks the log line with the address on which a process listens.
 const SERVING_TEXT: &str = "\"serving\"";
 
+/// The field of `/proc/PID/status` with the memory of a process that is not backed by files.
+const MEMORY_FIELD: &str = "RssAnon:";
+
 /// The command that starts a process.
 #[derive(Clone, Debug)]
 pub struct Program {
@@ -150,6 +153,16 @@
         }
     }
 
+    /// The memory that the present run uses by itself, without mapped files, in KiB; `None` if none is up.
+    pub fn memory_kib(&self) -> Option<u64> {
+        let child = self.child.as_ref()?;
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix(MEMORY_FIELD))?;
+        line.split_whitespace().next()?.parse().ok()
+    }
+
     /// The log lines of all runs that report an invariant violation.
     pub fn own_violations(&self) -> Vec<String> {
         let logs =
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,6 +8,7 @@
 use crate::configuration::{self, ProcessSettings, KINDS, ZONES};
 use crate::discovery::{self, Discovery, Entry};
 use crate::engine::{Behaviour, Engine, EngineSettings};
+use crate::hostile_clients::{self, HostileClientEnd, HostileGroup};
 use crate::plan::{BlockedDirection, Engines, Fault, Hang, Plan, PlannedFault, Silence};
 use crate::process::{Process, Program, Shim};
 use crate::proxy::{self, Proxy};
@@ -22,6 +23,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::mpsc;
+use std::thread::JoinHandle;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::task::{spawn_local, LocalSet};
@@ -161,6 +164,25 @@
     is_over: Cell<bool>,
     /// When [`Soak::check`] last ran.
     checked_at: Cell<Ms>,
+    hostile: HostileClients,
+}
+
+/// The threads of hostile clients, and the channel on which they report.
+struct HostileClients {
+    threads: RefCell<Vec<JoinHandle<()>>>,
+    ends_sender: mpsc::Sender<HostileClientEnd>,
+    ends: mpsc::Receiver<HostileClientEnd>,
+}
+
+impl HostileClients {
+    fn new() -> Self {
+        let (ends_sender, ends) = mpsc::channel();
+        HostileClients {
+            threads: RefCell::default(),
+            ends_sender,
+            ends,
+        }
+    }
 }
 
 impl Soak {
@@ -216,6 +238,7 @@
             unreachable: RefCell::default(),
             is_over: Cell::new(false),
             checked_at: Cell::new(0.0),
+            hostile: HostileClients::new(),
         })
     }
 
@@ -232,6 +255,13 @@
                 soak.inject(planned).await;
             }));
         }
+        for group in self.plan.hostile_groups.clone() {
+            let soak = self.clone();
+            spawn_local(async move {
+                sleep(group.at - soak.clock.now()).await;
+                soak.start_hostile_group(group);
+            });
+        }
         while self.clock.now() < duration {
             sleep(CHECK_INTERVAL).await;
             self.check();
@@ -256,7 +286,30 @@
         self.check();
     }
 
+    /// Starts a group of hostile clients at a process, if it is up and takes new clients.
+    fn start_hostile_group(&self, group: HostileGroup) {
+        let process = self.processes[group.process].borrow();
+        let is_ready = !self.busy[group.process].get() && !self.is_over.get();
+        if let Some(address) = process.address.filter(|_| is_ready) {
+            let ends = self.hostile.ends_sender.clone();
+            let thread = hostile_clients::start(group, address, self.clock, ends);
+            self.hostile.threads.borrow_mut().push(thread);
+        }
+    }
+
+    /// Passes the ends of hostile clients to the audit.
+    fn take_hostile_ends(&self) {
+        for HostileClientEnd { after, at } in self.hostile.ends.try_iter() {
+            self.audit.borrow_mut().stalled_client_ended(after, at);
+        }
+    }
+
     fn finish(&self) -> Outcome {
+        for thread in self.hostile.threads.take() {
+            // A thread that panicked has reported no further ends.
+            let _ = thread.join();
+        }
+        self.take_hostile_ends();
         let own = self
             .processes
             .iter()
@@ -271,9 +324,12 @@
         }
     }
 
-    /// Checks for KV states that are held for too long, and for processes that have ended without a signal.
+    /// Checks for KV states that are held for too long, for processes that have ended without a signal, and for their
+    /// memory.
     fn check(&self) {
         let now = self.clock.now();
+        self.take_hostile_ends();
+        self.check_memory(now);
         let delay = now - self.checked_at.replace(now) - CHECK_INTERVAL;
         if delay <= MAX_CHECK_DELAY {
             self.audit.borrow_mut().check_held_states(now);
@@ -294,6 +350,16 @@
         }
     }
 
+    fn check_memory(&self, now: Ms) {
+        let limit_kib = u64::from(self.plan.memory_mib) << 10;
+        for (number, process) in self.processes.iter().enumerate() {
+            if let Some(used_kib) = process.borrow().memory_kib() {
+                let mut audit = self.audit.borrow_mut();
+                audit.memory_used(number, used_kib, limit_kib, now);
+            }
+        }
+    }
+
     /// Starts the next run of a process, and its clients once it is ready.
     fn start_process(self: &Rc<Self>, number: usize) {
         let mut process = self.processes[number].borrow_mut();
@@ -320,6 +386,7 @@
             start,
             discovery: self.addresses[self.current_address.get()],
             lists_are_asked_for: self.plan.lists_are_asked_for,
+            memory_mib: self.plan.memory_mib,
         };
         configuration::render(&settings, &self.configured_engines.borrow())
     }
--- a/crates/soak/tests/audit.rs
+++ b/crates/soak/tests/audit.rs
@@ -766,6 +766,31 @@
     );
 }
 
+#[test]
+fn a_process_over_its_memory_is_reported() {
+    for (used_kib, expected) in [(100, vec![]), (101, vec![Invariant::MemoryLimit])] {
+        let mut audit = audit();
+        audit.memory_used(0, used_kib, 100, 10.0);
+        assert_eq!(violated(audit, 20.0), expected);
+    }
+}
+
+#[test]
+fn hostile_clients_are_determined_by_the_seed_and_meet_every_form() {
+    let mut forms = Vec::new();
+    for seed in 0..20 {
+        let draw = || Plan::draw(1_000 * seed, 12, ENGINES, 20.0).hostile_groups;
+        assert_eq!(draw(), draw());
+        for group in draw() {
+            assert!(group.process < 12 && group.clients > 0);
+            forms.push(format!("{:?}", group.form));
+        }
+    }
+    forms.sort();
+    forms.dedup();
+    assert_eq!(forms.len(), 8, "{forms:?}");
+}
+
 #[test]
 fn faults_overlap_and_are_determined_by_the_seed() {
     for seed in 0..20 {
