HTTP/1.1: what an engine's response means stands in a module of its own

What a call is, what frame ends it, and what its response carries (call_result.rs) has nothing to do with reading and writing.

--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 mod arrivals;
+mod call_result;
 mod discovery_client;
 mod engine_client;
 pub mod event_stream;
