--- a/crates/cindercleat-cli/tests/soak.rs
+++ b/crates/cindercleat-cli/tests/soak.rs
@@ -44,6 +44,14 @@
     }
 }
 
+/// A silence of an engine that lasts about as long as the stall time-out, under a stream.
+#[test]
+fn a_soak_with_a_silence_as_long_as_the_stall_timeout_cuts_no_stream() {
+    let args = ["--seed", "7712009", "--processes", "12", "--seconds", "20"];
+    let (code, told, problem) = soak(&args);
+    assert_eq!(code, Some(0), "{told}{problem}");
+}
+
 /// One seed with lists that are pushed and system calls that fail, one with lists that are asked for, and two longer ones with
 /// engines that answer twice; each takes other readings of the pages. In all of them clients send requests of usual length at
 /// once, and last bytes as the process stops waiting for them.
--- a/crates/http1/tests/memory.rs
+++ b/crates/http1/tests/memory.rs
@@ -68,6 +68,10 @@
             sessions.push(wire.serve(io, setup()).await.expect("session started"));
         }
         tokio::time::sleep(Duration::from_millis(100)).await;
+        sessions.iter().for_each(|session| session.out.close());
+        drop(sessions);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        assert_eq!(wire.buffered_bytes(), 0, "all is freed with its connection");
     })
 }
 
@@ -85,6 +89,13 @@
             sessions.push(session);
         }
         tokio::time::sleep(Duration::from_millis(100)).await;
+        drop(sessions);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(
+            wire.buffered_response_bytes(),
+            0,
+            "all is freed with its connection"
+        );
     })
 }
 
