HTTP/1.1: a stream that waits for credit is not ended for want of memory

What it has in its buffer is bounded, nothing more is read of it, and its client frees memory by reading. Seen in a read of the whole change; no run showed it. http1's tests pass.

--- a/crates/http1/src/engine_client.rs
+++ b/crates/http1/src/engine_client.rs
@@ -465,7 +465,7 @@
             if message_is_full {
                 continue;
             }
-            self.require_memory(&body)?;
+            self.require_memory(call, &body)?;
             if !self.read_more(stream, call).await? {
                 // A rejection is complete once its head was received, because the head carries the rejection header.
                 // Its body is not used.
@@ -483,11 +483,13 @@
     /// Counts what has arrived of a response and was not forwarded.
     ///
     /// # Errors
-    /// The responses of all engines together exceed their share of the memory, and this one is longer than one read.
-    fn require_memory(&mut self, body: &Vec<u8>) -> Result<(), CallStop> {
+    /// The responses of all engines together exceed their share of the memory, and this one is longer than one read. A
+    /// stream that waits for credit is not ended: nothing more is read of it, and its client frees memory.
+    fn require_memory(&mut self, call: &Call, body: &Vec<u8>) -> Result<(), CallStop> {
         let held = self.bytes.len() + body.capacity();
         self.memory.set(held.saturating_sub(MAX_READ_BYTES));
-        if self.memory.is_over_limit() {
+        let waits_for_credit = matches!(call, Call::Decode { credit: 0, .. });
+        if !waits_for_credit && self.memory.is_over_limit() {
             return Err(CallStop::NoMemory);
         }
         Ok(())
